--- /dev/null
+++ b/packages/bench/src/bin/bench.ts
@@ -0,0 +1,22 @@
+/** Command line of the benchmarks. */
+import sade from "sade";
+import type { BenchOptions } from "../bench-options.js";
+import { runCapacityBench } from "../capacity/index.js";
+import { runCarryBench } from "../carry/index.js";
+import { runPolicyBench } from "../policy/index.js";
+
+const program = sade("bench");
+program
+    .option("--seed", "Seed of the random source", 1)
+    .option("--rounds", "Rounds of each measurement", 3)
+    .option("--only", "Run only the cases whose name contains this text");
+program
+    .command("carry", "Latency and throughput of an entry against direct calls", { default: true })
+    .action((flags: BenchOptions) => runCarryBench(flags));
+program
+    .command("policy", "The limiter against baselines on the same offered load")
+    .action((flags: BenchOptions) => runPolicyBench(flags));
+program
+    .command("capacity", "Slopes behind docs/CAPACITY.md")
+    .action((flags: BenchOptions) => runCapacityBench(flags));
+program.parse(process.argv);
