feat(carrier): carry requests, gossip membership and backend directory

Cause: the path from a caller to a backend server needs a carrier that knows for each attempt whether anything was sent, a view of the live entries, and a list of backend servers that reacts faster than the platform's list. Conclusion: ready for composition in the entry daemon.

--- /dev/null
+++ b/packages/carrier/src/backend-upstream.ts
@@ -0,0 +1,223 @@
+/** Sends requests to the backend servers of the own region. */
+import {
+    AdmissionRefusedError,
+    ReasonCode,
+    SlotResult,
+    backendLoadHeader,
+    notStartedHeader,
+} from "@waxwingdale/core";
+import type { Slot } from "@waxwingdale/core";
+import { AttemptKind, Upstream, openResponseSink } from "./attempt.js";
+import type { AttemptResult, ResponseCapture } from "./attempt.js";
+import type { CarrierOptions } from "./carrier-options.js";
+import { DispatchPhase, dispatchRequest } from "./dispatch-request.js";
+import type { DispatchResult } from "./dispatch-request.js";
+import { createRequestHeaders, getHeader } from "./headers.js";
+import { RequestBodyError } from "./request-body.js";
+import type { RequestContext } from "./request-context.js";
+
+/** Status by which a backend server says that it did not start a request. */
+const notStartedStatus = 503;
+
+export class BackendUpstream extends Upstream {
+    constructor(private readonly options: CarrierOptions) {
+        super();
+    }
+
+    async send(
+        ctx: RequestContext,
+        avoid: Set<string>,
+        capture: ResponseCapture | undefined,
+    ): Promise<AttemptResult> {
+        const slot = await this.acquire(ctx, avoid);
+        if (!("server" in slot)) {
+            return slot;
+        }
+        const attempt = {
+            target: slot.server.id,
+            region: this.options.region,
+            waitedMs: this.options.clock.now() - ctx.startedAt,
+            result: "running",
+        };
+        ctx.record.attempts.push(attempt);
+        const result = await this.dispatch(ctx, slot, capture);
+        slot.release(toSlotResult(result), getBusySlots(result));
+        const outcome = await this.judge(ctx, slot.server.id, result);
+        attempt.result = outcome.reason ?? outcome.kind;
+        if (outcome.kind !== AttemptKind.Ran) {
+            avoid.add(slot.server.id);
+        }
+        return outcome;
+    }
+
+    private async acquire(ctx: RequestContext, avoid: Set<string>): Promise<Slot | AttemptResult> {
+        try {
+            return await this.options.slots.acquire({
+                service: ctx.service,
+                requestClass: ctx.route.class,
+                deadlineAt: ctx.deadlineAt,
+                suspect: this.options.crashGuard.isSuspect(ctx.fingerprint),
+                avoid,
+                signal: ctx.callerLeft,
+            });
+        } catch (err) {
+            if (!(err instanceof AdmissionRefusedError)) {
+                throw err;
+            }
+            const { reason, message, retryAfterSeconds } = err;
+            return { kind: AttemptKind.NotRun, reason, message, retryAfterSeconds, worthRetry: false };
+        }
+    }
+
+    private dispatch(
+        ctx: RequestContext,
+        slot: Slot,
+        capture: ResponseCapture | undefined,
+    ): Promise<DispatchResult> {
+        const { options } = this;
+        const { res, req, body } = ctx;
+        const remainingMs = ctx.deadlineAt - options.clock.now();
+        const pace = createResponsePacer(options, ctx);
+        return dispatchRequest({
+            pool: options.pools.get(slot.server.address, slot.server.slots),
+            clock: options.clock,
+            method: req.method ?? "GET",
+            path: ctx.path,
+            headers: createRequestHeaders(req.headers, {
+                requestId: ctx.id,
+                remainingMs,
+                bodyLength: body.length,
+                client: ctx.client,
+            }),
+            body: body.open(),
+            deadlineAt: ctx.deadlineAt,
+            // A non-idempotent request runs on without its caller, so that a repeat of its key gets the outcome.
+            signal: ctx.route.idempotent ? ctx.callerLeft : undefined,
+            onHead: (status, headers) =>
+                isNotStarted(status, headers)
+                    ? undefined
+                    : openResponseSink({ res, ctx, status, headers, region: options.region, capture, pace }),
+        });
+    }
+
+    /** Turns what was seen on the connection into an outcome. */
+    private async judge(
+        ctx: RequestContext,
+        serverId: string,
+        result: DispatchResult,
+    ): Promise<AttemptResult> {
+        const { crashGuard, logger } = this.options;
+        if (result.phase === DispatchPhase.Complete) {
+            crashGuard.reportSuccess(ctx.fingerprint);
+            if (isNotStarted(result.status, result.headers)) {
+                return {
+                    kind: AttemptKind.NotRun,
+                    reason: ReasonCode.BackendRefused,
+                    message: `backend server ${serverId} did not start the request`,
+                    worthRetry: true,
+                };
+            }
+            return { kind: AttemptKind.Ran, status: result.status, worthRetry: false };
+        }
+        if (result.phase === DispatchPhase.NotSent) {
+            return judgeNotSent(ctx, serverId, result);
+        }
+        if (!result.aborted && !isBodyFault(result)) {
+            logger.warn("backend-connection-lost", {
+                request: ctx.id,
+                server: serverId,
+                phase: result.phase,
+                error: result.err?.message,
+            });
+            await crashGuard.reportCrash(ctx.fingerprint, serverId);
+        }
+        return judgeInterrupted(ctx, serverId, result);
+    }
+}
+
+/** Returns the wait for the link that an answer to another region crosses, or undefined for a local answer. */
+function createResponsePacer(options: CarrierOptions, ctx: RequestContext) {
+    const { fromRegion } = ctx;
+    if (fromRegion === undefined || fromRegion === options.region) {
+        return undefined;
+    }
+    return (bytes: number) => options.links.take(fromRegion, ctx.route.class, bytes, ctx.callerLeft);
+}
+
+export function isNotStarted(status: number, headers: DispatchResult["headers"]): boolean {
+    return status === notStartedStatus && getHeader(headers, notStartedHeader) === "1";
+}
+
+function isBodyFault(result: DispatchResult): boolean {
+    return result.err instanceof RequestBodyError;
+}
+
+function judgeNotSent(ctx: RequestContext, serverId: string, result: DispatchResult): AttemptResult {
+    if (result.aborted) {
+        const reason = ctx.callerLeft.aborted ? ReasonCode.CallerAborted : ReasonCode.DeadlineExceeded;
+        return {
+            kind: AttemptKind.NotRun,
+            reason,
+            message: "the deadline passed before the request was sent",
+            worthRetry: false,
+        };
+    }
+    return {
+        kind: AttemptKind.NotRun,
+        reason: ReasonCode.BackendUnreachable,
+        message: `no connection to backend server ${serverId}`,
+        worthRetry: true,
+    };
+}
+
+/** The request was sent, in part or whole, and no whole answer came. */
+export function judgeInterrupted(ctx: RequestContext, target: string, result: DispatchResult): AttemptResult {
+    if (result.phase === DispatchPhase.Truncated && ctx.res.headersSent) {
+        return {
+            kind: AttemptKind.Truncated,
+            reason: ReasonCode.BackendConnectionLost,
+            status: result.status,
+            worthRetry: false,
+        };
+    }
+    if (result.aborted) {
+        const reason = ctx.callerLeft.aborted ? ReasonCode.CallerAborted : ReasonCode.DeadlineExceeded;
+        return {
+            kind: AttemptKind.Unknown,
+            reason,
+            message: `no answer from ${target} within the deadline`,
+            worthRetry: false,
+        };
+    }
+    if (result.err instanceof RequestBodyError) {
+        return {
+            kind: AttemptKind.Unknown,
+            reason: result.err.reason,
+            message: result.err.message,
+            worthRetry: false,
+        };
+    }
+    return {
+        kind: AttemptKind.Unknown,
+        reason: ReasonCode.BackendConnectionLost,
+        message: `the connection to ${target} broke after the request was sent`,
+        worthRetry: true,
+    };
+}
+
+function toSlotResult(result: DispatchResult): SlotResult {
+    switch (result.phase) {
+        case DispatchPhase.NotSent:
+            return result.aborted ? SlotResult.Unused : SlotResult.Unreachable;
+        case DispatchPhase.Sent:
+        case DispatchPhase.Truncated:
+            return SlotResult.Broken;
+        case DispatchPhase.Complete:
+            return isNotStarted(result.status, result.headers) ? SlotResult.Refused : SlotResult.Completed;
+    }
+}
+
+function getBusySlots(result: DispatchResult): number | undefined {
+    const value = Number(getHeader(result.headers, backendLoadHeader));
+    return Number.isFinite(value) ? value : undefined;
+}
--- /dev/null
+++ b/packages/carrier/src/carrier-options.ts
@@ -0,0 +1,57 @@
+/** What the carrier needs from the other packages. */
+import type {
+    ClaimService,
+    Clock,
+    CrashGuard,
+    LinkShaper,
+    Logger,
+    MemberView,
+    Outcome,
+    ReasonCode,
+    RequestClass,
+    SlotSource,
+    TrafficSteering,
+} from "@waxwingdale/core";
+import type { ConnectionPools } from "./connection-pools.js";
+import type { RequestRecords } from "./request-record.js";
+import type { RouteTable } from "./route-table.js";
+
+/** Limit on retries as a share of traffic. */
+export interface RetryBudget {
+    /** Counts a first attempt. */
+    noteRequest(): void;
+    /** Takes one retry; false when the budget is used up. */
+    tryTake(): boolean;
+}
+
+export interface CarrierMetrics {
+    observe(
+        service: string,
+        requestClass: RequestClass,
+        outcome: Outcome,
+        reason: ReasonCode | undefined,
+        ms: number,
+    ): void;
+    countRetry(service: string): void;
+}
+
+export interface CarrierOptions {
+    id: string;
+    region: string;
+    clock: Clock;
+    logger: Logger;
+    fleetKey: string;
+    view: MemberView;
+    slots: SlotSource;
+    claims: ClaimService;
+    crashGuard: CrashGuard;
+    links: LinkShaper;
+    steering: TrafficSteering;
+    pools: ConnectionPools;
+    records: RequestRecords;
+    metrics: CarrierMetrics;
+    /** Routes of the manifest in force, or undefined before there is one. */
+    routes: () => RouteTable | undefined;
+    retryBudget: (service: string, route: string) => RetryBudget;
+    maxOutcomeBytes: () => number;
+}
--- /dev/null
+++ b/packages/carrier/src/carrier.ts
@@ -0,0 +1,272 @@
+/** Carries a request: one async task for each, from its head to the end of its answer. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+    Outcome,
+    ReasonCode,
+    getErrorMessage,
+    idempotencyKeyHeader,
+    requestIdHeader,
+} from "@waxwingdale/core";
+import type { RecordedResponse } from "@waxwingdale/core";
+import { AttemptKind } from "./attempt.js";
+import type { AttemptResult, ResponseCapture, Upstream } from "./attempt.js";
+import { BackendUpstream } from "./backend-upstream.js";
+import type { CarrierOptions } from "./carrier-options.js";
+import { runClaimed, sendRecorded } from "./claimed-request.js";
+import { getHeader } from "./headers.js";
+import { createOwnAnswer, sendOwnAnswer } from "./own-answer.js";
+import type { OwnAnswer } from "./own-answer.js";
+import { PeerUpstream, callerAuthorizationHeader } from "./peer-upstream.js";
+import { RequestBodyError, readRequestBody } from "./request-body.js";
+import { RequestOrigin, createRequestContext, getDeadline } from "./request-context.js";
+import type { RequestContext } from "./request-context.js";
+
+/** Attempts of one request at most, the first included. */
+const maxAttempts = 4;
+/** Longest idempotency key in characters. */
+const maxKeyLength = 255;
+
+export interface Carrier {
+    /** Carries a request of a caller. Never rejects. */
+    handleCaller(req: IncomingMessage, res: ServerResponse): Promise<void>;
+    /** Carries a request that an entry of another region forwards; `url` starts with the service's name. */
+    handleForwarded(req: IncomingMessage, res: ServerResponse, url: string): Promise<void>;
+    /** Requests that are being carried. */
+    inFlight(): number;
+}
+
+/** Creates the carrier of one entry instance. */
+export function createCarrier(options: CarrierOptions): Carrier {
+    const { clock, logger } = options;
+    const local = new BackendUpstream(options);
+    const idPrefix = `${options.id}-${clock.wallTime().toString(16)}`;
+    let count = 0;
+    let inFlight = 0;
+
+    const createId = (req: IncomingMessage, origin: RequestOrigin): string => {
+        const given = origin === RequestOrigin.Peer ? getHeader(req.headers, requestIdHeader) : undefined;
+        return given ?? `${idPrefix}-${(count++).toString(16).padStart(6, "0")}`;
+    };
+
+    const handle = async (req: IncomingMessage, res: ServerResponse, url: string, origin: RequestOrigin) => {
+        const id = createId(req, origin);
+        inFlight++;
+        try {
+            await carry(req, res, url, origin, id);
+        } catch (err) {
+            logger.error("carry-failed", { request: id, error: getErrorMessage(err) });
+            sendOwnAnswer(
+                res,
+                id,
+                createOwnAnswer(Outcome.Unknown, ReasonCode.InternalError, "internal error"),
+            );
+        } finally {
+            inFlight--;
+        }
+    };
+
+    const carry = async (
+        req: IncomingMessage,
+        res: ServerResponse,
+        url: string,
+        origin: RequestOrigin,
+        id: string,
+    ) => {
+        const startedAt = clock.now();
+        const ctx = await accept(req, res, url, origin, id, startedAt);
+        if (!("route" in ctx)) {
+            logger.info("request-refused", { request: id, reason: ctx.reason, path: url.slice(0, 200) });
+            sendOwnAnswer(res, id, ctx);
+            return;
+        }
+        const result = await run(ctx);
+        answer(ctx, result);
+    };
+
+    /** Checks everything that needs no backend server. */
+    const accept = async (
+        req: IncomingMessage,
+        res: ServerResponse,
+        url: string,
+        origin: RequestOrigin,
+        id: string,
+        startedAt: number,
+    ): Promise<RequestContext | OwnAnswer> => {
+        const routes = options.routes();
+        if (routes === undefined) {
+            return createOwnAnswer(Outcome.NotRun, ReasonCode.NotReady, "no manifest is in force yet", 1);
+        }
+        const match = routes.match(req.method ?? "GET", url);
+        if (match === undefined) {
+            return createOwnAnswer(
+                Outcome.NotRun,
+                ReasonCode.NoRoute,
+                "no route of the manifest matches this method and path",
+            );
+        }
+        const key = getHeader(req.headers, idempotencyKeyHeader);
+        if (!match.route.idempotent && (key === undefined || key.length === 0 || key.length > maxKeyLength)) {
+            const message = `route ${match.route.name} needs an ${idempotencyKeyHeader} header of 1 to ${maxKeyLength} characters`;
+            return createOwnAnswer(Outcome.NotRun, ReasonCode.MissingIdempotencyKey, message);
+        }
+        const callerLeft = new AbortController();
+        res.once("close", () => {
+            if (!res.writableFinished) {
+                callerLeft.abort();
+            }
+        });
+        const deadlineAt = getDeadline(req, match, startedAt);
+        try {
+            const limits = { maxBytes: match.route.maxBodyBytes, timeoutMs: deadlineAt - startedAt };
+            const body = await readRequestBody(req, limits);
+            const signal = callerLeft.signal;
+            return createRequestContext({
+                id,
+                origin,
+                req,
+                res,
+                match,
+                body,
+                startedAt,
+                deadlineAt,
+                callerLeft: signal,
+                clock,
+                region: options.region,
+            });
+        } catch (err) {
+            if (err instanceof RequestBodyError) {
+                return createOwnAnswer(Outcome.NotRun, err.reason, err.message);
+            }
+            throw err;
+        }
+    };
+
+    const run = async (ctx: RequestContext): Promise<AttemptResult | OwnAnswer | RecordedResponse> => {
+        if (options.crashGuard.isQuarantined(ctx.fingerprint)) {
+            const message = "this request crashed the backend servers that ran it and is refused for a while";
+            return createOwnAnswer(Outcome.NotRun, ReasonCode.Quarantined, message);
+        }
+        const needsClaim = !ctx.route.idempotent && ctx.origin === RequestOrigin.Caller;
+        return needsClaim
+            ? runClaimed(options, ctx, capture => runAttempts(ctx, capture))
+            : runAttempts(ctx, undefined);
+    };
+
+    const runAttempts = async (
+        ctx: RequestContext,
+        capture: ResponseCapture | undefined,
+    ): Promise<AttemptResult> => {
+        const budget = options.retryBudget(ctx.service, ctx.route.name);
+        const avoid = new Set<string>();
+        budget.noteRequest();
+        for (let attempt = 1; ; attempt++) {
+            const result = await chooseUpstream(ctx).send(ctx, avoid, capture);
+            if (!mayRetry(ctx, result, attempt) || !budget.tryTake()) {
+                return result;
+            }
+            options.metrics.countRetry(ctx.service);
+            logger.debug("request-retried", { request: ctx.id, attempt, reason: result.reason });
+        }
+    };
+
+    const chooseUpstream = (ctx: RequestContext): Upstream => {
+        if (ctx.origin === RequestOrigin.Peer) {
+            return local;
+        }
+        const decision = options.steering.chooseRegion(ctx.service, ctx.route.class);
+        ctx.record.region = decision.region;
+        ctx.record.regionReason = decision.reason;
+        return decision.region === options.region ? local : new PeerUpstream(options, decision.region);
+    };
+
+    /** A request that certainly did not run may run elsewhere; one that may have run only if its route is idempotent. */
+    const mayRetry = (ctx: RequestContext, result: AttemptResult, attempt: number): boolean => {
+        const safe =
+            result.kind === AttemptKind.NotRun ||
+            (result.kind === AttemptKind.Unknown && ctx.route.idempotent);
+        const possible = !ctx.body.consumed() && !ctx.callerLeft.aborted && !ctx.res.headersSent;
+        const quarantined = options.crashGuard.isQuarantined(ctx.fingerprint);
+        return (
+            safe &&
+            possible &&
+            !quarantined &&
+            result.worthRetry &&
+            attempt < maxAttempts &&
+            clock.now() < ctx.deadlineAt
+        );
+    };
+
+    const answer = (ctx: RequestContext, result: AttemptResult | OwnAnswer | RecordedResponse) => {
+        const { res } = ctx;
+        if ("headers" in result) {
+            sendRecorded(res, ctx.id, result);
+            finishRecord(ctx, result.status, Outcome.Ran, ReasonCode.Replayed);
+            return;
+        }
+        if ("outcome" in result) {
+            sendOwnAnswer(res, ctx.id, result);
+            finishRecord(ctx, result.status, result.outcome, result.reason);
+            return;
+        }
+        if (result.kind === AttemptKind.Ran) {
+            res.end();
+            finishRecord(ctx, result.status ?? 0, Outcome.Ran, undefined);
+            return;
+        }
+        if (result.kind === AttemptKind.Truncated) {
+            // The caller must not take the part for the whole, so its connection is reset.
+            res.destroy();
+            finishRecord(ctx, result.status ?? 0, Outcome.Unknown, result.reason);
+            return;
+        }
+        const outcome = result.kind === AttemptKind.NotRun ? Outcome.NotRun : Outcome.Unknown;
+        const own = createOwnAnswer(
+            outcome,
+            result.reason ?? ReasonCode.InternalError,
+            result.message ?? "",
+            result.retryAfterSeconds,
+        );
+        sendOwnAnswer(res, ctx.id, own);
+        finishRecord(ctx, own.status, outcome, own.reason);
+    };
+
+    const finishRecord = (
+        ctx: RequestContext,
+        status: number,
+        outcome: Outcome,
+        reason: ReasonCode | undefined,
+    ) => {
+        const { record } = ctx;
+        record.status = status;
+        record.outcome = outcome;
+        record.reason = reason;
+        record.totalMs = clock.now() - ctx.startedAt;
+        options.records.add(record);
+        options.metrics.observe(record.service, record.requestClass, outcome, reason, record.totalMs);
+        if (outcome !== Outcome.Ran) {
+            logger.info("request-failed", {
+                request: ctx.id,
+                service: ctx.service,
+                route: ctx.route.name,
+                outcome,
+                reason,
+                status,
+                attempts: record.attempts.length,
+                ms: Math.round(record.totalMs),
+            });
+        }
+    };
+
+    return {
+        handleCaller: (req, res) => handle(req, res, req.url ?? "/", RequestOrigin.Caller),
+        handleForwarded: (req, res, url) => {
+            const caller = getHeader(req.headers, callerAuthorizationHeader);
+            delete req.headers.authorization;
+            if (caller !== undefined) {
+                req.headers.authorization = caller;
+            }
+            return handle(req, res, url, RequestOrigin.Peer);
+        },
+        inFlight: () => inFlight,
+    };
+}
--- /dev/null
+++ b/packages/carrier/src/claimed-request.ts
@@ -0,0 +1,137 @@
+/** Runs a non-idempotent request under a claim, or answers from the record of an earlier attempt. */
+import type { ServerResponse } from "node:http";
+import {
+    ClaimState,
+    ClaimsUnavailableError,
+    Outcome,
+    ReasonCode,
+    outcomeHeader,
+    reasonHeader,
+    requestIdHeader,
+} from "@waxwingdale/core";
+import type { ClaimEnd, ClaimRequest, ClaimResult, RecordedResponse } from "@waxwingdale/core";
+import { AttemptKind } from "./attempt.js";
+import type { AttemptResult } from "./attempt.js";
+import type { CarrierOptions } from "./carrier-options.js";
+import { createOwnAnswer, sendOwnAnswer } from "./own-answer.js";
+import type { OwnAnswer } from "./own-answer.js";
+import type { RequestContext } from "./request-context.js";
+import { createResponseCapture } from "./response-capture.js";
+import type { RecordingCapture } from "./response-capture.js";
+
+type RunAttempts = (capture: RecordingCapture) => Promise<AttemptResult>;
+
+/** Time in seconds after which a caller may ask again while the store is down. */
+const claimsRetryAfterSeconds = 2;
+
+/** Returns the result of the attempt, or the answer that stands in its place. */
+export async function runClaimed(
+    options: CarrierOptions,
+    ctx: RequestContext,
+    runAttempts: RunAttempts,
+): Promise<AttemptResult | OwnAnswer | RecordedResponse> {
+    const claim: ClaimRequest = {
+        service: ctx.service,
+        key: ctx.key!,
+        attemptId: ctx.id,
+        requestHash: ctx.requestHash,
+        deadlineAt: ctx.deadlineAt,
+    };
+    const earlier = await begin(options, claim);
+    if (earlier.state !== ClaimState.Granted) {
+        return answerEarlier(earlier);
+    }
+    const capture = createResponseCapture(options.maxOutcomeBytes());
+    let end: ClaimEnd = { kind: "unknown" };
+    try {
+        const result = await runAttempts(capture);
+        end = toClaimEnd(result, capture);
+        return result;
+    } finally {
+        options.claims.finish(claim, end);
+    }
+}
+
+async function begin(
+    options: CarrierOptions,
+    claim: ClaimRequest,
+): Promise<ClaimResult | { state: "unavailable"; message: string }> {
+    try {
+        return await options.claims.begin(claim);
+    } catch (err) {
+        if (err instanceof ClaimsUnavailableError) {
+            return { state: "unavailable", message: err.message };
+        }
+        throw err;
+    }
+}
+
+function toClaimEnd(result: AttemptResult, capture: RecordingCapture): ClaimEnd {
+    const response = capture.getResponse();
+    if (result.kind === AttemptKind.Ran && response !== undefined) {
+        return { kind: "ran", response };
+    }
+    return result.kind === AttemptKind.NotRun ? { kind: "not-run" } : { kind: "unknown" };
+}
+
+function answerEarlier(
+    earlier: ClaimResult | { state: "unavailable"; message: string },
+): OwnAnswer | RecordedResponse {
+    switch (earlier.state) {
+        case "unavailable":
+            return createOwnAnswer(
+                Outcome.NotRun,
+                ReasonCode.ClaimsUnavailable,
+                earlier.message,
+                claimsRetryAfterSeconds,
+            );
+        case ClaimState.Finished:
+            return (
+                earlier.response ??
+                createOwnAnswer(
+                    Outcome.Ran,
+                    ReasonCode.Replayed,
+                    "the request of this key ran before; its answer was not kept",
+                )
+            );
+        case ClaimState.Running:
+            return createOwnAnswer(
+                Outcome.Unknown,
+                ReasonCode.InProgress,
+                "an earlier attempt of this key is still running; ask /v1/outcomes later",
+                1,
+            );
+        case ClaimState.KeyReused:
+            return createOwnAnswer(
+                Outcome.NotRun,
+                ReasonCode.KeyReused,
+                "this idempotency key was used for another request; use a new key",
+            );
+        case ClaimState.Unknown:
+        case ClaimState.Absent:
+        case ClaimState.Granted:
+            return createOwnAnswer(
+                Outcome.Unknown,
+                ReasonCode.EntryLost,
+                "an earlier attempt of this key was interrupted; it may have run",
+            );
+    }
+}
+
+/** Sends the first outcome of a key again. */
+export function sendRecorded(res: ServerResponse, requestId: string, recorded: RecordedResponse): void {
+    if (recorded.body === undefined) {
+        const message = `the request of this key ran before with status ${recorded.status}; its body was too large to keep`;
+        sendOwnAnswer(res, requestId, createOwnAnswer(Outcome.Ran, ReasonCode.Replayed, message));
+        return;
+    }
+    const body = Buffer.from(recorded.body, "base64");
+    res.writeHead(recorded.status, {
+        ...recorded.headers,
+        "content-length": String(body.length),
+        [outcomeHeader]: Outcome.Ran,
+        [reasonHeader]: ReasonCode.Replayed,
+        [requestIdHeader]: requestId,
+    });
+    res.end(body);
+}
--- /dev/null
+++ b/packages/carrier/src/peer-upstream.ts
@@ -0,0 +1,161 @@
+/** Sends requests to entry instances of another region, which carry them to their own backend servers. */
+import { MemberStatus, Outcome, ReasonCode, outcomeHeader, reasonHeader } from "@waxwingdale/core";
+import type { Member } from "@waxwingdale/core";
+import { AttemptKind, Upstream, openResponseSink } from "./attempt.js";
+import type { AttemptResult, ResponseCapture } from "./attempt.js";
+import { judgeInterrupted } from "./backend-upstream.js";
+import type { CarrierOptions } from "./carrier-options.js";
+import { DispatchPhase, dispatchRequest } from "./dispatch-request.js";
+import type { DispatchResult, ResponseHeaders } from "./dispatch-request.js";
+import {
+    clientHeader,
+    createRequestHeaders,
+    fingerprintHeader,
+    fromRegionHeader,
+    getHeader,
+} from "./headers.js";
+import type { RequestContext } from "./request-context.js";
+
+/** Connections to one entry of another region. A connection carries one request at a time. */
+const connectionsPerPeer = 32;
+
+const reasons = new Set<string>(Object.values(ReasonCode));
+
+export class PeerUpstream extends Upstream {
+    constructor(
+        private readonly options: CarrierOptions,
+        private readonly region: string,
+    ) {
+        super();
+    }
+
+    async send(
+        ctx: RequestContext,
+        avoid: Set<string>,
+        capture: ResponseCapture | undefined,
+    ): Promise<AttemptResult> {
+        const peer = this.pickPeer(ctx, avoid);
+        if (peer === undefined) {
+            return {
+                kind: AttemptKind.NotRun,
+                reason: ReasonCode.RegionUnreachable,
+                message: `no entry of region ${this.region} is live`,
+                worthRetry: true,
+            };
+        }
+        avoid.add(peer.id);
+        const waitedMs = this.options.clock.now() - ctx.startedAt;
+        const attempt = { target: peer.id, region: this.region, waitedMs, result: "running" };
+        ctx.record.attempts.push(attempt);
+        const result = await this.dispatch(ctx, peer, capture);
+        const outcome = this.judge(ctx, peer, result);
+        attempt.result = outcome.reason ?? outcome.kind;
+        return outcome;
+    }
+
+    /** Spreads requests over the region's live entries. */
+    private pickPeer(ctx: RequestContext, avoid: Set<string>): Member | undefined {
+        const peers = this.options.view
+            .liveInRegion(this.region)
+            .filter(peer => peer.ready && peer.status === MemberStatus.Live && !avoid.has(peer.id));
+        return peers[Number.parseInt(ctx.id.slice(-6), 16) % peers.length];
+    }
+
+    private async dispatch(
+        ctx: RequestContext,
+        peer: Member,
+        capture: ResponseCapture | undefined,
+    ): Promise<DispatchResult> {
+        const { options, region } = this;
+        const { res, req, body } = ctx;
+        const remainingMs = ctx.deadlineAt - options.clock.now();
+        const fields = { requestId: ctx.id, remainingMs, bodyLength: body.length, client: ctx.client };
+        const headers = createRequestHeaders(req.headers, fields);
+        headers.authorization = `Bearer ${options.fleetKey}`;
+        headers[fromRegionHeader] = options.region;
+        headers[fingerprintHeader] = ctx.fingerprint;
+        headers[clientHeader] = ctx.client;
+        const caller = getHeader(req.headers, "authorization");
+        if (caller !== undefined) {
+            headers[callerAuthorizationHeader] = caller;
+        }
+        return dispatchRequest({
+            pool: options.pools.get(peer.peerAddress, connectionsPerPeer),
+            clock: options.clock,
+            method: req.method ?? "GET",
+            path: `/forward/${ctx.service}${ctx.path}`,
+            headers,
+            body: this.paceBody(ctx, body.open()),
+            deadlineAt: ctx.deadlineAt,
+            signal: ctx.route.idempotent ? ctx.callerLeft : undefined,
+            onHead: (status, resHeaders) =>
+                getOutcome(resHeaders) === Outcome.Ran
+                    ? openResponseSink({
+                          res,
+                          ctx,
+                          status,
+                          headers: resHeaders,
+                          region,
+                          capture,
+                          pace: undefined,
+                      })
+                    : undefined,
+        });
+    }
+
+    private paceBody(ctx: RequestContext, body: Buffer | AsyncIterable<Buffer> | undefined) {
+        if (body === undefined) {
+            return undefined;
+        }
+        const { links } = this.options;
+        const { region } = this;
+        const chunks = Buffer.isBuffer(body) ? [body] : body;
+        return (async function* () {
+            for await (const chunk of chunks) {
+                await links.take(region, ctx.route.class, chunk.length, ctx.callerLeft);
+                yield chunk;
+            }
+        })();
+    }
+
+    private judge(ctx: RequestContext, peer: Member, result: DispatchResult): AttemptResult {
+        if (result.phase === DispatchPhase.NotSent) {
+            const reason = result.aborted ? ReasonCode.DeadlineExceeded : ReasonCode.RegionUnreachable;
+            return {
+                kind: AttemptKind.NotRun,
+                reason,
+                message: `no connection to entry ${peer.id}`,
+                worthRetry: !result.aborted,
+            };
+        }
+        if (result.phase !== DispatchPhase.Complete) {
+            return judgeInterrupted(ctx, `entry ${peer.id}`, result);
+        }
+        return judgeAnswer(peer, result);
+    }
+}
+
+/** Carries the caller's own authorization header beside the fleet's. */
+export const callerAuthorizationHeader = "waxwingdale-caller-authorization";
+
+function getOutcome(headers: ResponseHeaders): string | undefined {
+    return getHeader(headers, outcomeHeader);
+}
+
+/** Reads the outcome that the other entry states. An answer without one may come from any state of the request. */
+function judgeAnswer(peer: Member, result: DispatchResult): AttemptResult {
+    const outcome = getOutcome(result.headers);
+    if (outcome === Outcome.Ran) {
+        return { kind: AttemptKind.Ran, status: result.status, worthRetry: false };
+    }
+    const stated = getHeader(result.headers, reasonHeader) ?? "";
+    const reason = reasons.has(stated) ? (stated as ReasonCode) : ReasonCode.InternalError;
+    const retryAfter = Number(getHeader(result.headers, "retry-after"));
+    return {
+        kind: outcome === Outcome.NotRun ? AttemptKind.NotRun : AttemptKind.Unknown,
+        reason,
+        message: `entry ${peer.id} answered ${result.status}`,
+        retryAfterSeconds: Number.isFinite(retryAfter) ? retryAfter : undefined,
+        worthRetry: outcome === Outcome.NotRun || reason === ReasonCode.BackendConnectionLost,
+    };
+}
--- /dev/null
+++ b/packages/carrier/src/request-context.ts
@@ -0,0 +1,121 @@
+/** One request on its way through an entry. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RouteSpec } from "@waxwingdale/manifest";
+import {
+    Outcome,
+    deadlineHeader,
+    fingerprintRequest,
+    hashText,
+    idempotencyKeyHeader,
+} from "@waxwingdale/core";
+import type { Clock } from "@waxwingdale/core";
+import { clientHeader, fingerprintHeader, fromRegionHeader, getHeader } from "./headers.js";
+import type { RequestBody } from "./request-body.js";
+import type { RequestRecord } from "./request-record.js";
+import type { RouteMatch } from "./route-table.js";
+
+export enum RequestOrigin {
+    Caller = "caller",
+    /** Forwarded by an entry of another region. */
+    Peer = "peer",
+}
+
+export interface RequestContext {
+    id: string;
+    origin: RequestOrigin;
+    /** Region of the forwarding entry, for a forwarded request. */
+    fromRegion: string | undefined;
+    req: IncomingMessage;
+    res: ServerResponse;
+    service: string;
+    route: RouteSpec;
+    /** Path at the backend server, with query. */
+    path: string;
+    key: string | undefined;
+    client: string;
+    startedAt: number;
+    deadlineAt: number;
+    /** Aborts when the caller closes the connection before the answer is complete. */
+    callerLeft: AbortSignal;
+    body: RequestBody;
+    fingerprint: string;
+    requestHash: string;
+    record: RequestRecord;
+}
+
+/** Returns the time at which the caller stops waiting: the route's limit or the caller's own shorter one. */
+export function getDeadline(req: IncomingMessage, match: RouteMatch, now: number): number {
+    const wanted = Number(getHeader(req.headers, deadlineHeader));
+    const limit = match.route.timeoutMs;
+    return now + (Number.isFinite(wanted) && wanted > 0 ? Math.min(wanted, limit) : limit);
+}
+
+/** Returns the caller's address without the prefix of IPv4 addresses on an IPv6 socket. */
+export function getClientAddress(req: IncomingMessage): string {
+    return (req.socket.remoteAddress ?? "").replace(/^::ffff:/, "");
+}
+
+export interface ContextFields {
+    id: string;
+    origin: RequestOrigin;
+    req: IncomingMessage;
+    res: ServerResponse;
+    match: RouteMatch;
+    body: RequestBody;
+    startedAt: number;
+    deadlineAt: number;
+    callerLeft: AbortSignal;
+    clock: Clock;
+    region: string;
+}
+
+/** Creates the context of a request whose body's start has been read. */
+export function createRequestContext(fields: ContextFields): RequestContext {
+    const { id, origin, req, res, match, body } = fields;
+    const method = req.method ?? "GET";
+    const key = getHeader(req.headers, idempotencyKeyHeader);
+    const isForwarded = origin === RequestOrigin.Peer;
+    const client = (isForwarded ? getHeader(req.headers, clientHeader) : undefined) ?? getClientAddress(req);
+    const fingerprint =
+        (isForwarded ? getHeader(req.headers, fingerprintHeader) : undefined) ??
+        fingerprintRequest({
+            service: match.service.name,
+            method,
+            path: match.path,
+            key,
+            bodyHead: body.head,
+        });
+    return {
+        id,
+        origin,
+        fromRegion: isForwarded ? getHeader(req.headers, fromRegionHeader) : undefined,
+        req,
+        res,
+        service: match.service.name,
+        route: match.route,
+        path: match.path,
+        key,
+        client,
+        startedAt: fields.startedAt,
+        deadlineAt: fields.deadlineAt,
+        callerLeft: fields.callerLeft,
+        body,
+        fingerprint,
+        requestHash: hashText(`${method} ${match.path}`),
+        record: {
+            id,
+            startedAt: new Date(fields.clock.wallTime()).toISOString(),
+            client,
+            service: match.service.name,
+            route: match.route.name,
+            requestClass: match.route.class,
+            region: fields.region,
+            regionReason: undefined,
+            attempts: [],
+            status: 0,
+            outcome: Outcome.NotRun,
+            reason: undefined,
+            totalMs: 0,
+        },
+    };
+}
--- /dev/null
+++ b/packages/carrier/src/request-record.ts
@@ -0,0 +1,79 @@
+/** Record of recent requests, for the explanation of single requests and for traces. */
+import type { Outcome, ReasonCode, RequestClass, SteeringReason } from "@waxwingdale/core";
+
+/** One attempt of a request. */
+export interface AttemptRecord {
+    /** Backend server or entry instance that it went to. */
+    target: string;
+    region: string;
+    /** Time from the start of the request until the target was chosen, in milliseconds. */
+    waitedMs: number;
+    result: string;
+}
+
+/** What an entry knows of one request that it carried. */
+export interface RequestRecord {
+    id: string;
+    startedAt: string;
+    client: string;
+    service: string;
+    route: string;
+    requestClass: RequestClass;
+    region: string;
+    regionReason: SteeringReason | undefined;
+    attempts: AttemptRecord[];
+    status: number;
+    outcome: Outcome;
+    reason: ReasonCode | undefined;
+    totalMs: number;
+}
+
+export interface RequestRecords {
+    add(record: RequestRecord): void;
+    find(id: string): RequestRecord | undefined;
+    /** The latest records of a client's address, newest first. */
+    findByClient(client: string, limit: number): RequestRecord[];
+    /** The latest records, newest first. */
+    latest(limit: number): RequestRecord[];
+}
+
+/** Creates a ring that keeps the last `capacity` records. */
+export function createRequestRecords(capacity: number): RequestRecords {
+    const ring: RequestRecord[] = [];
+    const byId = new Map<string, RequestRecord>();
+    let next = 0;
+
+    const newestFirst = function* () {
+        for (let i = 1; i <= ring.length; i++) {
+            yield ring[(next - i + ring.length) % ring.length]!;
+        }
+    };
+
+    const take = (limit: number, matches: (record: RequestRecord) => boolean) => {
+        const found: RequestRecord[] = [];
+        for (const record of newestFirst()) {
+            if (found.length === limit) {
+                break;
+            }
+            if (matches(record)) {
+                found.push(record);
+            }
+        }
+        return found;
+    };
+
+    return {
+        add: record => {
+            const old = ring[next];
+            if (old !== undefined) {
+                byId.delete(old.id);
+            }
+            ring[next] = record;
+            byId.set(record.id, record);
+            next = (next + 1) % capacity;
+        },
+        find: id => byId.get(id),
+        findByClient: (client, limit) => take(limit, record => record.client === client),
+        latest: limit => take(limit, () => true),
+    };
+}
--- a/packages/core/src/backend-server.ts
+++ b/packages/core/src/backend-server.ts
@@ -6,6 +6,8 @@
     address: string;
     region: string;
     zone: string;
+    /** Site of the manifest, when the instance list names it. */
+    site?: string;
     /** Requests that it runs at once. */
     slots: number;
     /** A draining server gets no new requests. */
--- a/packages/core/src/object-store.ts
+++ b/packages/core/src/object-store.ts
@@ -45,6 +45,8 @@
     address: string;
     region: string;
     zone: string;
+    /** Site of the manifest that a backend server belongs to. */
+    site?: string;
     /** Service that a backend server runs. */
     service?: string;
     state: InstanceState;
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+/** Which entry instances are live, leaving or dead. */
+export * from "./gossip-message.js";
+export * from "./member-table.js";
+export * from "./membership.js";
