--- /dev/null
+++ b/packages/stand-ins/src/object-api/lagging-map.ts
@@ -0,0 +1,50 @@
+/** Map that also answers with an earlier state. */
+import type { Clock } from "@waxwingdale/core";
+
+interface Revision<Value> {
+    at: number;
+    value: Value | undefined;
+}
+
+/**
+ * Keeps revisions only as far back as the lag in force, so a stand-in without this fault holds one value for each key.
+ * After the lag grows, reads answer from the time of that change until enough revisions exist.
+ */
+export class LaggingMap<Value> {
+    private lagMs = 0;
+    private readonly revisions = new Map<string, Revision<Value>[]>();
+
+    constructor(private readonly clock: Clock) {}
+
+    setLag(lagMs: number): void {
+        this.lagMs = lagMs;
+    }
+
+    /** Sets the value of a key; undefined removes it. */
+    set(key: string, value: Value | undefined): void {
+        const list = this.revisions.get(key) ?? [];
+        list.push({ at: this.clock.now(), value });
+        while (list.length > 1 && list[1]!.at <= this.clock.now() - this.lagMs) {
+            list.shift();
+        }
+        if (list.length === 1 && value === undefined) {
+            this.revisions.delete(key);
+        } else {
+            this.revisions.set(key, list);
+        }
+    }
+
+    get(key: string): Value | undefined {
+        const time = this.clock.now() - this.lagMs;
+        return this.revisions.get(key)?.findLast((revision, index) => index === 0 || revision.at <= time)
+            ?.value;
+    }
+
+    /** Returns the rows in key order. */
+    entries(): [string, Value][] {
+        return [...this.revisions.keys()].sort().flatMap(key => {
+            const value = this.get(key);
+            return value === undefined ? [] : [[key, value] as [string, Value]];
+        });
+    }
+}
--- a/packages/store/src/memory-object-store.ts
+++ b/packages/store/src/memory-object-store.ts
@@ -39,7 +39,7 @@
     private readonly waiters = new Set<() => void>();
 
     constructor(
-        private readonly clock: Clock,
+        protected readonly clock: Clock,
         private readonly options: MemoryObjectStoreOptions = {},
     ) {
         super();
@@ -113,7 +113,7 @@
         return this.instances.map(row => ({ ...row }));
     }
 
-    private beginRead(signal?: AbortSignal): Promise<void> {
+    protected beginRead(signal?: AbortSignal): Promise<void> {
         this.counters.reads++;
         return this.applyFaults(signal);
     }
@@ -152,7 +152,8 @@
         }
     }
 
-    private record(change: ObjectChange): void {
+    /** Keeps a change for watches and wakes them. */
+    protected record(change: ObjectChange): void {
         this.history.push(change);
         if (this.history.length > (this.options.historyLength ?? 10_000)) {
             this.history.shift();
