feat(stand-ins): backend server, load driver, launcher and demo; listeners of the entry

Cause: the path needs something to send to and something to send from, as separate processes, and a check from outside that each key ran once. Ruled out: fixed ports, which collide when two fleets run on one machine; each process prints the address that it got. Conclusion: the demo can run once the entry is composed.

--- /dev/null
+++ b/packages/entry/src/caller-listener.ts
@@ -0,0 +1,88 @@
+/** Interface for callers: look-ups, outcomes of idempotency keys, and the requests themselves. */
+import { App } from "@tinyhttp/app";
+import type { Request, Response } from "@tinyhttp/app";
+import type { Carrier } from "@waxwingdale/carrier";
+import { ClaimState, ClaimsUnavailableError, Outcome, outcomeHeader } from "@waxwingdale/core";
+import type { ClaimService, LookupDirectory } from "@waxwingdale/core";
+
+export interface CallerListenerOptions {
+    carrier: Carrier;
+    claims: ClaimService;
+    directory: LookupDirectory;
+    /** Reason why this entry cannot serve, or undefined. */
+    notReady: () => string | undefined;
+    countLookup: () => void;
+}
+
+const outcomeByState: Record<ClaimState, Outcome> = {
+    [ClaimState.Granted]: Outcome.Unknown,
+    [ClaimState.Running]: Outcome.Unknown,
+    [ClaimState.Unknown]: Outcome.Unknown,
+    [ClaimState.KeyReused]: Outcome.Unknown,
+    [ClaimState.Finished]: Outcome.Ran,
+    [ClaimState.Absent]: Outcome.NotRun,
+};
+
+/** Creates the application behind the callers' listener. */
+export function createCallerApp(options: CallerListenerOptions): App {
+    const app = new App({
+        settings: { xPoweredBy: false },
+        noMatchHandler: (req, res) => void options.carrier.handleCaller(req, res),
+    });
+    app.get("/v1/lookup", (req, res) => answerLookup(options, req, res));
+    app.get("/v1/outcomes/:service/:key", (req, res) => answerOutcome(options, req, res));
+    app.get("/health", (_req, res) => void res.end("ok\n"));
+    app.get("/ready", (_req, res) => answerReady(options, res));
+    return app;
+}
+
+function answerLookup({ directory, countLookup }: CallerListenerOptions, req: Request, res: Response): void {
+    countLookup();
+    const service = getParam(req.query.service);
+    if (service === undefined) {
+        sendJson(res, 400, { message: "the query needs a service, such as /v1/lookup?service=register" });
+        return;
+    }
+    const client = getParam(req.query.client) ?? req.socket.remoteAddress?.replace(/^::ffff:/, "");
+    const found = directory.lookup(service, client);
+    if (found === undefined) {
+        sendJson(res, 404, { message: `no service ${service} in the manifest` });
+        return;
+    }
+    res.setHeader("cache-control", `max-age=${found.ttlSeconds}`);
+    sendJson(res, 200, found);
+}
+
+async function answerOutcome({ claims }: CallerListenerOptions, req: Request, res: Response): Promise<void> {
+    try {
+        const { service, key } = req.params;
+        const found = await claims.find(service!, decodeURIComponent(key!));
+        res.setHeader(outcomeHeader, outcomeByState[found.state]);
+        sendJson(res, 200, {
+            state: found.state,
+            outcome: outcomeByState[found.state],
+            response: found.response,
+        });
+    } catch (err) {
+        if (!(err instanceof ClaimsUnavailableError)) {
+            throw err;
+        }
+        res.setHeader("retry-after", "2");
+        sendJson(res, 503, { state: "unavailable", message: err.message });
+    }
+}
+
+function answerReady({ notReady }: CallerListenerOptions, res: Response): void {
+    const reason = notReady();
+    sendJson(res, reason === undefined ? 200 : 503, { ready: reason === undefined, reason });
+}
+
+export function sendJson(res: Response, status: number, value: unknown): void {
+    const body = JSON.stringify(value);
+    res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
+    res.end(body);
+}
+
+function getParam(value: string | string[] | undefined): string | undefined {
+    return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/entry/src/entry-metrics.ts
@@ -0,0 +1,69 @@
+/** Metrics of an entry in Prometheus' format. */
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from "prom-client";
+import type { CarrierMetrics } from "@waxwingdale/carrier";
+import type { Outcome, ReasonCode, RequestClass } from "@waxwingdale/core";
+
+/** Upper bounds in seconds of the latency buckets. */
+const latencyBuckets = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
+export interface EntryMetrics extends CarrierMetrics {
+    registry: Registry;
+    countLookup(): void;
+    /** Adds a gauge whose value is read when the metrics are collected. */
+    addGauge(name: string, help: string, read: () => number): void;
+}
+
+/** Creates the metrics of one entry instance. */
+export function createEntryMetrics(): EntryMetrics {
+    const registry = new Registry();
+    collectDefaultMetrics({ register: registry });
+    const requests = new Counter({
+        name: "waxwingdale_requests_total",
+        help: "Requests by service, class, outcome and reason",
+        labelNames: ["service", "class", "outcome", "reason"],
+        registers: [registry],
+    });
+    const latency = new Histogram({
+        name: "waxwingdale_request_seconds",
+        help: "Time from the head of a request to the end of its answer",
+        labelNames: ["service", "class"],
+        buckets: latencyBuckets,
+        registers: [registry],
+    });
+    const retries = new Counter({
+        name: "waxwingdale_retries_total",
+        help: "Retries by service",
+        labelNames: ["service"],
+        registers: [registry],
+    });
+    const lookups = new Counter({
+        name: "waxwingdale_lookups_total",
+        help: "Look-ups answered",
+        registers: [registry],
+    });
+    return {
+        registry,
+        observe: (
+            service: string,
+            requestClass: RequestClass,
+            outcome: Outcome,
+            reason: ReasonCode | undefined,
+            ms: number,
+        ) => {
+            requests.inc({ service, class: requestClass, outcome, reason: reason ?? "" });
+            latency.observe({ service, class: requestClass }, ms / 1000);
+        },
+        countRetry: service => retries.inc({ service }),
+        countLookup: () => lookups.inc(),
+        addGauge: (name, help, read) => {
+            new Gauge({
+                name,
+                help,
+                registers: [registry],
+                collect() {
+                    this.set(read());
+                },
+            });
+        },
+    };
+}
--- /dev/null
+++ b/packages/entry/src/http-listener.ts
@@ -0,0 +1,143 @@
+/** HTTP listeners with the limits that every listener of an entry has. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { WaxwingdaleError, headersTimeoutMs, keepAliveTimeoutMs, maxHeaderBytes } from "@waxwingdale/core";
+import type { Logger } from "@waxwingdale/core";
+import { splitAddress } from "./settings.js";
+
+/** A listener could not be opened. */
+export class ListenError extends WaxwingdaleError {
+    constructor(message: string, cause: unknown) {
+        super("ListenError", message, { cause });
+    }
+}
+
+export interface HttpListenerOptions {
+    name: string;
+    address: string;
+    logger: Logger;
+    handler: (req: IncomingMessage, res: ServerResponse) => void;
+    /** Connections that one remote address may hold; not limited when left out. */
+    maxConnectionsPerAddress?: number;
+}
+
+export interface HttpListener {
+    /** Address and port that the listener got. */
+    address: string;
+    /** Answers close their connections from now on, and idle connections are closed. */
+    startClosing(): void;
+    /** Stops listening and closes all connections. */
+    close(): Promise<void>;
+    connections(): number;
+}
+
+/** Time in milliseconds between two checks for slow senders of headers. */
+const checkIntervalMs = 1000;
+
+/** Opens a listener. */
+export async function openHttpListener(options: HttpListenerOptions): Promise<HttpListener> {
+    const { logger, name } = options;
+    let closing = false;
+    const server = createServer(
+        {
+            maxHeaderSize: maxHeaderBytes,
+            headersTimeout: headersTimeoutMs,
+            // Bodies have their own idle time limit, since a large upload may take long.
+            requestTimeout: 0,
+            keepAliveTimeout: keepAliveTimeoutMs,
+            connectionsCheckingInterval: checkIntervalMs,
+            insecureHTTPParser: false,
+            noDelay: true,
+        },
+        (req, res) => {
+            if (closing) {
+                res.shouldKeepAlive = false;
+            }
+            options.handler(req, res);
+        },
+    );
+    server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) =>
+        answerBadRequest(err, socket, name, logger),
+    );
+    limitConnections(server, options);
+    await listen(server, options);
+    const { address, port, family } = server.address() as AddressInfo;
+    return {
+        address: family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`,
+        startClosing: () => {
+            closing = true;
+            server.closeIdleConnections();
+        },
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeAllConnections();
+            }),
+        connections: () => (server as Server & { _connections: number })._connections,
+    };
+}
+
+function listen(server: Server, options: HttpListenerOptions): Promise<void> {
+    const { host, port } = splitAddress(options.address);
+    return new Promise((resolve, reject) => {
+        server.once("error", err =>
+            reject(new ListenError(`cannot listen on ${options.address} for ${options.name}`, err)),
+        );
+        server.listen(port, host, () => {
+            server.removeAllListeners("error");
+            resolve();
+        });
+    });
+}
+
+function limitConnections(
+    server: Server,
+    { maxConnectionsPerAddress, name, logger }: HttpListenerOptions,
+): void {
+    if (maxConnectionsPerAddress === undefined) {
+        return;
+    }
+    const counts = new Map<string, number>();
+    server.on("connection", (socket: Socket) => {
+        const remote = socket.remoteAddress ?? "";
+        const count = (counts.get(remote) ?? 0) + 1;
+        if (count > maxConnectionsPerAddress) {
+            logger.warn("connection-limit", { listener: name, remote, limit: maxConnectionsPerAddress });
+            socket.destroy();
+            return;
+        }
+        counts.set(remote, count);
+        socket.once("close", () => {
+            const left = counts.get(remote)! - 1;
+            if (left === 0) {
+                counts.delete(remote);
+            } else {
+                counts.set(remote, left);
+            }
+        });
+    });
+}
+
+const statusByCode: Record<string, string> = {
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
+/** Answers what the HTTP parser refused: nothing of it ran. */
+function answerBadRequest(err: NodeJS.ErrnoException, socket: Socket, name: string, logger: Logger): void {
+    if (err.code === "ECONNRESET" || !socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const status = statusByCode[err.code ?? ""] ?? "400 Bad Request";
+    logger.warn("request-malformed", {
+        listener: name,
+        remote: socket.remoteAddress,
+        code: err.code,
+        status: status.slice(0, 3),
+    });
+    const headers =
+        "connection: close\r\ncontent-length: 0\r\nwaxwingdale-outcome: not-run\r\nwaxwingdale-reason: bad-request";
+    socket.end(`HTTP/1.1 ${status}\r\n${headers}\r\n\r\n`);
+}
--- /dev/null
+++ b/packages/entry/src/operator-listener.ts
@@ -0,0 +1,83 @@
+/** Interface for operators: status, state dump, explanations, metrics. */
+import { App } from "@tinyhttp/app";
+import type { Request, Response } from "@tinyhttp/app";
+import type { RequestRecords } from "@waxwingdale/carrier";
+import { isFleetKey } from "@waxwingdale/core";
+import type { Logger, LookupDirectory } from "@waxwingdale/core";
+import type { Registry } from "prom-client";
+import { sendJson } from "./caller-listener.js";
+
+export interface OperatorListenerOptions {
+    fleetKey: string;
+    logger: Logger;
+    records: RequestRecords;
+    directory: LookupDirectory;
+    services: () => string[];
+    registry: Registry;
+    notReady: () => string | undefined;
+    status: () => unknown;
+    /** State of every part of the process, by name. */
+    dump: () => Record<string, unknown>;
+}
+
+/** Records of one client's address that an explanation gives. */
+const explainedRecords = 20;
+
+/** Creates the application behind the operators' listener. */
+export function createOperatorApp(options: OperatorListenerOptions): App {
+    const app = new App({
+        settings: { xPoweredBy: false },
+        noMatchHandler: (_req, res) => void sendJson(res, 404, { message: "no such page" }),
+    });
+    app.use((req, res, next) => {
+        if (isFleetKey(req.headers.authorization, options.fleetKey)) {
+            next?.();
+            return;
+        }
+        options.logger.warn("operator-refused", {
+            remote: req.socket.remoteAddress,
+            path: req.url.slice(0, 100),
+        });
+        sendJson(res, 401, { message: "the authorization header must be: Bearer <fleet key>" });
+    });
+    app.get("/health", (_req, res) => sendJson(res, 200, { healthy: true }));
+    app.get("/ready", (_req, res) => {
+        const reason = options.notReady();
+        sendJson(res, reason === undefined ? 200 : 503, { ready: reason === undefined, reason });
+    });
+    app.get("/status", (_req, res) => sendJson(res, 200, options.status()));
+    app.get("/dump", (_req, res) => sendJson(res, 200, options.dump()));
+    app.get("/explain", (req, res) => answerExplain(options, req, res));
+    app.get("/requests", (req, res) =>
+        sendJson(res, 200, options.records.latest(Number(req.query.limit ?? 100))),
+    );
+    app.get("/metrics", async (_req, res) => {
+        const text = await options.registry.metrics();
+        res.writeHead(200, { "content-type": options.registry.contentType });
+        res.end(text);
+    });
+    return app;
+}
+
+/** Explains one request by its record, or a client's address by its look-up answers and latest requests. */
+function answerExplain(options: OperatorListenerOptions, req: Request, res: Response): void {
+    const id = req.query.request as string | undefined;
+    const client = req.query.client as string | undefined;
+    if (id !== undefined) {
+        const record = options.records.find(id);
+        sendJson(
+            res,
+            record === undefined ? 404 : 200,
+            record ?? {
+                message: `this entry has no record of request ${id}; ask the entry whose id it starts with`,
+            },
+        );
+        return;
+    }
+    if (client === undefined) {
+        sendJson(res, 400, { message: "the query needs a request id or a client address" });
+        return;
+    }
+    const lookups = options.services().map(service => options.directory.lookup(service, client));
+    sendJson(res, 200, { client, lookups, requests: options.records.findByClient(client, explainedRecords) });
+}
--- /dev/null
+++ b/packages/stand-ins/src/backend-server/index.ts
@@ -0,0 +1,5 @@
+/** Stand-in of a backend server. */
+export * from "./backend-behaviour.js";
+export * from "./pattern.js";
+export * from "./run-record.js";
+export * from "./start-backend-server.js";
--- /dev/null
+++ b/packages/stand-ins/src/backend-server/start-backend-server.ts
@@ -0,0 +1,296 @@
+/** Stand-in of a backend server over HTTP. */
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import {
+    backendLoadHeader,
+    deadlineHeader,
+    drainingHeader,
+    idempotencyKeyHeader,
+    notStartedHeader,
+} from "@waxwingdale/core";
+import type { Clock, Random } from "@waxwingdale/core";
+import { defaultBehaviour, noFaults } from "./backend-behaviour.js";
+import type { BackendBehaviour, BackendFaults } from "./backend-behaviour.js";
+import { createLoadReport } from "./load-report.js";
+import { createPattern, createPatternChecker } from "./pattern.js";
+import { createRunRecord } from "./run-record.js";
+import type { RunRecord } from "./run-record.js";
+
+export interface BackendServerOptions {
+    id: string;
+    service: string;
+    clock: Clock;
+    random: Random;
+    /** @default 127.0.0.1 */
+    host?: string;
+    /** @default a free port */
+    port?: number;
+    behaviour?: Partial<BackendBehaviour>;
+    /** Called when a drain starts or ends. */
+    onDrain?: (draining: boolean) => void;
+}
+
+export interface RunningBackendServer {
+    address: string;
+    record: RunRecord;
+    faults: BackendFaults;
+    busy(): number;
+    isDraining(): boolean;
+    setDraining(draining: boolean): void;
+    /** Breaks all connections and refuses new ones until the restart time has passed. */
+    crash(): void;
+    close(): Promise<void>;
+}
+
+/** Time in milliseconds after the start of a drain in which new requests may still arrive. */
+const drainGraceMs = 5000;
+/** Header that a caller sets to recognise its own answer. */
+export const nonceHeader = "x-nonce";
+
+/** Starts the server and resolves when it listens. */
+export async function startBackendServer(options: BackendServerOptions): Promise<RunningBackendServer> {
+    const { clock, random } = options;
+    const behaviour = { ...defaultBehaviour, ...options.behaviour };
+    const faults = { ...noFaults };
+    const record = createRunRecord();
+    const report = createLoadReport(clock);
+    const sockets = new Set<Socket>();
+    const usedSockets = new WeakSet<Socket>();
+    let draining = false;
+    let busy = 0;
+    let startedAt = clock.now();
+
+    const setBusy = (value: number) => {
+        busy = value;
+        report.note(busy);
+        record.summary.peakBusy = Math.max(record.summary.peakBusy, busy);
+        if (busy === 0) {
+            record.summary.idleAt = clock.now();
+        }
+    };
+
+    const createHeaders = (): Record<string, string> => {
+        const load = faults.reportedLoad ?? report.read(faults.reportLagMs);
+        const headers: Record<string, string> = { [backendLoadHeader]: String(load) };
+        if (draining && !faults.answersHideDrain) {
+            headers[drainingHeader] = "1";
+        }
+        return headers;
+    };
+
+    const refuse = (req: IncomingMessage, res: ServerResponse) => {
+        record.summary.refused++;
+        req.resume();
+        res.writeHead(503, { ...createHeaders(), [notStartedHeader]: "1" });
+        res.end();
+    };
+
+    const getWorkMs = (req: IncomingMessage, query: URLSearchParams): number => {
+        const mean = Number(query.get("workMs") ?? behaviour.workMs);
+        const age = clock.now() - startedAt;
+        const cold = behaviour.warmUpMs > 0 ? Math.max(0, 1 - age / behaviour.warmUpMs) : 0;
+        const work = behaviour.randomWork ? -Math.log(1 - random()) * mean : mean;
+        const connect = usedSockets.has(req.socket) ? 0 : behaviour.connectionCostMs;
+        usedSockets.add(req.socket);
+        return work * faults.slowFactor * (1 + cold * (behaviour.coldFactor - 1)) + connect;
+    };
+
+    const noteStart = () => {
+        const { summary } = record;
+        summary.started++;
+        summary.lastStartAt = clock.now();
+        if (summary.drainStartedAt !== undefined && clock.now() - summary.drainStartedAt > drainGraceMs) {
+            summary.startsAfterDrain.push(clock.now() - summary.drainStartedAt);
+        }
+    };
+
+    const serve = async (req: IncomingMessage, res: ServerResponse, url: URL) => {
+        const deadline = Number(req.headers[deadlineHeader] ?? Infinity);
+        if (busy >= behaviour.slots || faults.refuseAll || deadline <= 0) {
+            refuse(req, res);
+            return;
+        }
+        noteStart();
+        setBusy(busy + 1);
+        try {
+            await work(req, res, url);
+            record.summary.completed++;
+        } finally {
+            setBusy(busy - 1);
+        }
+    };
+
+    const work = async (req: IncomingMessage, res: ServerResponse, url: URL) => {
+        const upload = createPatternChecker();
+        for await (const chunk of req) {
+            upload.add(chunk as Buffer);
+        }
+        const key = req.headers[idempotencyKeyHeader] as string | undefined;
+        const runs = key === undefined ? 0 : record.countKey(key);
+        if (url.searchParams.get("crash") === "1") {
+            crash();
+            return;
+        }
+        const cancelled = new AbortController();
+        res.once("close", () => cancelled.abort());
+        // A request with an effect runs to its end although the connection is gone.
+        const signal = req.method === "GET" ? cancelled.signal : undefined;
+        await clock.sleep(getWorkMs(req, url.searchParams), signal);
+        const bytes = Number(url.searchParams.get("bytes") ?? 0);
+        const head = { ...createHeaders(), [nonceHeader]: String(req.headers[nonceHeader] ?? "") };
+        if (bytes > 0) {
+            await sendPattern(res, bytes, head);
+            return;
+        }
+        const { length, correct } = upload.result();
+        const body = JSON.stringify({
+            server: options.id,
+            path: url.pathname,
+            nonce: req.headers[nonceHeader],
+            key,
+            runs,
+            received: length,
+            correct,
+        });
+        res.writeHead(200, {
+            ...head,
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+        });
+        res.end(body);
+    };
+
+    const sendPattern = async (res: ServerResponse, bytes: number, head: Record<string, string>) => {
+        res.writeHead(200, { ...head, "content-type": "application/octet-stream", "content-length": bytes });
+        const cutAt = random() < faults.cutShare ? bytes / 2 : Infinity;
+        let sent = 0;
+        for (const chunk of createPattern(bytes)) {
+            if (sent >= cutAt) {
+                res.destroy();
+                return;
+            }
+            sent += chunk.length;
+            if (!res.write(chunk) && !res.destroyed) {
+                await waitForDrain(res);
+            }
+            if (res.destroyed) {
+                return;
+            }
+        }
+        res.end();
+    };
+
+    const crash = () => {
+        record.summary.crashes++;
+        server.close();
+        for (const socket of sockets) {
+            socket.resetAndDestroy();
+        }
+        clock.setTimer(behaviour.restartMs, () => {
+            startedAt = clock.now();
+            server.listen(port, address);
+        });
+    };
+
+    const setDraining = (value: boolean) => {
+        if (draining !== value) {
+            draining = value;
+            record.summary.drainStartedAt = value ? clock.now() : undefined;
+            options.onDrain?.(value);
+        }
+    };
+
+    const sendHealth = (res: ServerResponse) => {
+        const headers = createHeaders();
+        if (faults.healthHidesDrain) {
+            delete headers[drainingHeader];
+        }
+        res.writeHead(200, headers);
+        res.end("ok");
+    };
+
+    const control = async (req: IncomingMessage, res: ServerResponse, path: string) => {
+        const body = await readJson(req);
+        if (path === "/control/faults") {
+            Object.assign(faults, body);
+        } else if (path === "/control/drain") {
+            setDraining((body as { draining?: boolean }).draining ?? true);
+        } else if (path === "/control/crash") {
+            crash();
+        }
+        const state = {
+            id: options.id,
+            busy,
+            draining,
+            faults,
+            now: clock.now(),
+            ...record.summary,
+            keys: path === "/control/runs" ? record.keys() : undefined,
+        };
+        res.writeHead(200, { "content-type": "application/json" });
+        res.end(JSON.stringify(state));
+    };
+
+    const server = createServer((req, res) => {
+        const url = new URL(req.url ?? "/", "http://backend");
+        res.on("error", () => undefined);
+        if (url.pathname === "/health") {
+            sendHealth(res);
+        } else if (url.pathname.startsWith("/control/")) {
+            void control(req, res, url.pathname);
+        } else {
+            serve(req, res, url).catch(() => res.destroy());
+        }
+    });
+    server.keepAliveTimeout = 30_000;
+    server.on("connection", socket => {
+        if (sockets.size >= behaviour.maxConnections) {
+            socket.resetAndDestroy();
+            return;
+        }
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.once("close", () => sockets.delete(socket));
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.port ?? 0, options.host ?? "127.0.0.1", resolve);
+    });
+    const { address, port } = server.address() as AddressInfo;
+    return {
+        address: `${address}:${port}`,
+        record,
+        faults,
+        busy: () => busy,
+        isDraining: () => draining,
+        setDraining,
+        crash,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeAllConnections();
+            }),
+    };
+}
+
+function waitForDrain(res: ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        const finish = () => {
+            res.off("drain", finish);
+            res.off("close", finish);
+            resolve();
+        };
+        res.once("drain", finish);
+        res.once("close", finish);
+    });
+}
+
+async function readJson(req: IncomingMessage): Promise<unknown> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) {
+        chunks.push(chunk as Buffer);
+    }
+    const text = Buffer.concat(chunks).toString();
+    return text === "" ? {} : JSON.parse(text);
+}
--- /dev/null
+++ b/packages/stand-ins/src/bin/stand-in-backend.ts
@@ -0,0 +1,104 @@
+/** Binary of the stand-in of a backend server. It lists itself in the platform's instance list. */
+import {
+    InstanceRole,
+    InstanceState,
+    createLogger,
+    createRandom,
+    createSystemClock,
+    getErrorMessage,
+    hash32,
+} from "@waxwingdale/core";
+import type { InstanceRecord } from "@waxwingdale/core";
+import sade from "sade";
+import { request } from "undici";
+import { startBackendServer } from "../backend-server/index.js";
+
+interface Flags {
+    id: string;
+    service: string;
+    region: string;
+    zone: string;
+    site: string;
+    store: string;
+    host: string;
+    port: number;
+    "work-ms": number;
+    "warm-up-ms": number;
+}
+
+/** Longest time in milliseconds that a stopping server waits for its requests. */
+const maxStopMs = 30_000;
+
+async function run(flags: Flags): Promise<void> {
+    const clock = createSystemClock();
+    const logger = createLogger(clock, { base: { server: flags.id } });
+    const server = await startBackendServer({
+        id: flags.id,
+        service: flags.service,
+        clock,
+        random: createRandom(hash32(flags.id)),
+        host: flags.host,
+        port: flags.port,
+        behaviour: { workMs: flags["work-ms"], warmUpMs: flags["warm-up-ms"] },
+        onDrain: draining => void list(draining ? InstanceState.Leaving : InstanceState.Live),
+    });
+
+    const list = async (state: InstanceState) => {
+        const { id, service, region, zone, site } = flags;
+        const row: InstanceRecord = {
+            id,
+            role: InstanceRole.BackendServer,
+            address: server.address,
+            region,
+            zone,
+            site,
+            service,
+            state,
+        };
+        try {
+            await call("PUT", JSON.stringify(row));
+        } catch (err) {
+            logger.warn("list-failed", { error: getErrorMessage(err) });
+        }
+    };
+
+    const call = async (method: "PUT" | "DELETE", body?: string) => {
+        const headers = { "content-type": "application/json" };
+        const res = await request(`http://${flags.store}/v1/instances/${flags.id}`, {
+            method,
+            body,
+            headers,
+        });
+        await res.body.dump();
+    };
+
+    const stop = async () => {
+        server.setDraining(true);
+        const end = clock.now() + maxStopMs;
+        // Callers still send for a short time until every entry knows of the drain.
+        await clock.sleep(3000);
+        while (server.busy() > 0 && clock.now() < end) {
+            await clock.sleep(50);
+        }
+        await call("DELETE").catch(() => undefined);
+        await server.close();
+    };
+
+    process.once("SIGTERM", () => void stop());
+    await list(InstanceState.Live);
+    logger.info("listening", { address: server.address });
+}
+
+sade("stand-in-backend", true)
+    .option("--id", "Id of the server", "backend-1")
+    .option("--service", "Service that it runs", "register")
+    .option("--region", "Region", "north")
+    .option("--zone", "Availability zone", "a")
+    .option("--site", "Site", "north-a")
+    .option("--store", "Address of the object API", "127.0.0.1:7000")
+    .option("--host", "IP address to listen on", "127.0.0.1")
+    .option("--port", "Port; 0 picks a free one", 0)
+    .option("--work-ms", "Mean service time in milliseconds", 10)
+    .option("--warm-up-ms", "Time with cold caches after the start", 0)
+    .action((flags: Flags) => run(flags))
+    .parse(process.argv);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,2 +1,5 @@
-/** Stand-ins of the systems that surround an entry instance. No product package imports them. */
+/** Stand-ins of the systems that surround an entry instance, and the load driver. No product package imports them. */
+export * from "./backend-server/index.js";
+export * from "./launcher/index.js";
+export * from "./load/index.js";
 export * from "./object-api/index.js";
