test(carrier): outcomes, cut answers and callers that leave, over real sockets

Cause: the carrier's statements about requests need a proof on real connections. The first run found two faults: AbortSignal.timeout refuses fractions of a millisecond, so about one request in ten with a body answered 500, and a crashed stand-in listened again after it was closed. Ruled out: a race in undici's handlers; the log line named the range error. Conclusion: limits that come from clock differences are rounded up.

--- a/packages/carrier/src/request-body.ts
+++ b/packages/carrier/src/request-body.ts
@@ -50,7 +50,9 @@
         return createWholeBody(Buffer.alloc(0), 0);
     }
     const chunks = req.iterator({ destroyOnReturn: false });
-    const deadline = AbortSignal.timeout(Math.max(1, Math.min(limits.timeoutMs, bodyIdleTimeoutMs)));
+    const deadline = AbortSignal.timeout(
+        Math.ceil(Math.max(1, Math.min(limits.timeoutMs, bodyIdleTimeoutMs))),
+    );
     const head = await readHead(chunks, deadline, limits.maxBytes);
     if (head.done) {
         return createWholeBody(head.bytes, length);
--- /dev/null
+++ b/packages/carrier/test/carrier-fixture.ts
@@ -0,0 +1,197 @@
+/** A carrier over real sockets, with one stand-in backend server and fakes in place of the other packages. */
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+    createCarrier,
+    createConnectionPools,
+    createRequestRecords,
+    createRouteTable,
+} from "@waxwingdale/carrier";
+import type { CarrierOptions } from "@waxwingdale/carrier";
+import {
+    AdmissionRefusedError,
+    ClaimState,
+    MemberStatus,
+    ReasonCode,
+    RequestClass,
+    SteeringReason,
+    createRandom,
+    createSilentLogger,
+    createSystemClock,
+} from "@waxwingdale/core";
+import type { BackendServer, ClaimEnd, ClaimResult, Member, SlotResult } from "@waxwingdale/core";
+import type { RouteSpec, ServiceSpec } from "@waxwingdale/manifest";
+import { startBackendServer } from "@waxwingdale/stand-ins";
+import type { BackendBehaviour, RunningBackendServer } from "@waxwingdale/stand-ins";
+
+const base = { timeoutMs: 2000, maxBodyBytes: 10_000_000, retryBudget: 1 };
+
+export const routes: RouteSpec[] = [
+    {
+        ...base,
+        name: "read",
+        methods: ["GET"],
+        path: "/detectors",
+        class: RequestClass.Lookup,
+        idempotent: true,
+    },
+    {
+        ...base,
+        name: "issue",
+        methods: ["POST"],
+        path: "/certificates",
+        class: RequestClass.Write,
+        idempotent: false,
+    },
+    {
+        ...base,
+        name: "download",
+        methods: ["GET"],
+        path: "/files",
+        class: RequestClass.Bulk,
+        idempotent: true,
+    },
+    {
+        ...base,
+        name: "upload",
+        methods: ["PUT"],
+        path: "/bundles",
+        class: RequestClass.Bulk,
+        idempotent: true,
+    },
+];
+
+const service: ServiceSpec = {
+    name: "register",
+    backend: { slots: 3, maxConnections: 330, warmUpSeconds: 0, coldShare: 1 },
+    sites: [],
+    routes,
+};
+
+const self: Member = {
+    id: "e1",
+    incarnation: 1,
+    status: MemberStatus.Live,
+    region: "north",
+    zone: "a",
+    callerAddress: "",
+    peerAddress: "",
+    ready: true,
+};
+
+export interface Fixture {
+    url: string;
+    backends: RunningBackendServer[];
+    slotResults: SlotResult[];
+    claimEnds: ClaimEnd[];
+    crashes: string[];
+    quarantined: Set<string>;
+    /** Answer of the fake claim service. */
+    claim: ClaimResult;
+    options: CarrierOptions;
+    close(): Promise<void>;
+}
+
+/** Starts backend servers, and a carrier that tries them in order. Addresses can be added to reach servers that do not exist. */
+export async function startFixture(
+    behaviours: Partial<BackendBehaviour>[],
+    deadAddresses: string[] = [],
+): Promise<Fixture> {
+    const clock = createSystemClock();
+    const backends = await Promise.all(
+        behaviours.map((behaviour, i) =>
+            startBackendServer({
+                id: `b${i}`,
+                service: "register",
+                clock,
+                random: createRandom(i),
+                behaviour: { workMs: 1, randomWork: false, ...behaviour },
+            }),
+        ),
+    );
+    const addresses = [...deadAddresses, ...backends.map(backend => backend.address)];
+    const servers = addresses.map((address, i): BackendServer => ({
+        id: `s${i}`,
+        service: "register",
+        address,
+        region: "north",
+        zone: "a",
+        slots: 3,
+        draining: false,
+    }));
+    const fixture = {
+        slotResults: [] as SlotResult[],
+        claimEnds: [] as ClaimEnd[],
+        crashes: [] as string[],
+        quarantined: new Set<string>(),
+        claim: { state: ClaimState.Granted } as ClaimResult,
+    };
+    const table = createRouteTable([service]);
+    const pools = createConnectionPools(() => clock.now());
+    const options: CarrierOptions = {
+        id: "e1",
+        region: "north",
+        clock,
+        logger: createSilentLogger(),
+        fleetKey: "a key of the fleet",
+        view: {
+            self: () => self,
+            members: () => [self],
+            liveInRegion: () => [],
+            find: () => undefined,
+            onChange: () => () => undefined,
+        },
+        slots: {
+            acquire: async ({ avoid }) => {
+                const server = servers.find(item => !avoid.has(item.id));
+                if (server === undefined) {
+                    throw new AdmissionRefusedError(ReasonCode.NoBackend, 1, "no backend server is left");
+                }
+                return { server, release: result => void fixture.slotResults.push(result) };
+            },
+        },
+        claims: {
+            begin: async () => fixture.claim,
+            finish: (_req, end) => void fixture.claimEnds.push(end),
+            find: async () => ({ state: ClaimState.Absent }),
+        },
+        crashGuard: {
+            isQuarantined: fingerprint => fixture.quarantined.has(fingerprint),
+            isSuspect: () => false,
+            reportCrash: async fingerprint => void fixture.crashes.push(fingerprint),
+            reportSuccess: () => undefined,
+        },
+        links: { take: async () => undefined },
+        steering: { chooseRegion: () => ({ region: "north", reason: SteeringReason.Home }) },
+        pools,
+        records: createRequestRecords(100),
+        metrics: { observe: () => undefined, countRetry: () => undefined },
+        routes: () => table,
+        retryBudget: () => ({ noteRequest: () => undefined, tryTake: () => true }),
+        maxOutcomeBytes: () => 1000,
+    };
+    const carrier = createCarrier(options);
+    const server = createServer((req, res) => void carrier.handleCaller(req, res));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    return Object.assign(fixture, {
+        url: `http://127.0.0.1:${port}`,
+        backends,
+        options,
+        close: async () => {
+            server.close();
+            server.closeAllConnections();
+            await pools.close();
+            await Promise.all(backends.map(backend => backend.close()));
+        },
+    });
+}
+
+/** Returns an address on which nothing listens. */
+export async function findDeadAddress(): Promise<string> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return `127.0.0.1:${port}`;
+}
--- a/packages/core/src/rpc-client.ts
+++ b/packages/core/src/rpc-client.ts
@@ -71,7 +71,7 @@
                 headers,
                 body,
                 dispatcher: agent,
-                signal: AbortSignal.timeout(timeoutMs),
+                signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
             });
             const text = await res.body.text();
             return { status: res.statusCode, text };
--- a/packages/stand-ins/src/backend-server/start-backend-server.ts
+++ b/packages/stand-ins/src/backend-server/start-backend-server.ts
@@ -60,6 +60,7 @@
     let draining = false;
     let busy = 0;
     let startedAt = clock.now();
+    let closed = false;
 
     const setBusy = (value: number) => {
         busy = value;
@@ -189,7 +190,9 @@
         }
         clock.setTimer(behaviour.restartMs, () => {
             startedAt = clock.now();
-            server.listen(port, address);
+            if (!closed) {
+                server.listen(port, address);
+            }
         });
     };
 
@@ -268,6 +271,7 @@
         crash,
         close: () =>
             new Promise(resolve => {
+                closed = true;
                 server.close(() => resolve());
                 server.closeAllConnections();
             }),
