feat(manifest): schema, parsing with positions and checks of meaning

Cause: a pipeline generates the manifest, so a mistake must be found in the build, with its place in the file and the fix, and all mistakes in one run. Ruled out: the schema library's report of unknown keys (it stops at the first key of an object), strict JSON without trailing commas (the formatter of this repository adds them to .jsonc files), a schema with its own types (the types in types.ts stay the source; the schema fails to compile when they differ). The recursive JSON parser overflows the stack at 100,000 brackets, so nesting is bounded at 64 levels before it runs. Before: no parser.

--- /dev/null
+++ b/packages/manifest/src/checks/check-client-blocks.ts
@@ -0,0 +1,73 @@
+/** Checks the blocks of client addresses. Nested blocks are allowed: the longest prefix wins. */
+import { formatIpv4, getNetworkAddress, parseIpv4Block } from "../ipv4-block.js";
+import type { JsonPath } from "../json-path.js";
+import { ProblemCode } from "../problem.js";
+import type { ClientBlockSpec } from "../types.js";
+import { checkName, warn } from "./check-context.js";
+import type { CheckContext } from "./check-context.js";
+
+/** Checks notation, host bits, regions and repeated blocks. */
+export function checkClientBlocks(ctx: CheckContext): void {
+    const regionByBlock = new Map<string, string>();
+    ctx.manifest.clientBlocks.forEach((row, i) => {
+        const path = ["clientBlocks", i, "block"];
+        if (!ctx.regions.has(row.region)) {
+            checkName(ctx, "region", row.region, ctx.regions.keys(), ["clientBlocks", i, "region"]);
+        }
+        const key = checkNotation(ctx, row, path);
+        if (key === undefined) {
+            return;
+        }
+        const earlier = regionByBlock.get(key);
+        if (earlier !== undefined) {
+            reportRepeated(ctx, row, earlier, path);
+        }
+        regionByBlock.set(key, row.region);
+    });
+}
+
+/** Returns the block in its standard notation. */
+function checkNotation(ctx: CheckContext, row: ClientBlockSpec, path: JsonPath): string | undefined {
+    const block = parseIpv4Block(row.block);
+    if (block === undefined) {
+        ctx.report(path, {
+            code: ProblemCode.BadFormat,
+            message: `"${row.block}" is not an IPv4 block`,
+            expected: "four numbers up to 255 and a prefix length up to 32, such as 10.1.0.0/16",
+            fix: "correct the block",
+        });
+        return undefined;
+    }
+    const network = getNetworkAddress(block);
+    const standard = `${formatIpv4(network)}/${block.prefixLength}`;
+    if (network !== block.address) {
+        ctx.report(path, {
+            code: ProblemCode.HostBits,
+            message: `"${row.block}" has address bits set after its prefix`,
+            expected: "an address that ends with zero bits",
+            fix: `write "${standard}" or a longer prefix`,
+        });
+    }
+    return standard;
+}
+
+function reportRepeated(ctx: CheckContext, row: ClientBlockSpec, earlier: string, path: JsonPath): void {
+    if (earlier === row.region) {
+        ctx.report(
+            path,
+            warn({
+                code: ProblemCode.NoEffect,
+                message: `the block ${row.block} is declared twice`,
+                expected: "each block once",
+                fix: "remove one of them",
+            }),
+        );
+        return;
+    }
+    ctx.report(path, {
+        code: ProblemCode.BlockConflict,
+        message: `the block ${row.block} belongs to "${earlier}" and to "${row.region}"`,
+        expected: "one region for each block",
+        fix: "remove one of them or use longer prefixes",
+    });
+}
--- /dev/null
+++ b/packages/manifest/src/checks/check-services.ts
@@ -0,0 +1,82 @@
+/** Checks services: their sites, capacity and routes. */
+import type { JsonPath } from "../json-path.js";
+import { ProblemCode } from "../problem.js";
+import type { ServiceSpec } from "../types.js";
+import { checkName, checkUnique, warn } from "./check-context.js";
+import type { CheckContext } from "./check-context.js";
+import { checkRoutes } from "./check-routes.js";
+
+/** Shortest time that a slot is busy with one request: a request that only opens a connection takes about 1 ms. */
+const minServiceTimeMs = 1;
+
+/** Checks all services. */
+export function checkServices(ctx: CheckContext): void {
+    const { services } = ctx.manifest;
+    checkUnique(
+        ctx,
+        "service",
+        services,
+        service => service.name,
+        i => ["services", i, "name"],
+    );
+    services.forEach((service, i) => {
+        checkServiceSites(ctx, service, ["services", i]);
+        checkBackend(ctx, service, ["services", i]);
+        checkRoutes(ctx, service, ["services", i, "routes"]);
+    });
+}
+
+function checkServiceSites(ctx: CheckContext, service: ServiceSpec, path: JsonPath): void {
+    checkUnique(
+        ctx,
+        "site",
+        service.sites,
+        row => row.site,
+        i => [...path, "sites", i, "site"],
+    );
+    service.sites.forEach((row, i) => {
+        checkName(ctx, "site", row.site, ctx.sites.keys(), [...path, "sites", i, "site"]);
+        const limit = (row.servers * service.backend.slots * 1000) / minServiceTimeMs;
+        if (row.maxRequestsPerSecond > limit) {
+            ctx.report([...path, "sites", i, "maxRequestsPerSecond"], {
+                code: ProblemCode.OverCapacity,
+                message: `${row.servers} servers with ${service.backend.slots} slots cannot run ${row.maxRequestsPerSecond} requests per second`,
+                expected: `at most ${limit}, with ${minServiceTimeMs} ms for each request`,
+                fix: "lower maxRequestsPerSecond or add servers",
+            });
+        }
+    });
+}
+
+function checkBackend(ctx: CheckContext, service: ServiceSpec, path: JsonPath): void {
+    const { slots, maxConnections } = service.backend;
+    if (slots > maxConnections) {
+        ctx.report([...path, "backend", "slots"], {
+            code: ProblemCode.OverCapacity,
+            message: `${slots} slots need more than ${maxConnections} connections`,
+            expected: "at most as many slots as connections, since each running request has its own",
+            fix: "lower slots or raise maxConnections",
+        });
+    }
+    const largest = Math.max(...getServersByRegion(ctx, service).values());
+    if (ctx.manifest.quarantine.crashLimit > largest) {
+        ctx.report(
+            ["quarantine", "crashLimit"],
+            warn({
+                code: ProblemCode.UnsafeLimit,
+                message: `a request may crash all servers of "${service.name}" in a region before it is refused`,
+                expected: `at most ${largest}, the servers of the service in its largest region`,
+                fix: "lower crashLimit",
+            }),
+        );
+    }
+}
+
+function getServersByRegion(ctx: CheckContext, service: ServiceSpec): Map<string, number> {
+    const servers = new Map<string, number>();
+    for (const row of service.sites) {
+        const region = ctx.sites.get(row.site)?.region ?? "";
+        servers.set(region, (servers.get(region) ?? 0) + row.servers);
+    }
+    return servers;
+}
--- /dev/null
+++ b/packages/manifest/src/nesting-check.ts
@@ -0,0 +1,33 @@
+/** Bounds the nesting of a document before the recursive parser reads it. */
+import { createScanner } from "jsonc-parser";
+
+/** A manifest uses 7 levels; the parser overflows the stack at some thousand. */
+export const maxDepth = 64;
+
+// Values of the parser's SyntaxKind, whose const enum is not available to isolated modules.
+const openBrace = 1;
+const closeBrace = 2;
+const openBracket = 3;
+const closeBracket = 4;
+const endOfFile = 17;
+
+/** Returns the offset of the first bracket beyond `maxDepth`, or undefined. */
+export function findTooDeepOffset(text: string): number | undefined {
+    const scanner = createScanner(text, true);
+    let depth = 0;
+    for (;;) {
+        const token: number = scanner.scan();
+        if (token === endOfFile) {
+            return undefined;
+        }
+        if (token === openBrace || token === openBracket) {
+            depth++;
+        } else if (token === closeBrace || token === closeBracket) {
+            // Surplus closing brackets must not make room for deeper nesting after them.
+            depth = Math.max(0, depth - 1);
+        }
+        if (depth > maxDepth) {
+            return scanner.getTokenOffset();
+        }
+    }
+}
