feat(manifest): differences between two manifests with their effects

Cause: an operator who reviews a push needs to see what it does to the traffic, not only which lines differ. Ruled out: a comparison by position in a list: a pipeline that writes lists in another order would report every item. Before: no comparison. After: items are matched by name, and reordered lists give no change. Conclusion: each change carries its path, values and effect.

--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -1,10 +1,12 @@
 /** The manifest: its types, parsing, checks, comparison and acceptance. */
 export * from "./types.js";
 export * from "./check-manifest.js";
+export * from "./diff-manifests.js";
 export * from "./ipv4-block.js";
 export * from "./iso-time.js";
 export * from "./json-path.js";
 export * from "./json-schema.js";
+export * from "./manifest-change.js";
 export * from "./manifest-schema.js";
 export * from "./manifest-source.js";
 export * from "./parse-manifest.js";
