feat(manifest): push as a conditional update that settles lost answers

Cause: two operators may push at once, and the answer to a write may be lost after it took effect. Ruled out: an unconditional write after comparing generations (the other operator may write in between), taking a lost answer for a failure, and giving up after a lost answer while the object can still be read. Before: no push. After: the push id in the object settles a lost answer; of two pushes with one base exactly one is accepted (300 interleavings with lost and late writes a run), and no caller is told "nothing was written" of a manifest that is in force (500 interleavings with any fault). Conclusion: a push is accepted, has no effect, or is reported as in doubt with the id that makes a repeat safe.

--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -1,5 +1,6 @@
 /** The manifest: its types, parsing, checks, comparison and acceptance. */
 export * from "./types.js";
+export * from "./accepted-manifest.js";
 export * from "./check-manifest.js";
 export * from "./diff-manifests.js";
 export * from "./ipv4-block.js";
@@ -11,3 +12,5 @@
 export * from "./manifest-source.js";
 export * from "./parse-manifest.js";
 export * from "./problem.js";
+export * from "./push-error.js";
+export * from "./push-manifest.js";
--- /dev/null
+++ b/packages/manifest/test/faulty-store.ts
@@ -0,0 +1,81 @@
+/** A store whose calls fail as the test chooses. */
+import { ObjectStore, StoreOutcomeUnknownError, StoreUnavailableError } from "@waxwingdale/core";
+import type { InstanceRecord, StoredObject, WatchResult } from "@waxwingdale/core";
+
+export enum Fault {
+    None = "none",
+    /** The call has no effect and the caller knows it. */
+    Unavailable = "unavailable",
+    /** The write takes effect and its answer is lost. */
+    AnswerLost = "answer-lost",
+    /** The write never takes effect and its answer is lost. */
+    RequestLost = "request-lost",
+    /** The caller gives up, and the write reaches the store before the caller's next write. */
+    Late = "late",
+}
+
+/** Takes one fault for each call; calls after the last one succeed. `order` delays each call. */
+export class FaultyStore extends ObjectStore {
+    private late: (() => Promise<unknown>) | undefined;
+
+    constructor(
+        private readonly store: ObjectStore,
+        private readonly faults: Fault[] = [],
+        private readonly order: () => Promise<unknown> = () => Promise.resolve(),
+    ) {
+        super();
+    }
+
+    get(key: string): Promise<StoredObject | undefined> {
+        return this.read(() => this.store.get(key));
+    }
+
+    list(prefix: string): Promise<StoredObject[]> {
+        return this.read(() => this.store.list(prefix));
+    }
+
+    async put(key: string, value: unknown, expectedVersion: number): Promise<number> {
+        await this.deliverLate();
+        await this.order();
+        const fault = this.faults.shift() ?? Fault.None;
+        const send = () => this.store.put(key, value, expectedVersion);
+        if (fault === Fault.Unavailable) {
+            throw new StoreUnavailableError("down");
+        }
+        if (fault === Fault.None) {
+            return send();
+        }
+        if (fault === Fault.AnswerLost) {
+            await send().catch(() => undefined);
+        }
+        this.late = fault === Fault.Late ? send : undefined;
+        throw new StoreOutcomeUnknownError("lost");
+    }
+
+    /** Lets a late write reach the store. */
+    async deliverLate(): Promise<void> {
+        const send = this.late;
+        this.late = undefined;
+        await send?.().catch(() => undefined);
+    }
+
+    delete(): Promise<void> {
+        throw new Error("not used");
+    }
+
+    watch(): Promise<WatchResult> {
+        throw new Error("not used");
+    }
+
+    listInstances(): Promise<InstanceRecord[]> {
+        throw new Error("not used");
+    }
+
+    private async read<T>(call: () => Promise<T>): Promise<T> {
+        await this.order();
+        if (this.faults.shift() === Fault.Unavailable) {
+            throw new StoreUnavailableError("down");
+        }
+        return call();
+    }
+}
--- /dev/null
+++ b/packages/manifest/test/push-manifest.test.ts
@@ -0,0 +1,190 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createManualClock } from "@waxwingdale/core";
+import {
+    FormatNotSupportedError,
+    ManifestInvalidError,
+    PushConflictError,
+    PushOutcomeUnknownError,
+    PushRejectedError,
+    PushUnavailableError,
+    manifestKey,
+    pushManifest,
+} from "@waxwingdale/manifest";
+import type { AcceptedManifest } from "@waxwingdale/manifest";
+import { MemoryObjectStore } from "@waxwingdale/store";
+import fc from "fast-check";
+import { Fault, FaultyStore } from "./faulty-store.js";
+import { readExample } from "./fixtures.js";
+
+const manifest = readExample();
+const createStore = () => new MemoryObjectStore(createManualClock());
+const readInForce = async (store: MemoryObjectStore) =>
+    (await store.get(manifestKey))?.value as AcceptedManifest | undefined;
+
+test("generations grow by one", async () => {
+    const store = createStore();
+    assert.equal((await pushManifest(store, manifest, undefined, "a")).generation, 1);
+    assert.equal((await pushManifest(store, manifest, 1, "b")).generation, 2);
+    assert.equal((await readInForce(store))?.pushId, "b");
+});
+
+// Guards against an operator who overwrites a manifest that they have not seen.
+test("a missing or old base is a conflict that names the generation in force", async () => {
+    const store = createStore();
+    await pushManifest(store, manifest, undefined, "a");
+    await pushManifest(store, manifest, 1, "b");
+    for (const base of [undefined, 1, 3]) {
+        await assert.rejects(
+            pushManifest(store, manifest, base, "c"),
+            err =>
+                err instanceof PushConflictError &&
+                err.currentGeneration === 2 &&
+                /--base 2/.test(err.message),
+        );
+    }
+    assert.equal((await readInForce(store))?.pushId, "b");
+});
+
+test("a repeat of a push is accepted once", async () => {
+    const store = createStore();
+    await pushManifest(store, manifest, undefined, "a");
+    assert.equal((await pushManifest(store, manifest, undefined, "a")).generation, 1);
+    assert.equal((await readInForce(store))?.generation, 1);
+    const other = { ...manifest, deployment: "other" };
+    await assert.rejects(pushManifest(store, other, undefined, "a"), PushConflictError);
+});
+
+// Guards against a manifest that part of the fleet cannot apply.
+test("a format that a live entry does not list is refused", async () => {
+    const store = createStore();
+    await store.put("entries/new", { id: "new", formats: [1, 2], state: "live" }, 0);
+    await store.put("entries/gone", { id: "gone", formats: [0], state: "leaving" }, 0);
+    await pushManifest(store, manifest, undefined, "a");
+    await store.put("entries/old", { id: "old", formats: [0], state: "live" }, 0);
+    await store.put("entries/malformed", { id: "malformed" }, 0);
+    await assert.rejects(
+        pushManifest(store, manifest, 1, "b"),
+        err => err instanceof FormatNotSupportedError && err.entries.join() === "malformed,old",
+    );
+});
+
+test("a manifest with errors is refused", async () => {
+    const bad = { ...manifest, storeRegion: "x" };
+    await assert.rejects(pushManifest(createStore(), bad, undefined, "a"), ManifestInvalidError);
+});
+
+test("a foreign object under the manifest's key is not overwritten", async () => {
+    const store = createStore();
+    await store.put(manifestKey, { note: "x" }, 0);
+    await assert.rejects(pushManifest(store, manifest, undefined, "a"), PushRejectedError);
+});
+
+test("a push that was replaced before it was read back is in doubt", async () => {
+    const store = createStore();
+    const faulty = new FaultyStore(store, [Fault.None, Fault.None, Fault.AnswerLost], async () => {
+        if ((await readInForce(store))?.pushId === "a") {
+            await pushManifest(store, manifest, 1, "b");
+        }
+    });
+    await assert.rejects(pushManifest(faulty, manifest, undefined, "a"), PushOutcomeUnknownError);
+});
+
+test("a store that stays down after a lost answer leaves the push in doubt", async () => {
+    const faults = [Fault.None, Fault.None, Fault.AnswerLost, ...Array<Fault>(9).fill(Fault.Unavailable)];
+    const faulty = new FaultyStore(createStore(), faults);
+    await assert.rejects(pushManifest(faulty, manifest, undefined, "a"), PushOutcomeUnknownError);
+});
+
+enum Result {
+    Accepted = "accepted",
+    Conflict = "conflict",
+    Unavailable = "unavailable",
+    Unknown = "unknown",
+}
+
+async function push(store: FaultyStore, base: number | undefined, pushId: string): Promise<Result> {
+    try {
+        await pushManifest(store, manifest, base, pushId);
+        return Result.Accepted;
+    } catch (err) {
+        if (err instanceof PushConflictError) {
+            return Result.Conflict;
+        }
+        if (err instanceof PushUnavailableError) {
+            return Result.Unavailable;
+        }
+        assert.ok(err instanceof PushOutcomeUnknownError, String(err));
+        return Result.Unknown;
+    }
+}
+
+/** Runs two pushes with the same base in the order that the scheduler chooses. */
+async function race(
+    scheduler: fc.Scheduler,
+    hasBase: boolean,
+    faults: Fault[][],
+): Promise<{ results: Result[]; inForce: AcceptedManifest | undefined }> {
+    const store = createStore();
+    const base = hasBase ? 1 : undefined;
+    if (hasBase) {
+        await pushManifest(store, manifest, undefined, "first");
+    }
+    const stores = faults.map(
+        (row, i) =>
+            new FaultyStore(store, [...row], () => scheduler.schedule(Promise.resolve(), `call ${i}`)),
+    );
+    const results = await scheduler.waitFor(Promise.all(stores.map((row, i) => push(row, base, String(i)))));
+    for (const row of stores) {
+        await row.deliverLate();
+    }
+    return { results, inForce: await readInForce(store) };
+}
+
+const lostWrites = fc.array(fc.constantFrom(Fault.None, Fault.AnswerLost, Fault.RequestLost, Fault.Late), {
+    maxLength: 2,
+});
+
+// Guards against two operators who both believe that their manifest is in force.
+test("exactly one of two operators wins", async () => {
+    await fc.assert(
+        fc.asyncProperty(
+            fc.scheduler(),
+            fc.boolean(),
+            lostWrites,
+            lostWrites,
+            async (scheduler, hasBase, a, b) => {
+                // Reads of entries and of the manifest come before the first write.
+                const reads = [Fault.None, Fault.None];
+                const faults = [a, b].map(row => [...reads, ...row.flatMap(fault => [fault, Fault.None])]);
+                const { results, inForce } = await race(scheduler, hasBase, faults);
+                assert.deepEqual([...results].sort(), [Result.Accepted, Result.Conflict]);
+                assert.equal(inForce?.pushId, String(results.indexOf(Result.Accepted)));
+                assert.equal(inForce?.generation, hasBase ? 2 : 1);
+            },
+        ),
+        { numRuns: 300 },
+    );
+});
+
+// Guards against "nothing was written" for a push that is in force.
+test("no operator is told something wrong under any faults", async () => {
+    const anyFaults = fc.array(fc.constantFrom(...Object.values(Fault)), { maxLength: 12 });
+    await fc.assert(
+        fc.asyncProperty(
+            fc.scheduler(),
+            fc.boolean(),
+            anyFaults,
+            anyFaults,
+            async (scheduler, hasBase, a, b) => {
+                const { results, inForce } = await race(scheduler, hasBase, [a, b]);
+                results.forEach((result, i) => {
+                    if (result !== Result.Unknown) {
+                        assert.equal(inForce?.pushId === String(i), result === Result.Accepted);
+                    }
+                });
+            },
+        ),
+        { numRuns: 500 },
+    );
+});
