--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+/** Stand-ins of the systems that surround an entry instance, and the load driver. No product package imports them. */
+export * from "./backend-server/index.js";
+export * from "./launcher/index.js";
+export * from "./load/index.js";
+export * from "./object-api/index.js";
