feat(cli): command line for operators

Cause: operators and their pipeline check, compare and push manifests, and ask entries what they do, from shells and scripts. Before: no command line.

--- /dev/null
+++ b/packages/cli/src/arguments.ts
@@ -0,0 +1,77 @@
+/** Splits the command line into command, arguments and options, strictly. */
+import { parseArgs } from "node:util";
+import { getErrorMessage } from "@waxwingdale/core";
+import { CommandError } from "./command-error.js";
+import type { CommandSpec } from "./command-spec.js";
+import { ExitCode } from "./exit-code.js";
+import { globalOptions, optionSpecs } from "./options.js";
+import type { OptionName, OptionValues } from "./options.js";
+
+export interface Arguments {
+    /** Undefined when only help or the version is asked for. */
+    command: string | undefined;
+    args: string[];
+    options: OptionValues;
+    help: boolean;
+    version: boolean;
+}
+
+const metaOptions = {
+    help: { type: "boolean", short: "h" },
+    version: { type: "boolean", short: "v" },
+} as const;
+
+/**
+ * Parses the arguments after the program's name.
+ * @throws CommandError
+ */
+export function parseArguments(argv: readonly string[], commands: readonly CommandSpec[]): Arguments {
+    const { values, positionals } = splitStrictly(argv);
+    const { help = false, version = false, ...options } = values;
+    const [command, ...args] = positionals;
+    const spec = commands.find(({ usage }) => usage.split(" ")[0] === command);
+    if (command !== undefined && spec === undefined) {
+        throw createUsageError(`unknown command "${command}"`, "--help");
+    }
+    if (!help && !version) {
+        if (spec === undefined) {
+            throw createUsageError("no command", "--help");
+        }
+        checkCommand(spec, args, Object.keys(options) as OptionName[]);
+    }
+    return { command, args, options: options, help, version };
+}
+
+function splitStrictly(argv: readonly string[]) {
+    try {
+        return parseArgs({
+            args: [...argv],
+            options: { ...optionSpecs, ...metaOptions },
+            allowPositionals: true,
+            strict: true,
+        });
+    } catch (err) {
+        throw createUsageError(getErrorMessage(err).split(".")[0]!, "--help");
+    }
+}
+
+function checkCommand(spec: CommandSpec, args: readonly string[], options: readonly OptionName[]): void {
+    const [name, ...placeholders] = spec.usage.split(" ");
+    const required = placeholders.filter(text => text.startsWith("<"));
+    const missing = required[args.length];
+    if (missing !== undefined) {
+        throw createUsageError(`${name} needs ${missing}`, `${name} --help`);
+    }
+    if (args.length > placeholders.length) {
+        throw createUsageError(`${name} takes no "${args[placeholders.length]}"`, `${name} --help`);
+    }
+    const allowed = [...globalOptions, ...(spec.options ?? [])];
+    const unknown = options.find(option => !allowed.includes(option));
+    if (unknown !== undefined) {
+        throw createUsageError(`${name} has no option --${unknown}`, `${name} --help`);
+    }
+}
+
+function createUsageError(message: string, help: string): CommandError {
+    return new CommandError(ExitCode.Usage, message, `run \`waxwingdale ${help}\``);
+}
--- /dev/null
+++ b/packages/cli/src/bin/waxwingdale.ts
@@ -0,0 +1,27 @@
+/** Binary of the operators' command line. */
+import { randomUUID } from "node:crypto";
+import { readFile } from "node:fs/promises";
+import { createSystemClock } from "@waxwingdale/core";
+import { createAskEntry } from "../ask-entry.js";
+import { connectStore } from "../connect-store.js";
+import { runCli } from "../run-cli.js";
+
+const clock = createSystemClock();
+
+// A reader such as `head` closes the pipe early; that is no error of the command.
+process.stdout.on("error", (err: NodeJS.ErrnoException) => {
+    if (err.code !== "EPIPE") {
+        throw err;
+    }
+});
+
+process.exitCode = await runCli(process.argv.slice(2), {
+    env: process.env,
+    clock,
+    readFile: path => readFile(path, "utf8"),
+    print: text => void process.stdout.write(`${text}\n`),
+    printError: text => void process.stderr.write(`${text}\n`),
+    connectStore: address => connectStore(address, clock),
+    askEntry: createAskEntry(),
+    createPushId: randomUUID,
+});
--- /dev/null
+++ b/packages/cli/src/command-error.ts
@@ -0,0 +1,66 @@
+/** Errors that end a command, each with its exit code and fix. */
+import {
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+    WaxwingdaleError,
+    getErrorMessage,
+} from "@waxwingdale/core";
+import {
+    FormatNotSupportedError,
+    ManifestInvalidError,
+    PushConflictError,
+    PushOutcomeUnknownError,
+    PushRejectedError,
+    PushUnavailableError,
+} from "@waxwingdale/manifest";
+import { ExitCode } from "./exit-code.js";
+
+export class CommandError extends WaxwingdaleError {
+    constructor(
+        readonly exitCode: ExitCode,
+        message: string,
+        readonly fix: string,
+        cause?: unknown,
+    ) {
+        super("CommandError", message, { cause });
+    }
+}
+
+type ErrorClass = abstract new (...args: never[]) => Error;
+
+const translations: [ErrorClass, ExitCode, string][] = [
+    [ManifestInvalidError, ExitCode.ManifestErrors, "run `waxwingdale check` on the file"],
+    [PushConflictError, ExitCode.Conflict, "run `waxwingdale diff` on the file, then push with the new base"],
+    [FormatNotSupportedError, ExitCode.Refused, "upgrade the named entries first"],
+    [PushRejectedError, ExitCode.Refused, "correct what the message names"],
+    [
+        PushOutcomeUnknownError,
+        ExitCode.OutcomeUnknown,
+        "run `waxwingdale show`, or repeat the push with its id",
+    ],
+    [PushUnavailableError, ExitCode.Unreachable, "check --store and the store, then push again"],
+    [StoreUnavailableError, ExitCode.Unreachable, "check --store and the store, then try again"],
+    [StoreConflictError, ExitCode.Conflict, "read the object again"],
+    [StoreOutcomeUnknownError, ExitCode.OutcomeUnknown, "read the object again"],
+    [StoreRejectedError, ExitCode.Refused, "correct what the message names"],
+];
+
+/** Returns the error that ends the command. */
+export function toCommandError(err: unknown): CommandError {
+    if (err instanceof CommandError) {
+        return err;
+    }
+    const found = translations.find(([type]) => err instanceof type);
+    if (found === undefined) {
+        return new CommandError(
+            ExitCode.Refused,
+            `unexpected error: ${getErrorMessage(err)}`,
+            "report this as a fault of the command line",
+        );
+    }
+    const [, exitCode, fix] = found;
+    const pushId = err instanceof PushOutcomeUnknownError ? ` (--push-id ${err.pushId})` : "";
+    return new CommandError(exitCode, getErrorMessage(err), `${fix}${pushId}`);
+}
--- /dev/null
+++ b/packages/cli/src/commands/diff.ts
@@ -0,0 +1,38 @@
+/** `diff`: lists what a manifest file changes. */
+import { diffManifests } from "@waxwingdale/manifest";
+import type { CommandSpec } from "../command-spec.js";
+import { ExitCode } from "../exit-code.js";
+import { requireAccepted } from "../accepted-state.js";
+import { readValidManifest } from "../manifest-file.js";
+import { getText } from "../options.js";
+import { formatTable } from "../table.js";
+
+export const diffCommand: CommandSpec = {
+    usage: "diff <file>",
+    describe: "List what a manifest file changes in the manifest in force or in another file",
+    options: ["against"],
+    example: "diff release.manifest.jsonc --store 10.0.0.5:7400",
+    run: async (ctx, file = "") => {
+        const after = await readValidManifest(ctx, file);
+        const against = getText(ctx.options, "against");
+        const accepted = against === undefined ? await ctx.withStore(requireAccepted) : undefined;
+        const before = accepted?.manifest ?? (await readValidManifest(ctx, against ?? ""));
+        const changes = diffManifests(before, after);
+        const name = accepted === undefined ? against : `generation ${accepted.generation}`;
+        ctx.printResult({ against: name, generation: accepted?.generation, changes }, () =>
+            changes.length === 0
+                ? `no change against ${name}`
+                : formatTable(
+                      ["kind", "path", "before", "after", "effect", "description"],
+                      changes.map(toRow),
+                  ),
+        );
+        return ExitCode.Ok;
+    },
+};
+
+/** Whole items are too long for a cell. */
+function toRow(change: ReturnType<typeof diffManifests>[number]): Record<string, unknown> {
+    const shorten = (value: unknown) => (typeof value === "object" ? "(item)" : value);
+    return { ...change, before: shorten(change.before), after: shorten(change.after) };
+}
--- /dev/null
+++ b/packages/cli/src/commands/push.ts
@@ -0,0 +1,35 @@
+/** `push`: puts a manifest file in force. */
+import { pushManifest } from "@waxwingdale/manifest";
+import { CommandError } from "../command-error.js";
+import type { CommandSpec } from "../command-spec.js";
+import { ExitCode } from "../exit-code.js";
+import { readValidManifest } from "../manifest-file.js";
+import { getText } from "../options.js";
+import { formatValue } from "../table.js";
+
+export const pushCommand: CommandSpec = {
+    usage: "push <file>",
+    describe: "Put a manifest in force; --base is needed when one is in force already",
+    options: ["base", "push-id"],
+    example: "push release.manifest.jsonc --base 41 --store 10.0.0.5:7400",
+    run: async (ctx, file = "") => {
+        const base = parseGeneration(getText(ctx.options, "base"));
+        const manifest = await readValidManifest(ctx, file);
+        const pushId = getText(ctx.options, "push-id") ?? ctx.createPushId();
+        const accepted = await ctx.withStore(store => pushManifest(store, manifest, base, pushId));
+        const result = { generation: accepted.generation, pushId: accepted.pushId };
+        ctx.printResult(result, () => formatValue(result));
+        return ExitCode.Ok;
+    },
+};
+
+function parseGeneration(text: string | undefined): number | undefined {
+    if (text !== undefined && !/^\d{1,15}$/.test(text)) {
+        throw new CommandError(
+            ExitCode.Usage,
+            `"${text}" is not a generation`,
+            "give --base as the number that `waxwingdale show` prints",
+        );
+    }
+    return text === undefined ? undefined : Number(text);
+}
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,59 @@
+/** `status`: what the store knows of the fleet, or what one entry says of itself. */
+import type { ObjectStore } from "@waxwingdale/core";
+import { readAccepted } from "../accepted-state.js";
+import type { CommandSpec } from "../command-spec.js";
+import { ListenerKind, findEntries, listEntryRecords } from "../entry-directory.js";
+import { readPage } from "../entry-page.js";
+import { ExitCode } from "../exit-code.js";
+import { getText } from "../options.js";
+import { formatValue } from "../table.js";
+
+const planKey = "plan";
+const leaseKey = "lease/planner";
+
+export const statusCommand: CommandSpec = {
+    usage: "status",
+    describe: "Show the state of an entry (--entry) or of the fleet as the store has it (--store)",
+    example: "status --entry 10.0.0.7:9300",
+    run: async ctx => {
+        const hasEntry = getText(ctx.options, "entry", ctx.env, "WAXWINGDALE_ENTRY") !== undefined;
+        const hasStore = getText(ctx.options, "store", ctx.env, "WAXWINGDALE_STORE") !== undefined;
+        const result: Record<string, unknown> = {};
+        // An explicit --store beside --entry asks for both.
+        if (!hasEntry || (hasStore && ctx.options.store !== undefined)) {
+            Object.assign(result, await ctx.withStore(readFleet));
+        }
+        if (hasEntry) {
+            const [target] = await findEntries(ctx, ListenerKind.Operators);
+            result.entry = await readPage(ctx, target!, "/status");
+        }
+        ctx.printResult(result, () => formatValue(result));
+        return ExitCode.Ok;
+    },
+};
+
+async function readFleet(store: ObjectStore): Promise<Record<string, unknown>> {
+    const [accepted, entries, plan, lease, instances] = await Promise.all([
+        readAccepted(store),
+        listEntryRecords(store),
+        store.get(planKey),
+        store.get(leaseKey),
+        store.listInstances(),
+    ]);
+    const counts = new Map<string, Record<string, unknown>>();
+    for (const { role, service = "", region, zone, state } of instances) {
+        const name = [role, service, region, zone, state].join(" ");
+        const row = counts.get(name) ?? { role, service, region, zone, state, count: 0 };
+        row.count = Number(row.count) + 1;
+        counts.set(name, row);
+    }
+    return {
+        generation: accepted?.generation,
+        pushId: accepted?.pushId,
+        drains: accepted?.manifest.drains.length,
+        plan: plan?.value,
+        planner: lease?.value,
+        entries,
+        instances: [...counts.values()],
+    };
+}
--- /dev/null
+++ b/packages/cli/src/entry-directory.ts
@@ -0,0 +1,69 @@
+/** Finds addresses of entries: from the options, or from the entry records in the store. */
+import type { ObjectStore } from "@waxwingdale/core";
+import { entryPrefix } from "@waxwingdale/manifest";
+import { checkAddress, isAddress } from "./address.js";
+import { CommandError } from "./command-error.js";
+import type { CommandContext } from "./command-context.js";
+import { ExitCode } from "./exit-code.js";
+import { getText } from "./options.js";
+
+/** Listener of an entry that a command asks. */
+export enum ListenerKind {
+    Operators = "operators",
+    Callers = "callers",
+}
+
+export interface EntryTarget {
+    /** Id of the entry, or its address when only that is known. */
+    name: string;
+    address: string;
+}
+
+const listeners = {
+    [ListenerKind.Operators]: { option: "entry", variable: "WAXWINGDALE_ENTRY", field: "operatorAddress" },
+    [ListenerKind.Callers]: { option: "caller", variable: "WAXWINGDALE_CALLER", field: "callerAddress" },
+} as const;
+
+/** Reads the entry records as they are. */
+export async function listEntryRecords(store: ObjectStore): Promise<Record<string, unknown>[]> {
+    const objects = await store.list(entryPrefix);
+    return objects.map(({ key, value }) => ({
+        id: key.slice(entryPrefix.length),
+        ...(typeof value === "object" ? value : undefined),
+    }));
+}
+
+/**
+ * Returns the entries to ask: the named one, the one of the option, or all with a record in the store.
+ * @param name address or id of an entry
+ * @throws CommandError when no address is known
+ */
+export async function findEntries(
+    ctx: CommandContext,
+    kind: ListenerKind,
+    name?: string,
+): Promise<EntryTarget[]> {
+    const { option, variable, field } = listeners[kind];
+    const text = name ?? getText(ctx.options, option, ctx.env, variable);
+    if (text !== undefined && (name === undefined || isAddress(text))) {
+        return [{ name: text, address: checkAddress(text, `--${option}`) }];
+    }
+    const records = await ctx.withStore(listEntryRecords);
+    const found = records
+        .filter(record => name === undefined || record.id === name)
+        .flatMap(record => {
+            const address = record[field];
+            return typeof address === "string" && isAddress(address)
+                ? [{ name: String(record.id), address }]
+                : [];
+        });
+    if (found.length === 0) {
+        const what = name === undefined ? "no entry" : `no entry "${name}"`;
+        throw new CommandError(
+            ExitCode.Refused,
+            `${what} with an address for ${kind} has a record in the store`,
+            `give the address with --${option} host:port`,
+        );
+    }
+    return found;
+}
--- /dev/null
+++ b/packages/cli/src/entry-page.ts
@@ -0,0 +1,62 @@
+/** Reads JSON pages of entries. */
+import { CommandError } from "./command-error.js";
+import type { CommandContext, EntryAnswer } from "./command-context.js";
+import type { EntryTarget } from "./entry-directory.js";
+import { ExitCode } from "./exit-code.js";
+
+const unauthorized = 401;
+const forbidden = 403;
+
+/**
+ * Asks the operator listener of an entry.
+ * @throws CommandError when the entry does not answer or refuses the fleet key
+ */
+export async function askOperators(
+    ctx: CommandContext,
+    target: EntryTarget,
+    path: string,
+): Promise<EntryAnswer> {
+    const answer = await ctx.askEntry(target.address, path, await ctx.readFleetKey());
+    if (answer.status === unauthorized || answer.status === forbidden) {
+        throw new CommandError(
+            ExitCode.Refused,
+            `${target.name} refuses the fleet key`,
+            "give the fleet's key with --key-file or WAXWINGDALE_FLEET_KEY",
+        );
+    }
+    return answer;
+}
+
+/**
+ * Reads a page that must exist.
+ * @throws CommandError
+ */
+export async function readPage(ctx: CommandContext, target: EntryTarget, path: string): Promise<unknown> {
+    const answer = await askOperators(ctx, target, path);
+    if (answer.status !== 200) {
+        throw new CommandError(
+            ExitCode.Refused,
+            `${target.name} answered ${path} with status ${answer.status}: ${describeBody(answer)}`,
+            "check that the address is the operator listener of an entry of this release",
+        );
+    }
+    return parseBody(answer);
+}
+
+/** Returns the body as JSON, or as text when it is something else. */
+export function parseBody({ text }: EntryAnswer): unknown {
+    try {
+        return JSON.parse(text) as unknown;
+    } catch {
+        return text;
+    }
+}
+
+const maxShownLength = 200;
+
+/** Returns the message in the body of a refusal. */
+export function describeBody(answer: EntryAnswer): string {
+    const body = parseBody(answer);
+    const message = (body as { message?: unknown } | undefined)?.message;
+    return (typeof message === "string" ? message : answer.text).slice(0, maxShownLength);
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+/** The operators' command line. */
+export * from "./command-context.js";
+export * from "./exit-code.js";
+export * from "./run-cli.js";
--- /dev/null
+++ b/packages/cli/src/manifest-file.ts
@@ -0,0 +1,56 @@
+/** Reads manifest files for commands. */
+import { getErrorCode } from "@waxwingdale/core";
+import { formatProblem, hasErrors, readManifest } from "@waxwingdale/manifest";
+import type { Manifest, Problem } from "@waxwingdale/manifest";
+import { CommandError } from "./command-error.js";
+import type { CommandContext } from "./command-context.js";
+import { ExitCode } from "./exit-code.js";
+
+export interface ManifestFile {
+    manifest: Manifest | undefined;
+    problems: Problem[];
+}
+
+/**
+ * Reads and checks a file.
+ * @throws CommandError when the file cannot be read
+ */
+export async function readManifestFile(ctx: CommandContext, path: string): Promise<ManifestFile> {
+    let text: string;
+    try {
+        text = await ctx.readFile(path);
+    } catch (err) {
+        throw new CommandError(
+            ExitCode.Usage,
+            `cannot read ${path} (${getErrorCode(err) ?? "error"})`,
+            "check the path and its permissions",
+        );
+    }
+    return readManifest(text, path);
+}
+
+/**
+ * Reads a file that must have no errors. Prints its problems.
+ * @throws CommandError
+ */
+export async function readValidManifest(ctx: CommandContext, path: string): Promise<Manifest> {
+    const { manifest, problems } = await readManifestFile(ctx, path);
+    printProblems(ctx, problems);
+    if (manifest === undefined) {
+        throw createManifestError(path, problems);
+    }
+    return manifest;
+}
+
+/** Prints each problem as one line on standard error, where builds collect them. */
+export function printProblems(ctx: CommandContext, problems: readonly Problem[]): void {
+    for (const problem of problems) {
+        ctx.printError(ctx.options.json === true ? JSON.stringify(problem) : formatProblem(problem));
+    }
+}
+
+/** Creates the error of a manifest that cannot be used. */
+export function createManifestError(path: string, problems: readonly Problem[]): CommandError {
+    const kind = hasErrors(problems) ? "errors" : "warnings";
+    return new CommandError(ExitCode.ManifestErrors, `${path} has ${kind}`, "correct the lines named above");
+}
--- /dev/null
+++ b/packages/cli/test/commands.test.ts
@@ -0,0 +1,180 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { readManifest } from "@waxwingdale/manifest";
+import { ExitCode } from "../src/exit-code.js";
+import { createFake, example } from "./fake-surroundings.js";
+
+const operators = "10.0.0.7:9300";
+const addEntry = (fake: ReturnType<typeof createFake>, id: string, operatorAddress: string) =>
+    fake.store.put(`entries/${id}`, { id, formats: [1], state: "live", operatorAddress }, 0);
+
+test("check prints problems on standard error and a summary on standard output", async () => {
+    const { run, files, state } = createFake();
+    assert.equal(await run("check", "khata.jsonc"), ExitCode.Ok);
+    assert.equal(state.err, "");
+    files["bad.jsonc"] = example.replace('"lookup":', '"lookups":');
+    assert.equal(await run("check", "bad.jsonc"), ExitCode.ManifestErrors);
+    assert.match(state.err, /^bad\.jsonc:115:5: error: lookups: .*did you mean "lookup"\?$/m);
+    assert.equal(state.out, "bad.jsonc: not ok, 2 errors, 0 warnings\n");
+});
+
+test("check --strict fails on a warning", async () => {
+    const { run, files } = createFake();
+    files["warn.jsonc"] = example.replace('"ttlSeconds": 5', '"ttlSeconds": 500');
+    assert.equal(await run("check", "warn.jsonc"), ExitCode.Ok);
+    assert.equal(await run("check", "--strict", "warn.jsonc"), ExitCode.ManifestErrors);
+});
+
+// Guards against scripts that have to read two formats.
+test("check --json prints one object", async () => {
+    const { run, files, state } = createFake();
+    files["bad.jsonc"] = "{";
+    assert.equal(await run("check", "bad.jsonc", "--json"), ExitCode.ManifestErrors);
+    const result = JSON.parse(state.out) as { ok: boolean; problems: unknown[] };
+    assert.equal(result.ok, false);
+    assert.ok(result.problems.length > 0);
+    assert.equal(state.err, "");
+});
+
+test("push, conflict and push on the new base", async () => {
+    const { run, state } = createFake();
+    assert.equal(await run("push", "khata.jsonc"), ExitCode.Ok);
+    assert.match(state.out, /generation +1\npushId +push-1\n/);
+    assert.equal(await run("push", "khata.jsonc"), ExitCode.Conflict);
+    assert.match(state.err, /generation 1 is in force.*--base 1/);
+    assert.equal(await run("push", "khata.jsonc", "--base", "1", "--json"), ExitCode.Ok);
+    assert.deepEqual(JSON.parse(state.out), { generation: 2, pushId: "push-3" });
+    assert.equal(state.openStores, 0);
+});
+
+test("push while the store is down has no effect", async () => {
+    const { run, store, state } = createFake();
+    store.faults.down = true;
+    assert.equal(await run("push", "khata.jsonc", "--json"), ExitCode.Unreachable);
+    assert.equal((JSON.parse(state.err) as { exitCode: number }).exitCode, ExitCode.Unreachable);
+    assert.equal(state.openStores, 0);
+});
+
+// Guards against a repeat that is accepted twice.
+test("a push in doubt names its id, and a repeat with the id is safe", async () => {
+    const { run, store, state } = createFake();
+    store.faults.loseWriteAnswers = 1;
+    const get = store.get.bind(store);
+    let reads = 0;
+    store.get = key => (reads++ === 0 ? get(key) : ((store.faults.down = true), get(key)));
+    assert.equal(await run("push", "khata.jsonc"), ExitCode.OutcomeUnknown);
+    assert.match(state.err, /--push-id push-1/);
+    store.faults.down = false;
+    store.get = get;
+    assert.equal(await run("push", "khata.jsonc", "--push-id", "push-1"), ExitCode.Ok);
+    assert.match(state.out, /generation +1\n/);
+});
+
+test("push refuses a format that a live entry does not know", async () => {
+    const { run, store, state } = createFake();
+    await store.put("entries/old", { id: "old", formats: [0], state: "live" }, 0);
+    assert.equal(await run("push", "khata.jsonc"), ExitCode.Refused);
+    assert.match(state.err, /format 1 is not known to old/);
+});
+
+test("diff against the manifest in force and against a file", async () => {
+    const { run, files, state } = createFake();
+    assert.equal(await run("diff", "khata.jsonc"), ExitCode.Refused);
+    await run("push", "khata.jsonc");
+    assert.equal(await run("diff", "khata.jsonc"), ExitCode.Ok);
+    assert.equal(state.out, "no change against generation 1\n");
+    files["new.jsonc"] = example.replace('"servers": 4', '"servers": 3');
+    assert.equal(await run("diff", "new.jsonc", "--against", "khata.jsonc"), ExitCode.Ok);
+    assert.match(state.out, /services\[intake\]\.sites\[bagmati-a\]\.servers +4 +3 +capacity-lowered/);
+});
+
+test("the output of show --manifest is a manifest file", async () => {
+    const { run, state } = createFake();
+    assert.equal(await run("show"), ExitCode.Refused);
+    await run("push", "khata.jsonc");
+    assert.equal(await run("show", "--manifest"), ExitCode.Ok);
+    assert.deepEqual(readManifest(state.out, "a").problems, []);
+    assert.equal(await run("show"), ExitCode.Ok);
+    assert.match(state.out, /^document +koshi-b +2 +60$/m);
+});
+
+test("status of the store counts instances, and of an entry prints what comes", async () => {
+    const { run, pages, state } = createFake();
+    assert.equal(await run("status"), ExitCode.Ok);
+    pages[`${operators}/status`] = { text: '{"a":{"b":[{"c":1}]}}' };
+    assert.equal(await run("status", "--entry", operators), ExitCode.Ok);
+    assert.equal(state.out, "entry.a.b:\nc\n1\n");
+});
+
+test("dump finds an entry by its id", async () => {
+    const fake = createFake();
+    await addEntry(fake, "north-1", operators);
+    fake.pages[`${operators}/dump`] = { text: '{"generation":4}' };
+    assert.equal(await fake.run("dump", "north-1"), ExitCode.Ok);
+    assert.equal(fake.state.out, "generation  4\n");
+    assert.equal(await fake.run("dump", "north-2"), ExitCode.Refused);
+});
+
+test("a wrong fleet key and a silent entry have their own exit codes", async () => {
+    const { run, pages, state, surroundings } = createFake();
+    pages[`${operators}/dump`] = { status: 401 };
+    assert.equal(await run("dump", operators), ExitCode.Refused);
+    assert.match(state.err, /refuses the fleet key/);
+    assert.equal(await run("dump", "10.0.0.8:9300"), ExitCode.Unreachable);
+    delete surroundings.env.WAXWINGDALE_FLEET_KEY;
+    assert.equal(await run("dump", operators), ExitCode.Usage);
+});
+
+// A request's record is only at the entry that carried it; one dead entry must not hide it.
+test("explain asks the request's entry first and goes on past a silent one", async () => {
+    const fake = createFake();
+    await addEntry(fake, "a", "10.0.0.1:1");
+    await addEntry(fake, "b", "10.0.0.2:1");
+    await addEntry(fake, "c", "10.0.0.3:1");
+    fake.pages["10.0.0.3:1/explain?request=b-17"] = { text: '{"id":"b-17"}' };
+    assert.equal(await fake.run("explain", "b-17"), ExitCode.Ok);
+    assert.deepEqual(
+        fake.asked.map(page => page.slice(0, 8)),
+        ["10.0.0.2", "10.0.0.1", "10.0.0.3"],
+    );
+    fake.pages["10.0.0.3:1/explain?request=b-18"] = { status: 404 };
+    assert.equal(await fake.run("explain", "b-18"), ExitCode.Refused);
+    assert.equal(await fake.run("explain", "10.2.0.17"), ExitCode.Unreachable);
+    assert.match(fake.asked.at(-1)!, /\/explain\?client=10\.2\.0\.17$/);
+});
+
+test("outcome tells an unknown outcome by its exit code", async () => {
+    const { run, pages } = createFake();
+    const callers = "10.0.0.7:8080";
+    pages[`${callers}/v1/outcomes/register/a%2Fb`] = { text: '{"outcome":"unknown"}' };
+    pages[`${callers}/v1/outcomes/register/-c`] = { text: '{"outcome":"ran"}', outcome: "ran" };
+    assert.equal(await run("outcome", "register", "a/b", "--caller", callers), ExitCode.OutcomeUnknown);
+    assert.equal(await run("outcome", "--caller", callers, "--", "register", "-c"), ExitCode.Ok);
+});
+
+test("drain-status tells the phase and counts servers", async () => {
+    const { run, files, store, state } = createFake();
+    const drains = ["01T10:00:00Z", "01T14:00:00Z"].map(
+        (time, i) => `{"place":"koshi-${"ab"[i]!}","startsAt":"2026-05-${time}"}`,
+    );
+    files["drain.jsonc"] = example.replace('"drains": []', `"drains": [${drains.join()}]`);
+    const server = { role: "backend-server", address: "10.0.0.9:1", region: "koshi", zone: "a" };
+    store.instances = ["live", "leaving", "leaving"].map(
+        (row, i) => ({ ...server, id: String(i), state: row }) as (typeof store.instances)[number],
+    );
+    await run("push", "drain.jsonc");
+    assert.equal(await run("drain-status"), ExitCode.Ok);
+    assert.match(state.out, /^koshi-a +all +active +\S+ +- +1 +2$/m);
+    assert.match(state.out, /^koshi-b +all +planned +\S+ +- +0 +0$/m);
+});
+
+test("health is ok only when every entry is ready", async () => {
+    const fake = createFake();
+    await addEntry(fake, "a", operators);
+    fake.pages[`${operators}/health`] = {};
+    fake.pages[`${operators}/ready`] = { status: 503, text: '{"reason":"no manifest"}' };
+    assert.equal(await fake.run("health"), ExitCode.Refused);
+    assert.match(fake.state.out, /^a +10\.0\.0\.7:9300 +true +false +no manifest$/m);
+    fake.pages[`${operators}/ready`] = {};
+    assert.equal(await fake.run("health"), ExitCode.Ok);
+});
--- /dev/null
+++ b/packages/cli/test/fake-surroundings.ts
@@ -0,0 +1,54 @@
+/** Surroundings of a command in memory. */
+import { readFileSync } from "node:fs";
+import { createManualClock } from "@waxwingdale/core";
+import { MemoryObjectStore } from "@waxwingdale/store";
+import { runCli } from "../src/run-cli.js";
+import type { EntryAnswer, Surroundings } from "../src/command-context.js";
+import { CommandError } from "../src/command-error.js";
+import { ExitCode } from "../src/exit-code.js";
+
+export const example = readFileSync(
+    new URL("../../../examples/khata.manifest.jsonc", import.meta.url),
+    "utf8",
+);
+
+export function createFake() {
+    const clock = createManualClock(Date.parse("2026-05-01T12:00:00Z"));
+    const store = new MemoryObjectStore(clock);
+    const files: Record<string, string> = { "khata.jsonc": example };
+    const pages: Record<string, Partial<EntryAnswer>> = {};
+    const asked: string[] = [];
+    const state = { out: "", err: "", openStores: 0, pushes: 0 };
+    const surroundings: Surroundings = {
+        env: { WAXWINGDALE_STORE: "10.0.0.5:7400", WAXWINGDALE_FLEET_KEY: "key" },
+        clock,
+        readFile: async path => {
+            if (files[path] === undefined) {
+                throw Object.assign(new Error("no such file"), { code: "ENOENT" });
+            }
+            return files[path];
+        },
+        print: text => void (state.out += `${text}\n`),
+        printError: text => void (state.err += `${text}\n`),
+        connectStore: () => {
+            state.openStores++;
+            return { store, close: async () => void state.openStores-- };
+        },
+        askEntry: async (address, path) => {
+            asked.push(`${address}${path}`);
+            const page = pages[`${address}${path}`];
+            if (page === undefined) {
+                throw new CommandError(ExitCode.Unreachable, `the entry at ${address} does not answer`, "x");
+            }
+            return { status: 200, text: "{}", outcome: undefined, ...page };
+        },
+        createPushId: () => `push-${++state.pushes}`,
+    };
+    /** Runs a command and returns its exit code; `state` holds only the output of this command. */
+    const run = (...argv: string[]) => {
+        state.out = "";
+        state.err = "";
+        return runCli(argv, surroundings);
+    };
+    return { run, store, files, pages, asked, state, surroundings };
+}
