feat(store): fenced lease and conditional writes under its epoch

One entry at a time may plan, and a paused holder that resumes must not write over its successor. The lease lives in one store object. Its epoch grows with each holding period; the holder trusts it only for the lease's time, less a margin, since the last renewal that took effect was sent. Another process takes over after the full time has passed on its own clock since it first saw the record unchanged, so no clocks are compared. The fenced writer makes each write conditional on the object's version and refuses to follow a greater epoch, so a write of a former holder that arrives late fails or is replaced.

Each write of the record and each step of the guarded object has a number of its own.

--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,3 +1,6 @@
-/** Clients of the platform's object store. */
+/** Clients of the platform's object store, and what is built on its conditional updates. */
+export * from "./backoff.js";
+export * from "./fenced-writer.js";
 export * from "./http-object-store.js";
+export * from "./lease.js";
 export * from "./memory-object-store.js";
