--- /dev/null
+++ b/packages/store/src/version-filter.ts
@@ -0,0 +1,68 @@
+/** Remembers the newest version of each object, so that an older answer of the store is recognised. */
+
+/** Deleted objects whose last version is remembered. */
+const maxDeletedKeys = 1000;
+
+export interface VersionFilter {
+    /** Returns whether a value is newer than everything seen of its key, and remembers it. */
+    acceptValue(key: string, version: number): boolean;
+    /** Returns whether a deletion is newer than everything seen of its key, and remembers it. */
+    acceptDeletion(key: string, version: number): boolean;
+    /**
+     * Takes the keys of a complete list and returns those that the list before it lacked as well. A single list may come
+     * from a state that is older than the object.
+     */
+    takeMissing(listed: ReadonlySet<string>): string[];
+    /** Returns the highest version seen. */
+    highest(): number;
+}
+
+/** Creates a filter that has seen nothing. */
+export function createVersionFilter(): VersionFilter {
+    const live = new Map<string, number>();
+    const deleted = new Map<string, number>();
+    let suspects = new Set<string>();
+    let highest = 0;
+
+    const isNewer = (key: string, version: number) =>
+        version > (live.get(key) ?? 0) && version > (deleted.get(key) ?? 0);
+
+    const bury = (key: string, version: number) => {
+        live.delete(key);
+        deleted.delete(key);
+        deleted.set(key, version);
+        if (deleted.size > maxDeletedKeys) {
+            deleted.delete(deleted.keys().next().value!);
+        }
+    };
+
+    return {
+        acceptValue: (key, version) => {
+            if (!isNewer(key, version)) {
+                return false;
+            }
+            deleted.delete(key);
+            live.set(key, version);
+            highest = Math.max(highest, version);
+            return true;
+        },
+        acceptDeletion: (key, version) => {
+            if (!isNewer(key, version)) {
+                return false;
+            }
+            const known = live.has(key);
+            bury(key, version);
+            highest = Math.max(highest, version);
+            return known;
+        },
+        takeMissing: listed => {
+            const missing = [...live.keys()].filter(key => !listed.has(key));
+            const gone = missing.filter(key => suspects.has(key));
+            suspects = new Set(missing);
+            // The same version is accepted again if both lists came from a state older than the object.
+            gone.forEach(key => bury(key, live.get(key)! - 1));
+            return gone;
+        },
+        highest: () => highest,
+    };
+}
