feat(config): documents that spread between peers and never go back

An accepted manifest must be in force everywhere within seconds, also while the store is down, and must never revert. A replicated document follows its store object by a watch and learns from the digests in gossip which peers are ahead; it asks them one after the other by config.fetch. Whatever the store or a peer answers, only a value of greater order is applied. The order is a list of numbers, so a plan is ordered by lease epoch and then by step.

A value is applied only after it has been parsed as a whole. One of a format that this release lacks leaves the manifest in force, is reported with its generation, and is still handed to peers that can apply it.

Seen failing with the mechanism broken by hand: no check of the order, an unsupported value applied, no hand-out of it to peers, no fetch from peers, no wait for a failing peer or for unusable values, the long wait for an unreachable peer, an older value than announced accepted as a success, the report never cleared, any key of the prefix taken, an error of a listener passed on, the order ignored when a peer asks.

--- /dev/null
+++ b/packages/config/src/document-exchange.ts
@@ -0,0 +1,78 @@
+/** What peers tell each other about documents: digests in gossip, and the values on request. */
+import type { Logger, RpcRegistry } from "@waxwingdale/core";
+import * as v from "valibot";
+import { compareOrders, orderSchema } from "./order.js";
+import type { Order } from "./order.js";
+import { fetchMethod } from "./peer-fetch.js";
+
+/** A document as its peers see it. */
+export interface ExchangedDocument {
+    name: string;
+    /** Order of the newest value that this process can hand out. */
+    getHeldOrder(): Order | undefined;
+    /** The newest value as it was read, in the format of the store. */
+    getHeldValue(): unknown;
+    noteRemoteOrder(peerAddress: string, order: Order): void;
+}
+
+/** Order of each document by name. */
+export type DocumentDigest = Record<string, number[]>;
+
+export interface DocumentExchange {
+    add(document: ExchangedDocument): void;
+    /** Returns the digest that goes into every gossip exchange. */
+    orders(): DocumentDigest;
+    /** Takes the digest of a peer. A peer that is ahead is asked for its value. */
+    noteRemoteOrders(peerAddress: string, digest: unknown): void;
+}
+
+export interface DocumentExchangeOptions {
+    registry: RpcRegistry;
+    logger: Logger;
+}
+
+const digestSchema = v.record(v.string(), v.unknown());
+const paramsSchema = v.object({ name: v.string(), after: v.optional(v.array(v.number()), []) });
+
+/** Creates the exchange of a process and registers its JSON-RPC method. */
+export function createDocumentExchange(options: DocumentExchangeOptions): DocumentExchange {
+    const { registry, logger } = options;
+    const documents = new Map<string, ExchangedDocument>();
+
+    registry.addMethod(fetchMethod, params => {
+        const { name, after } = v.parse(paramsSchema, params);
+        const document = documents.get(name);
+        const ahead = document !== undefined && compareOrders(document.getHeldOrder(), after) > 0;
+        return ahead ? { value: document.getHeldValue() } : {};
+    });
+
+    return {
+        add: document => {
+            documents.set(document.name, document);
+        },
+        orders: () => {
+            const digest: DocumentDigest = {};
+            for (const document of documents.values()) {
+                const order = document.getHeldOrder();
+                if (order !== undefined) {
+                    digest[document.name] = [...order];
+                }
+            }
+            return digest;
+        },
+        noteRemoteOrders: (peerAddress, digest) => {
+            const parsed = v.safeParse(digestSchema, digest);
+            for (const [name, order] of Object.entries(parsed.success ? parsed.output : {})) {
+                const parsedOrder = v.safeParse(orderSchema, order);
+                if (parsedOrder.success) {
+                    documents.get(name)?.noteRemoteOrder(peerAddress, parsedOrder.output);
+                } else {
+                    logger.warn("document-digest-invalid", { peer: peerAddress, document: name });
+                }
+            }
+            if (!parsed.success) {
+                logger.warn("document-digest-invalid", { peer: peerAddress });
+            }
+        },
+    };
+}
--- /dev/null
+++ b/packages/config/test/fleet.ts
@@ -0,0 +1,156 @@
+/** Entries that gossip over an in-memory network; `reaches` cuts it. */
+import { PeerUnreachableError, createLogger, createManualClock, createRandom } from "@waxwingdale/core";
+import type { ManualClock, ObjectStore, PeerTransport, Random, RpcHandler } from "@waxwingdale/core";
+import type { AcceptedManifest, Manifest } from "@waxwingdale/manifest";
+import { manifestKey } from "@waxwingdale/manifest";
+import { MemoryObjectStore } from "@waxwingdale/store";
+import { createAcceptedConfig, createDocumentExchange } from "@waxwingdale/config";
+import type { AcceptedConfig, DocumentExchange } from "@waxwingdale/config";
+
+export interface FakeEntry {
+    address: string;
+    config: AcceptedConfig;
+    exchange: DocumentExchange;
+    /** Its way to the store. */
+    store: MemoryObjectStore;
+    /** Generations in the order in which they came into force. */
+    applied: number[];
+    log: string[];
+    methods: Map<string, RpcHandler>;
+    stop: () => void;
+}
+
+export interface EntryOptions {
+    formats?: number[];
+    store?: MemoryObjectStore;
+}
+
+export interface Fleet {
+    clock: ManualClock;
+    random: Random;
+    entries: FakeEntry[];
+    reaches: (from: string, to: string) => boolean;
+    add(options?: EntryOptions): FakeEntry;
+    /** Every entry exchanges digests with the next peer in its own shuffled order. */
+    gossip(): Promise<void>;
+    generations(): number[];
+}
+
+export function makeManifest(generation: number, formatVersion = 1): AcceptedManifest {
+    const manifest = { formatVersion, deployment: `g${generation}` } as unknown as Manifest;
+    return { generation, pushId: `push-${generation}`, formatVersion, manifest };
+}
+
+/** Accepts what `makeManifest` makes. */
+function parseManifest(value: unknown): Manifest {
+    const { deployment } = value as Manifest;
+    if (typeof deployment !== "string") {
+        throw new Error("deployment is missing");
+    }
+    return value as Manifest;
+}
+
+function createDownStore(clock: ManualClock): MemoryObjectStore {
+    const store = new MemoryObjectStore(clock);
+    store.faults.down = true;
+    return store;
+}
+
+/** Puts the manifest of a generation into a store as the next one. */
+export async function accept(store: ObjectStore, next: AcceptedManifest): Promise<void> {
+    await store.put(manifestKey, next, (await store.get(manifestKey))?.version ?? 0);
+}
+
+export function createFleet(seed = 1): Fleet {
+    const clock = createManualClock();
+    const random = createRandom(seed);
+    const entries: FakeEntry[] = [];
+    const orders = new Map<string, string[]>();
+    let count = 0;
+
+    const transportOf = (from: string): PeerTransport => ({
+        call: async <Result>(to: string, method: string, params: unknown) => {
+            const peer = entries.find(({ address }) => address === to);
+            if (peer === undefined || !fleet.reaches(from, to)) {
+                throw new PeerUnreachableError(`cannot reach ${to}`);
+            }
+            const result = await peer.methods.get(method)!(JSON.parse(JSON.stringify(params)), from);
+            return JSON.parse(JSON.stringify(result)) as Result;
+        },
+    });
+
+    const nextPeer = (from: string): FakeEntry | undefined => {
+        let order = orders.get(from) ?? [];
+        if (order.length === 0) {
+            const others = entries.map(({ address }) => address).filter(address => address !== from);
+            order = others
+                .map(address => ({ address, rank: random() }))
+                .sort((a, b) => a.rank - b.rank)
+                .map(({ address }) => address);
+            orders.set(from, order);
+        }
+        const to = order.pop();
+        return entries.find(({ address }) => address === to);
+    };
+
+    const fleet: Fleet = {
+        clock,
+        random,
+        entries,
+        reaches: () => true,
+        add: (options = {}) => {
+            const address = `entry-${count++}`;
+            const store = options.store ?? createDownStore(clock);
+            const methods = new Map<string, RpcHandler>();
+            const log: string[] = [];
+            const logger = createLogger(clock, { write: line => log.push(line) });
+            const registry = { addMethod: (name: string, run: RpcHandler) => void methods.set(name, run) };
+            const exchange = createDocumentExchange({ registry, logger });
+            const transport = transportOf(address);
+            const { formats } = options;
+            const config = createAcceptedConfig({
+                store,
+                transport,
+                exchange,
+                clock,
+                random,
+                logger,
+                parseManifest,
+                formats,
+            });
+            const applied: number[] = [];
+            config.onChange(({ generation }) => applied.push(generation));
+            const controller = new AbortController();
+            void config.run(controller.signal);
+            const stop = () => controller.abort();
+            const entry: FakeEntry = { address, config, exchange, store, applied, log, methods, stop };
+            entries.push(entry);
+            return entry;
+        },
+        gossip: async () => {
+            for (const from of entries) {
+                const to = nextPeer(from.address);
+                if (to !== undefined && fleet.reaches(from.address, to.address)) {
+                    // The request and the response of one exchange carry a digest each.
+                    const digest = from.exchange.orders();
+                    from.exchange.noteRemoteOrders(to.address, to.exchange.orders());
+                    to.exchange.noteRemoteOrders(from.address, digest);
+                }
+            }
+            await clock.advance(500);
+        },
+        generations: () => entries.map(({ config }) => config.status().generation),
+    };
+    return fleet;
+}
+
+/** Gossips until every entry has the generation and returns the number of rounds. */
+export async function countRounds(fleet: Fleet, generation: number, limit: number): Promise<number> {
+    for (let rounds = 0; rounds <= limit; rounds++) {
+        if (fleet.generations().every(current => current === generation)) {
+            return rounds;
+        }
+        await fleet.gossip();
+    }
+    throw new Error(`generations after ${limit} rounds: ${fleet.generations().join(" ")}`);
+}
