feat(carrier): claims checked before sending, drain notices, and figures for steering

Cause: a resumed process must not send under a claim whose deadline passed; a drain seen on an answer must stop new requests at once; the planner needs demand by home region and bytes for each request. Ruled out: reading these figures from the metrics registry, which sums over home regions.

--- a/packages/carrier/src/attempt.ts
+++ b/packages/carrier/src/attempt.ts
@@ -68,6 +68,7 @@
     }
     return {
         write: chunk => {
+            ctx.record.responseBytes += chunk.length;
             capture?.write(chunk);
             return pace === undefined
                 ? writeChunk(res, chunk)
--- a/packages/carrier/src/backend-upstream.ts
+++ b/packages/carrier/src/backend-upstream.ts
@@ -4,13 +4,14 @@
     ReasonCode,
     SlotResult,
     backendLoadHeader,
+    drainingHeader,
     notStartedHeader,
 } from "@waxwingdale/core";
 import type { Slot } from "@waxwingdale/core";
 import { AttemptKind, Upstream, openResponseSink } from "./attempt.js";
 import type { AttemptResult, ResponseCapture } from "./attempt.js";
 import type { CarrierOptions } from "./carrier-options.js";
-import { DispatchPhase, dispatchRequest } from "./dispatch-request.js";
+import { DispatchPhase, dispatchRequest, expiredBeforeSending } from "./dispatch-request.js";
 import type { DispatchResult } from "./dispatch-request.js";
 import { createRequestHeaders, getHeader } from "./headers.js";
 import { RequestBodyError } from "./request-body.js";
@@ -37,11 +38,17 @@
             target: slot.server.id,
             region: this.options.region,
             waitedMs: this.options.clock.now() - ctx.startedAt,
+            ms: 0,
             result: "running",
         };
         ctx.record.attempts.push(attempt);
+        const sentAt = this.options.clock.now();
         const result = await this.dispatch(ctx, slot, capture);
+        attempt.ms = this.options.clock.now() - sentAt;
         slot.release(toSlotResult(result), getBusySlots(result));
+        if (getHeader(result.headers, drainingHeader) === "1") {
+            this.options.noteDraining(slot.server.id);
+        }
         const outcome = await this.judge(ctx, slot.server.id, result);
         attempt.result = outcome.reason ?? outcome.kind;
         if (outcome.kind !== AttemptKind.Ran) {
@@ -65,6 +72,10 @@
                 throw err;
             }
             const { reason, message, retryAfterSeconds } = err;
+            if (reason === ReasonCode.NoBackend) {
+                this.options.steering.noteLocalUnavailable(ctx.service);
+                return { kind: AttemptKind.NotRun, reason, message, retryAfterSeconds, worthRetry: true };
+            }
             return { kind: AttemptKind.NotRun, reason, message, retryAfterSeconds, worthRetry: false };
         }
     }
@@ -78,6 +89,9 @@
         const { res, req, body } = ctx;
         const remainingMs = ctx.deadlineAt - options.clock.now();
         const pace = createResponsePacer(options, ctx);
+        if (!ctx.maySend()) {
+            return Promise.resolve(expiredBeforeSending);
+        }
         return dispatchRequest({
             pool: options.pools.get(slot.server.address, slot.server.slots),
             clock: options.clock,
--- a/packages/carrier/src/carrier-options.ts
+++ b/packages/carrier/src/carrier-options.ts
@@ -13,7 +13,7 @@
     TrafficSteering,
 } from "@waxwingdale/core";
 import type { ConnectionPools } from "./connection-pools.js";
-import type { RequestRecords } from "./request-record.js";
+import type { RequestRecord, RequestRecords } from "./request-record.js";
 import type { RouteTable } from "./route-table.js";
 
 /** Limit on retries as a share of traffic. */
@@ -54,4 +54,10 @@
     routes: () => RouteTable | undefined;
     retryBudget: (service: string, route: string) => RetryBudget;
     maxOutcomeBytes: () => number;
+    /** Home region of a caller's address. */
+    findHome: (client: string) => string;
+    /** A backend server said on an answer that it drains. */
+    noteDraining: (serverId: string) => void;
+    /** Called once for each request that a caller sent to this entry, after its end. */
+    onFinished: (record: RequestRecord) => void;
 }
--- a/packages/carrier/src/carrier.ts
+++ b/packages/carrier/src/carrier.ts
@@ -3,6 +3,7 @@
 import {
     Outcome,
     ReasonCode,
+    SteeringReason,
     getErrorMessage,
     idempotencyKeyHeader,
     requestIdHeader,
@@ -18,7 +19,7 @@
 import type { OwnAnswer } from "./own-answer.js";
 import { PeerUpstream, callerAuthorizationHeader } from "./peer-upstream.js";
 import { RequestBodyError, readRequestBody } from "./request-body.js";
-import { RequestOrigin, createRequestContext, getDeadline } from "./request-context.js";
+import { RequestOrigin, createRequestContext, getClientAddress, getDeadline } from "./request-context.js";
 import type { RequestContext } from "./request-context.js";
 
 /** Attempts of one request at most, the first included. */
@@ -26,6 +27,15 @@
 /** Longest idempotency key in characters. */
 const maxKeyLength = 255;
 
+/** Result of a request for which the cap on shifted traffic leaves no region. */
+const shiftRefused: AttemptResult = {
+    kind: AttemptKind.NotRun,
+    reason: ReasonCode.ShiftCapReached,
+    message: "the home region cannot take the request and the cap on shifted traffic is reached",
+    retryAfterSeconds: 1,
+    worthRetry: false,
+};
+
 export interface Carrier {
     /** Carries a request of a caller. Never rejects. */
     handleCaller(req: IncomingMessage, res: ServerResponse): Promise<void>;
@@ -132,6 +142,7 @@
                 callerLeft: signal,
                 clock,
                 region: options.region,
+                home: options.findHome(getClientAddress(req)),
             });
         } catch (err) {
             if (err instanceof RequestBodyError) {
@@ -160,7 +171,8 @@
         const avoid = new Set<string>();
         budget.noteRequest();
         for (let attempt = 1; ; attempt++) {
-            const result = await chooseUpstream(ctx).send(ctx, avoid, capture);
+            const upstream = chooseUpstream(ctx);
+            const result = upstream === undefined ? shiftRefused : await upstream.send(ctx, avoid, capture);
             if (!mayRetry(ctx, result, attempt) || !budget.tryTake()) {
                 return result;
             }
@@ -169,13 +181,17 @@
         }
     };
 
-    const chooseUpstream = (ctx: RequestContext): Upstream => {
+    /** Returns undefined when the cap on shifted traffic leaves no region for the request. */
+    const chooseUpstream = (ctx: RequestContext): Upstream | undefined => {
         if (ctx.origin === RequestOrigin.Peer) {
             return local;
         }
-        const decision = options.steering.chooseRegion(ctx.service, ctx.route.class);
+        const decision = options.steering.chooseRegion(ctx.service, ctx.route.class, ctx.record.home);
         ctx.record.region = decision.region;
         ctx.record.regionReason = decision.reason;
+        if (decision.reason === SteeringReason.ShiftCap) {
+            return undefined;
+        }
         return decision.region === options.region ? local : new PeerUpstream(options, decision.region);
     };
 
@@ -242,6 +258,9 @@
         record.reason = reason;
         record.totalMs = clock.now() - ctx.startedAt;
         options.records.add(record);
+        if (ctx.origin === RequestOrigin.Caller) {
+            options.onFinished(record);
+        }
         options.metrics.observe(record.service, record.requestClass, outcome, reason, record.totalMs);
         if (outcome !== Outcome.Ran) {
             logger.info("request-failed", {
--- a/packages/carrier/src/claimed-request.ts
+++ b/packages/carrier/src/claimed-request.ts
@@ -41,6 +41,7 @@
     if (earlier.state !== ClaimState.Granted) {
         return answerEarlier(earlier);
     }
+    ctx.maySend = () => options.claims.isGrantUsable(claim);
     const capture = createResponseCapture(options.maxOutcomeBytes());
     let end: ClaimEnd = { kind: "unknown" };
     try {
--- a/packages/carrier/src/dispatch-request.ts
+++ b/packages/carrier/src/dispatch-request.ts
@@ -25,6 +25,14 @@
     err?: Error;
 }
 
+/** Result of an attempt that was given up before it began. */
+export const expiredBeforeSending: DispatchResult = {
+    phase: DispatchPhase.NotSent,
+    status: 0,
+    headers: {},
+    aborted: true,
+};
+
 /** Receives the body of an answer. */
 export interface ResponseSink {
     /** Returns a promise when the sink cannot take more at the moment. */
--- a/packages/carrier/src/peer-upstream.ts
+++ b/packages/carrier/src/peer-upstream.ts
@@ -5,7 +5,7 @@
 import type { AttemptResult, ResponseCapture } from "./attempt.js";
 import { judgeInterrupted } from "./backend-upstream.js";
 import type { CarrierOptions } from "./carrier-options.js";
-import { DispatchPhase, dispatchRequest } from "./dispatch-request.js";
+import { DispatchPhase, dispatchRequest, expiredBeforeSending } from "./dispatch-request.js";
 import type { DispatchResult, ResponseHeaders } from "./dispatch-request.js";
 import {
     clientHeader,
@@ -45,9 +45,10 @@
         }
         avoid.add(peer.id);
         const waitedMs = this.options.clock.now() - ctx.startedAt;
-        const attempt = { target: peer.id, region: this.region, waitedMs, result: "running" };
+        const attempt = { target: peer.id, region: this.region, waitedMs, ms: 0, result: "running" };
         ctx.record.attempts.push(attempt);
         const result = await this.dispatch(ctx, peer, capture);
+        attempt.ms = this.options.clock.now() - ctx.startedAt - waitedMs;
         const outcome = this.judge(ctx, peer, result);
         attempt.result = outcome.reason ?? outcome.kind;
         return outcome;
@@ -79,6 +80,9 @@
         if (caller !== undefined) {
             headers[callerAuthorizationHeader] = caller;
         }
+        if (!ctx.maySend()) {
+            return expiredBeforeSending;
+        }
         return dispatchRequest({
             pool: options.pools.get(peer.peerAddress, connectionsPerPeer),
             clock: options.clock,
--- a/packages/carrier/src/request-context.ts
+++ b/packages/carrier/src/request-context.ts
@@ -41,6 +41,8 @@
     fingerprint: string;
     requestHash: string;
     record: RequestRecord;
+    /** Checked right before anything is sent; false when the claim of the request may not be used any more. */
+    maySend: () => boolean;
 }
 
 /** Returns the time at which the caller stops waiting: the route's limit or the caller's own shorter one. */
@@ -67,6 +69,7 @@
     callerLeft: AbortSignal;
     clock: Clock;
     region: string;
+    home: string;
 }
 
 /** Creates the context of a request whose body's start has been read. */
@@ -109,6 +112,7 @@
             service: match.service.name,
             route: match.route.name,
             requestClass: match.route.class,
+            home: fields.home,
             region: fields.region,
             regionReason: undefined,
             attempts: [],
@@ -116,6 +120,9 @@
             outcome: Outcome.NotRun,
             reason: undefined,
             totalMs: 0,
+            requestBytes: body.length ?? body.head.length,
+            responseBytes: 0,
         },
+        maySend: () => true,
     };
 }
--- a/packages/carrier/src/request-record.ts
+++ b/packages/carrier/src/request-record.ts
@@ -8,6 +8,8 @@
     region: string;
     /** Time from the start of the request until the target was chosen, in milliseconds. */
     waitedMs: number;
+    /** Time from the choice of the target to the end of the attempt, in milliseconds. */
+    ms: number;
     result: string;
 }
 
@@ -19,6 +21,8 @@
     service: string;
     route: string;
     requestClass: RequestClass;
+    /** Home region of the caller's block. */
+    home: string;
     region: string;
     regionReason: SteeringReason | undefined;
     attempts: AttemptRecord[];
@@ -26,6 +30,9 @@
     outcome: Outcome;
     reason: ReasonCode | undefined;
     totalMs: number;
+    /** Bytes of the bodies that went to the server and to the caller. */
+    requestBytes: number;
+    responseBytes: number;
 }
 
 export interface RequestRecords {
--- a/packages/carrier/test/carrier-fixture.ts
+++ b/packages/carrier/test/carrier-fixture.ts
@@ -153,6 +153,7 @@
         claims: {
             begin: async () => fixture.claim,
             finish: (_req, end) => void fixture.claimEnds.push(end),
+            isGrantUsable: () => true,
             find: async () => ({ state: ClaimState.Absent }),
         },
         crashGuard: {
@@ -162,13 +163,19 @@
             reportSuccess: () => undefined,
         },
         links: { take: async () => undefined },
-        steering: { chooseRegion: () => ({ region: "north", reason: SteeringReason.Home }) },
+        steering: {
+            chooseRegion: () => ({ region: "north", reason: SteeringReason.Home }),
+            noteLocalUnavailable: () => undefined,
+        },
         pools,
         records: createRequestRecords(100),
         metrics: { observe: () => undefined, countRetry: () => undefined },
         routes: () => table,
         retryBudget: () => ({ noteRequest: () => undefined, tryTake: () => true }),
         maxOutcomeBytes: () => 1000,
+        findHome: () => "north",
+        noteDraining: () => undefined,
+        onFinished: () => undefined,
     };
     const carrier = createCarrier(options);
     const server = createServer((req, res) => void carrier.handleCaller(req, res));
--- a/packages/core/src/claim-service.ts
+++ b/packages/core/src/claim-service.ts
@@ -60,6 +60,8 @@
      * @throws ClaimsUnavailableError
      */
     begin(req: ClaimRequest): Promise<ClaimResult>;
+    /** Whether the holder of a claim may still send its request; false after a pause past the deadline. */
+    isGrantUsable(req: ClaimRequest): boolean;
     /** Records how the attempt ended. Returns at once; the record is kept until the store has it. */
     finish(req: ClaimRequest, end: ClaimEnd): void;
     /**
--- a/packages/core/src/traffic-steering.ts
+++ b/packages/core/src/traffic-steering.ts
@@ -15,8 +15,13 @@
 }
 
 export interface TrafficSteering {
-    /** Chooses the region that serves a request that came to this entry from a caller. */
-    chooseRegion(service: string, requestClass: RequestClass): SteeringDecision;
+    /**
+     * Chooses the region that serves a request. `home` is the home region of the caller's block; without it, the
+     * request counts as traffic of the entry's region.
+     */
+    chooseRegion(service: string, requestClass: RequestClass, home?: string): SteeringDecision;
+    /** Records that the entry's region has no backend server for the service at this moment. */
+    noteLocalUnavailable(service: string): void;
 }
 
 export interface LookupEntry {
