feat(steering): planner of traffic between regions

Cause: traffic of an overloaded, drained or dead region must go elsewhere without breaking a declared cap, a link or the capacity of another region. Ruled out: shares solved as one optimisation (hard to explain to operators and not paced), and treating missing reports as a dead region (lag of reports would empty a healthy region). Each step cuts, returns and places flows under every limit, and names the limit that held an amount back. Before/after: no code before.

--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -1,1 +1,7 @@
-export {};
+/** Steering of traffic between regions, and the look-up of entry instances for callers. */
+export * from "./drains.js";
+export * from "./parse-plan.js";
+export * from "./plan-traffic.js";
+export * from "./plan-types.js";
+export * from "./predict-drain.js";
+export * from "./regional-capacity.js";
--- /dev/null
+++ b/packages/steering/src/plan-traffic.ts
@@ -0,0 +1,279 @@
+/**
+ * Decides how much traffic of each region goes to other regions. One step has four parts: the flows in force are cut to
+ * what the limits still allow, traffic whose cause is over returns home at the declared pace, flows into regions that
+ * fill up are cut, and excess is placed on the nearest regions with headroom. The result depends on the input only.
+ */
+import { createPlanState, getStay, pairKey, reduceFlow } from "./plan-state.js";
+import { sumInflow, sumLink, sumPair, sumShifted } from "./plan-state.js";
+import type { PlanState, RouteState } from "./plan-state.js";
+import { PlanLimit, ShiftReason } from "./plan-types.js";
+import type { Plan, PlanBound, PlanInput, PlanRoute, PlanShift } from "./plan-types.js";
+
+/** Share of its capacity that a region's own traffic may use before the excess leaves. */
+const homeShare = 0.95;
+/**
+ * Share of its capacity below which a region takes its traffic back. The gap to `homeShare` keeps traffic that varies by
+ * less than a tenth of the capacity from moving to and fro.
+ */
+const returnShare = 0.85;
+/** Share of its capacity up to which a region takes traffic of other regions. */
+const targetShare = 0.9;
+/** Routes that compete for a limit share it in this many rounds, so that none takes it all. */
+const placementRounds = 8;
+/** Rates below this are rounding errors. */
+const minRate = 1e-6;
+
+export function planTraffic(input: PlanInput): Plan {
+    const state = createPlanState(input);
+    carryOver(state);
+    for (const route of state.routes) {
+        route.wanted = computeWanted(state, route);
+        returnHome(state, route);
+    }
+    cutInflows(state);
+    placeExcess(state);
+    return { routes: state.routes.map(route => toPlanRoute(state, route)) };
+}
+
+/** Takes over the flows in force and cuts them to the demand, the caps and the links. */
+function carryOver(state: PlanState): void {
+    for (const route of state.routes) {
+        for (const shift of route.previous?.shifts ?? []) {
+            if (route.targets.includes(shift.region)) {
+                route.flows.set(shift.region, shift.perSecond);
+            }
+            if (state.input.deadRegions.has(shift.region)) {
+                reduceFlow(route, shift.region, 0, PlanLimit.RegionCapacity);
+            }
+        }
+        const shifted = sumShifted(route);
+        if (shifted > route.offered) {
+            for (const [region, rate] of route.flows) {
+                route.flows.set(region, (rate * route.offered) / shifted);
+            }
+        }
+    }
+    for (const { cap } of state.pairs.values()) {
+        const factor = cap.maxRequestsPerSecond / sumPair(state, cap.from, cap.to);
+        cutPair(state, cap.from, cap.to, factor, PlanLimit.Cap);
+    }
+    for (const [key, limit] of state.linkLimit) {
+        const [from, to] = key.split("\n") as [string, string];
+        const factor = limit / sumLink(state, from, to);
+        cutPair(state, from, to, factor, PlanLimit.Link);
+        cutPair(state, to, from, factor, PlanLimit.Link);
+    }
+}
+
+function cutPair(state: PlanState, from: string, to: string, factor: number, limit: PlanLimit): void {
+    for (const route of state.routes) {
+        if (route.home === from && !(limit === PlanLimit.Link && route.dead)) {
+            reduceFlow(route, to, factor, limit);
+        }
+    }
+}
+
+/** Computes the rate that should be shifted, with hysteresis around what is shifted now. */
+function computeWanted(state: PlanState, route: RouteState): number {
+    const shifted = sumShifted(route);
+    if (route.held) {
+        return shifted;
+    }
+    const stay = route.offered - shifted;
+    const { open } = route.capacity;
+    const hasDrainedTarget = route.targets.some(region => isLeavingTarget(state, route, region));
+    if (stay > open * homeShare || hasDrainedTarget) {
+        return Math.max(0, route.offered - open * homeShare);
+    }
+    return stay < open * returnShare
+        ? Math.max(0, Math.min(shifted, route.offered - open * returnShare))
+        : shifted;
+}
+
+/** Returns whether the route's flow to a region should go elsewhere because the region is drained. */
+function isLeavingTarget(state: PlanState, route: RouteState, region: string): boolean {
+    return (route.flows.get(region) ?? 0) > 0 && state.routeOf(route.service.name, region).capacity.drained;
+}
+
+/** Reduces shifts that are no longer needed: drained regions first, then the farthest, as fast as home caches warm. */
+function returnHome(state: PlanState, route: RouteState): void {
+    const key = pairKey(route.service.name, route.home);
+    let excess = Math.min(sumShifted(route) - route.wanted, state.warmLeft.get(key)!);
+    const farthestFirst = [...route.targets].reverse();
+    const leaving = farthestFirst.filter(region => isLeavingTarget(state, route, region));
+    for (const region of new Set([...leaving, ...farthestFirst])) {
+        const pair = state.pairs.get(pairKey(route.home, region))!;
+        const rate = Math.min(excess, route.flows.get(region) ?? 0, pair.returnLeft);
+        if (rate > 0) {
+            route.flows.set(region, route.flows.get(region)! - rate);
+            pair.returnLeft -= rate;
+            state.warmLeft.set(key, state.warmLeft.get(key)! - rate);
+            excess -= rate;
+        }
+    }
+}
+
+/** Cuts flows into regions that need their capacity for their own traffic. */
+function cutInflows(state: PlanState): void {
+    for (const target of state.routes) {
+        const { open, draining, limit } = target.capacity;
+        const service = target.service.name;
+        const inflow = sumInflow(state, service, target.home);
+        if (target.held || inflow <= 0) {
+            continue;
+        }
+        const factor = Math.max(0, (open + draining) * homeShare - getStay(target)) / inflow;
+        for (const route of state.routes) {
+            if (route.service.name === service) {
+                reduceFlow(route, target.home, factor, limit);
+            }
+        }
+    }
+}
+
+function placeExcess(state: PlanState): void {
+    for (let round = 0; round < placementRounds; round++) {
+        for (const route of state.routes) {
+            const leaving = route.targets.filter(region => isLeavingTarget(state, route, region));
+            const need = route.wanted - sumShifted(route) + sumRates(route, leaving);
+            if (route.held || need <= minRate) {
+                continue;
+            }
+            placeRate(state, route, need / (placementRounds - round));
+            dropRate(route, leaving, sumShifted(route) - route.wanted);
+        }
+    }
+}
+
+function placeRate(state: PlanState, route: RouteState, quota: number): void {
+    let left = quota;
+    for (const region of route.targets) {
+        const rate = Math.min(left, getRoom(state, route, region).rate);
+        if (rate <= 0) {
+            continue;
+        }
+        route.flows.set(region, (route.flows.get(region) ?? 0) + rate);
+        state.pairs.get(pairKey(route.home, region))!.rampLeft -= rate;
+        const key = pairKey(route.service.name, region);
+        state.warmLeft.set(key, state.warmLeft.get(key)! - rate);
+        left -= rate;
+    }
+}
+
+/** Takes what was placed elsewhere off flows into drained regions. */
+function dropRate(route: RouteState, regions: readonly string[], excess: number): void {
+    let left = excess;
+    for (const region of regions) {
+        const rate = Math.min(Math.max(0, left), route.flows.get(region) ?? 0);
+        route.flows.set(region, (route.flows.get(region) ?? 0) - rate);
+        left -= rate;
+    }
+}
+
+function sumRates(route: RouteState, regions: readonly string[]): number {
+    return regions.reduce((sum, region) => sum + (route.flows.get(region) ?? 0), 0);
+}
+
+interface Room {
+    rate: number;
+    limit: PlanLimit;
+}
+
+/** Returns how much more of the route a region may take, and the limit that binds. */
+function getRoom(state: PlanState, route: RouteState, region: string): Room {
+    const target = state.routeOf(route.service.name, region);
+    const pair = state.pairs.get(pairKey(route.home, region))!;
+    if (target.dead) {
+        return { rate: 0, limit: PlanLimit.RegionCapacity };
+    }
+    if (target.held) {
+        return { rate: 0, limit: PlanLimit.StaleReports };
+    }
+    const load = getStay(target) + sumInflow(state, route.service.name, region);
+    const rooms: Room[] = [
+        { rate: target.capacity.open * targetShare - load, limit: target.capacity.limit },
+        { rate: pair.cap.maxRequestsPerSecond - sumPair(state, route.home, region), limit: PlanLimit.Cap },
+        { rate: getLinkRoom(state, route, region), limit: PlanLimit.Link },
+        { rate: state.warmLeft.get(pairKey(route.service.name, region))!, limit: PlanLimit.ColdCaches },
+        { rate: pair.rampLeft, limit: PlanLimit.Ramp },
+    ];
+    const least = rooms.reduce((a, b) => (b.rate < a.rate ? b : a));
+    return least.rate > minRate ? least : { rate: 0, limit: least.limit };
+}
+
+function getLinkRoom(state: PlanState, route: RouteState, region: string): number {
+    if (route.dead) {
+        return Infinity;
+    }
+    const room = (from: string, to: string, megabits: number) => {
+        const left = (state.linkLimit.get(pairKey(from, to)) ?? 0) - sumLink(state, from, to);
+        return megabits > 0 ? left / megabits : state.linkLimit.has(pairKey(from, to)) ? Infinity : 0;
+    };
+    return Math.min(
+        room(route.home, region, route.requestMegabits),
+        room(region, route.home, route.responseMegabits),
+    );
+}
+
+function toPlanRoute(state: PlanState, route: RouteState): PlanRoute {
+    const shifts: PlanShift[] = [];
+    let shifted = 0;
+    for (const region of route.targets) {
+        const perSecond = route.flows.get(region) ?? 0;
+        if (perSecond > minRate) {
+            const share = perSecond / route.offered;
+            shifts.push({
+                region,
+                perSecond,
+                share,
+                reason: getReason(route),
+                reducedBy: route.reducedBy.get(region),
+            });
+            shifted += perSecond;
+        }
+    }
+    const stay = Math.max(0, route.offered - shifted);
+    const homePerSecond = getHomeRate(state, route, stay);
+    const missing = route.wanted - shifted;
+    const isWaiting = missing > minRate;
+    return {
+        service: route.service.name,
+        home: route.home,
+        offeredPerSecond: route.offered,
+        homePerSecond,
+        waitingPerSecond: isWaiting ? Math.min(homePerSecond, missing) : 0,
+        unplacedPerSecond: stay - homePerSecond,
+        shifts,
+        bounds: isWaiting && !route.held ? listBounds(state, route) : [],
+        held: route.held,
+    };
+}
+
+function getHomeRate(state: PlanState, route: RouteState, stay: number): number {
+    if (route.held) {
+        return Math.min(stay, route.previous?.homePerSecond ?? stay);
+    }
+    const { open, draining } = route.capacity;
+    const rate = Math.min(
+        stay,
+        Math.max(0, open + draining - sumInflow(state, route.service.name, route.home)),
+    );
+    return rate > minRate ? rate : 0;
+}
+
+function getReason(route: RouteState): ShiftReason {
+    if (route.held) {
+        return ShiftReason.Held;
+    }
+    if (route.dead) {
+        return ShiftReason.DeadRegion;
+    }
+    if (sumShifted(route) > route.wanted + minRate) {
+        return ShiftReason.Returning;
+    }
+    return route.capacity.drained ? ShiftReason.Drain : ShiftReason.Overflow;
+}
+
+function listBounds(state: PlanState, route: RouteState): PlanBound[] {
+    return route.targets.map(region => ({ region, limit: getRoom(state, route, region).limit }));
+}
--- /dev/null
+++ b/packages/steering/src/regional-capacity.ts
@@ -0,0 +1,91 @@
+/** Request rate that a region's backend servers of a service can carry. */
+import type { BackendSpec, Manifest, ServiceSpec } from "@waxwingdale/manifest";
+import { isSiteDrained } from "./drains.js";
+import { PlanLimit, maxReportAgeMs } from "./plan-types.js";
+import type { CapacityReport } from "./plan-types.js";
+
+export interface RegionalCapacity {
+    /** Rate of the sites that are not drained. */
+    open: number;
+    /** Rate of drained sites. Traffic that cannot leave yet still uses it. */
+    draining: number;
+    /** Whether the servers or the declared site rates bound `open`. */
+    limit: PlanLimit.RegionCapacity | PlanLimit.SiteCapacity;
+    /** Every site of the service in the region that is not drained has a recent report. */
+    fresh: boolean;
+    /** The service runs in the region and all its sites there are drained. */
+    drained: boolean;
+}
+
+/** Returns the rate that a site's live servers can carry; a cold server counts with its declared share. */
+export function computeServerRate(backend: BackendSpec, report: CapacityReport): number {
+    const servers = report.warmServers + report.coldServers * backend.coldShare;
+    if (servers <= 0) {
+        return 0;
+    }
+    return report.meanServiceMs > 0 ? (servers * backend.slots * 1000) / report.meanServiceMs : Infinity;
+}
+
+interface CapacitySum extends RegionalCapacity {
+    siteBound: number;
+    sites: number;
+    drainedSites: number;
+}
+
+function createSum(): CapacitySum {
+    const limit = PlanLimit.RegionCapacity;
+    return {
+        open: 0,
+        draining: 0,
+        limit,
+        fresh: true,
+        drained: false,
+        siteBound: 0,
+        sites: 0,
+        drainedSites: 0,
+    };
+}
+
+/** Computes the capacity of a service in each region of the manifest. */
+export function computeCapacities(
+    manifest: Manifest,
+    service: ServiceSpec,
+    reports: ReadonlyMap<string, CapacityReport>,
+    wallTime: number,
+): Map<string, RegionalCapacity> {
+    const sites = new Map(manifest.sites.map(site => [site.name, site]));
+    const result = new Map<string, CapacitySum>();
+    for (const region of manifest.regions) {
+        result.set(region.name, createSum());
+    }
+    for (const { site: name, maxRequestsPerSecond } of service.sites) {
+        const site = sites.get(name);
+        const capacity = site && result.get(site.region);
+        if (!site || !capacity) {
+            continue;
+        }
+        const report = reports.get(name);
+        const drained = isSiteDrained(manifest, service.name, site, wallTime);
+        capacity.sites++;
+        capacity.drainedSites += drained ? 1 : 0;
+        if (report === undefined || report.ageMs > maxReportAgeMs) {
+            // A drained site may have stopped for good; its silence must not hold the region's traffic.
+            capacity.fresh &&= drained;
+            continue;
+        }
+        const serverRate = computeServerRate(service.backend, report);
+        const rate = Math.min(serverRate, maxRequestsPerSecond);
+        if (drained) {
+            capacity.draining += rate;
+        } else {
+            capacity.open += rate;
+            capacity.siteBound += serverRate > maxRequestsPerSecond ? rate : 0;
+        }
+    }
+    for (const capacity of result.values()) {
+        capacity.drained = capacity.sites > 0 && capacity.drainedSites === capacity.sites;
+        capacity.limit =
+            capacity.siteBound > capacity.open / 2 ? PlanLimit.SiteCapacity : PlanLimit.RegionCapacity;
+    }
+    return result;
+}
