feat(steering): planner task and the ramp and cap at each entry

Cause: a plan must be stored under the planner's lease, and entries must apply it without passing a cap or a ramp when they start, pause or miss steps. Ruled out: a token bucket alone (its burst passes on top of the rate in a one-second window), and a share by the present number of members (members learn of a change at different times, so the shares add up to more than the cap). The meter keeps the times of the latest requests; a greater share of the cap is used only after a hold time, and a started or resumed entry has none before it. Each mechanism was broken by hand and its test seen to fail: epoch check, conditional version, lease check before the write, no write of an unchanged plan, reading back, order of plans, window log, mean rate, share of cap and of ramp, hold times, remainder of the cap, pause, lost sight of the region, selection credit, refusal after a drain, choice of a serving region, metering of a dead region's callers. The first tests let the order of plans, the window log, the hold time and the mean rate pass unnoticed; they now use their own oracle, false deaths, two ramps and saturating loads. Conclusion: the cap holds while members learn of changes of their region within 4 s. A partition inside a region can exceed it; the doc comment says so.

--- /dev/null
+++ b/packages/steering/src/direct-regions.ts
@@ -0,0 +1,79 @@
+/**
+ * Regions whose callers contact entries of other regions directly. Their entries and those of the other regions then
+ * share the caps of the pairs, half each, and the halves change hands with a hold time, as in `fleet-share`.
+ */
+import { MemberStatus } from "@waxwingdale/core";
+import type { Clock, MemberView } from "@waxwingdale/core";
+import type { Manifest } from "@waxwingdale/manifest";
+import { sumPlannedPair } from "./plan-types.js";
+import type { Plan } from "./plan-types.js";
+
+/** Share of a cap that each side of a pair may use while callers go to the other region directly. */
+export const directCapShare = 0.5;
+
+/** Lists the regions whose entries are known and all dead. */
+export function findDeadRegions(view: MemberView, manifest: Manifest): Set<string> {
+    const dead = new Set<string>();
+    for (const { name } of manifest.regions) {
+        const members = view.members().filter(member => member.region === name);
+        if (members.length > 0 && members.every(member => member.status === MemberStatus.Dead)) {
+            dead.add(name);
+        }
+    }
+    return dead;
+}
+
+/**
+ * Lists the regions that have sent all their traffic elsewhere, within half of each cap. A region that needs more than
+ * half of a cap keeps its callers and forwards their requests itself.
+ */
+export function findEmptiedRegions(plan: Plan | undefined, manifest: Manifest): Set<string> {
+    const emptied = new Set<string>();
+    for (const { name } of manifest.regions) {
+        const routes = plan?.routes.filter(route => route.home === name && route.offeredPerSecond > 0) ?? [];
+        const hasLeft =
+            routes.length > 0 &&
+            routes.every(route => route.homePerSecond === 0 && route.unplacedPerSecond === 0);
+        const fits = manifest.shiftCaps.every(
+            cap =>
+                cap.from !== name ||
+                sumPlannedPair(plan, name, cap.to) <= cap.maxRequestsPerSecond * directCapShare,
+        );
+        if (hasLeft && fits) {
+            emptied.add(name);
+        }
+    }
+    return emptied;
+}
+
+/** Remembers since when each region is in a changing set. */
+export interface SetHistory {
+    update(current: ReadonlySet<string>): void;
+    /** Whether the region has been in the set for all of the last `ms`. */
+    hasBeenIn(region: string, ms: number): boolean;
+    /** Whether the region was in the set at any time of the last `ms`. */
+    wasIn(region: string, ms: number): boolean;
+}
+
+export function createSetHistory(clock: Clock): SetHistory {
+    const since = new Map<string, number>();
+    const until = new Map<string, number>();
+    return {
+        update: current => {
+            const now = clock.now();
+            for (const region of current) {
+                if (!since.has(region)) {
+                    since.set(region, now);
+                }
+            }
+            for (const region of [...since.keys()]) {
+                if (!current.has(region)) {
+                    since.delete(region);
+                    until.set(region, now);
+                }
+            }
+        },
+        hasBeenIn: (region, ms) => clock.now() - (since.get(region) ?? Infinity) >= ms,
+        wasIn: (region, ms) => since.has(region) || clock.now() - (until.get(region) ?? -Infinity) < ms,
+    };
+}
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -1,7 +1,10 @@
 /** Steering of traffic between regions, and the look-up of entry instances for callers. */
+export * from "./direct-regions.js";
 export * from "./drains.js";
 export * from "./parse-plan.js";
 export * from "./plan-traffic.js";
 export * from "./plan-types.js";
+export * from "./planner.js";
 export * from "./predict-drain.js";
 export * from "./regional-capacity.js";
+export * from "./traffic-steering.js";
--- a/packages/steering/src/plan-types.ts
+++ b/packages/steering/src/plan-types.ts
@@ -130,6 +130,17 @@
     return plan?.routes.find(route => route.service === service && route.home === home);
 }
 
+/** Returns the rate that all services shift from one region to another. */
+export function sumPlannedPair(plan: Plan | undefined, from: string, to: string): number {
+    let sum = 0;
+    for (const route of plan?.routes ?? []) {
+        if (route.home === from) {
+            sum += route.shifts.find(shift => shift.region === to)?.perSecond ?? 0;
+        }
+    }
+    return sum;
+}
+
 /** Changes of a rate below this share are noise of the measurement and not worth a write. */
 const sameRateShare = 0.01;
 
