--- /dev/null
+++ b/packages/steering/test/lookup-table.test.ts
@@ -0,0 +1,108 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { createManualClock } from "@waxwingdale/core";
+import {
+    ClientBlockError,
+    createLookupTable,
+    createLookupTableInSlices,
+    formatIpv4,
+    maskAddress,
+    parseIpv4,
+} from "@waxwingdale/steering";
+import type { LookupTable } from "@waxwingdale/steering";
+
+/** Addresses in two /16 blocks, so that blocks enclose and touch each other. */
+const address = fc
+    .tuple(fc.constantFrom(0x0a010000, 0x0a020000, 0xffff0000), fc.nat(0xffff))
+    .map(([base, rest]) => (base + rest) >>> 0);
+const length = fc.oneof(fc.integer({ min: 0, max: 32 }), fc.integer({ min: 22, max: 32 }));
+const block = fc
+    .tuple(address, length)
+    .map(([base, bits]) => `${formatIpv4(maskAddress(base, bits))}/${bits}`);
+const region = fc.constantFrom("north", "central", "south");
+
+function findNaively(blocks: ReadonlyMap<string, string>, target: number): string | undefined {
+    for (let bits = 32; bits >= 0; bits--) {
+        const found = blocks.get(`${formatIpv4(maskAddress(target, bits))}/${bits}`);
+        if (found !== undefined) {
+            return found;
+        }
+    }
+    return undefined;
+}
+
+/** Compares at random addresses and at the borders of every block. */
+function compare(table: LookupTable, blocks: ReadonlyMap<string, string>, extra: readonly number[]): void {
+    assert.equal(table.size(), blocks.size);
+    const borders = [...blocks.keys()].flatMap(text => {
+        const [base, bits] = text.split("/") as [string, string];
+        const first = parseIpv4(base);
+        const last = first + 2 ** (32 - Number(bits)) - 1;
+        return [first, last, Math.max(0, first - 1), Math.min(0xffffffff, last + 1)];
+    });
+    for (const target of [...extra, ...borders]) {
+        assert.equal(table.find(target), findNaively(blocks, target), formatIpv4(target));
+    }
+}
+
+// Guards against a wrong match for blocks that enclose each other, at their borders, and after any change.
+test("the table matches like a naive longest-prefix search after any changes", async () => {
+    const change = fc.tuple(block, fc.option(region, { nil: undefined }));
+    await fc.assert(
+        fc.asyncProperty(
+            fc.uniqueArray(fc.tuple(block, region), { selector: ([text]) => text, maxLength: 60 }),
+            fc.array(change, { maxLength: 40 }),
+            fc.array(address, { maxLength: 20 }),
+            async (initial, changes, targets) => {
+                const specs = initial.map(([text, name]) => ({ block: text, region: name }));
+                const blocks = new Map<string, string>(initial);
+                const table = createLookupTable(specs);
+                compare(table, blocks, targets);
+                compare(await createLookupTableInSlices(specs, createManualClock()), blocks, targets);
+                const removals = initial.slice(0, 10).map(([text]) => [text, undefined] as const);
+                for (const [text, name] of [...changes, ...removals]) {
+                    if (name !== undefined) {
+                        table.set(text, name);
+                        blocks.set(text, name);
+                    } else {
+                        assert.equal(table.remove(text), blocks.delete(text));
+                    }
+                }
+                compare(table, blocks, targets);
+                const reshuffle = [...blocks.keys()].map(text => ({ block: text, region: "south" }));
+                await table.applyInSlices(reshuffle, createManualClock());
+                reshuffle.forEach(row => blocks.set(row.block, row.region));
+                compare(table, blocks, targets);
+            },
+        ),
+        { seed: 7, numRuns: 150 },
+    );
+});
+
+// Guards against a bucket or a page that overflows when blocks are concentrated.
+test("a full half of an address space keeps every block", () => {
+    const table = createLookupTable([{ block: "10.0.0.0/8", region: "north" }]);
+    const specs = Array.from({ length: 65536 }, (_, i) => ({
+        block: `${formatIpv4(0x0a010000 + i)}/32`,
+        region: i % 2 === 0 ? "central" : "south",
+    }));
+    const dense = createLookupTable([...specs].reverse());
+    assert.equal(dense.find(0x0a01fffe), "central");
+    assert.equal(dense.find(0x0a01ffff), "south");
+    specs.slice(0, 3000).forEach(row => table.set(row.block, row.region));
+    assert.equal(table.find(0x0a010000 + 2999), "south");
+    assert.equal(table.find(0x0a010000 + 3000), "north");
+});
+
+// Guards against a manifest whose blocks cannot mean what they say.
+test("a block that is not one, or is listed twice, is refused with the way to fix it", () => {
+    const bad = ["10.1.0.0", "10.1.0.0/33", "10.1.0.0/", "10.1.0/16", "10.1.0.1/16", "300.1.0.0/16"];
+    for (const text of bad) {
+        assert.throws(() => createLookupTable([{ block: text, region: "north" }]), ClientBlockError, text);
+    }
+    for (const text of ["10.1.2.0/24", "10.0.0.0/8"]) {
+        const twice = ["north", "south"].map(name => ({ block: text, region: name }));
+        assert.throws(() => createLookupTable(twice), /listed twice; remove/);
+    }
+});
