feat(entry): composition, readiness, state dump and graceful shutdown

Cause: the parts have to run as one process. Ruled out: decorators for tsyringe, which esbuild cannot emit; parts are registered by token with a factory.

--- /dev/null
+++ b/packages/entry/src/entry-state.ts
@@ -0,0 +1,78 @@
+/** What an entry tells about itself: readiness, a short status and the dump of its whole state. */
+import { MemberStatus } from "@waxwingdale/core";
+import { tokens } from "./compose-entry.js";
+import type { Resolve } from "./tokens.js";
+
+/** Returns why the entry should not be used by callers, or undefined. */
+export function findNotReadyReason(resolve: Resolve): string | undefined {
+    const config = resolve(tokens.config);
+    const accepted = config.current();
+    const { settings } = resolve(tokens.base);
+    const { unsupported } = config.status();
+    if (accepted === undefined) {
+        return "no manifest is in force";
+    }
+    if (unsupported !== undefined) {
+        return `generation ${unsupported.generation} cannot be applied: ${unsupported.reason}`;
+    }
+    const region = accepted.manifest.regions.find(({ name }) => name === settings.region);
+    if (!region?.zones.includes(settings.zone)) {
+        return `the manifest has no availability zone ${settings.zone} in region ${settings.region}`;
+    }
+    if (resolve(tokens.backends).listAgeMs() === undefined) {
+        return "the list of backend servers has not been read yet";
+    }
+    return resolve(tokens.membership).self().status === MemberStatus.Live
+        ? undefined
+        : "the entry is stopping";
+}
+
+/** Returns a function that gives the short status. */
+export function createEntryStatus(resolve: Resolve): () => unknown {
+    return () => {
+        const { settings } = resolve(tokens.base);
+        const membership = resolve(tokens.membership);
+        const plan = resolve(tokens.steering).currentPlan();
+        const notReady = findNotReadyReason(resolve);
+        return {
+            id: settings.id,
+            region: settings.region,
+            zone: settings.zone,
+            ready: notReady === undefined,
+            notReady,
+            config: resolve(tokens.config).status(),
+            plan: plan && { epoch: plan.epoch, step: plan.step, generation: plan.generation },
+            isPlanner: resolve(tokens.lease).isHeld(),
+            inFlight: resolve(tokens.carrier).inFlight(),
+            members: membership
+                .members()
+                .map(({ id, region, status, ready }) => ({ id, region, status, ready })),
+            backends: resolve(tokens.backends)
+                .servers()
+                .map(({ id, service, draining }) => ({ id, service, draining })),
+            instanceListAgeMs: resolve(tokens.backends).listAgeMs(),
+        };
+    };
+}
+
+/** Returns a function that gives the state of every part. */
+export function createEntryDump(resolve: Resolve): () => Record<string, unknown> {
+    return () => ({
+        status: createEntryStatus(resolve)(),
+        manifest: resolve(tokens.config).current(),
+        membership: resolve(tokens.membership).state(),
+        backends: resolve(tokens.backends).state(),
+        slots: resolve(tokens.broker).state(),
+        claims: resolve(tokens.claims).state(),
+        quarantine: resolve(tokens.crashGuard).state(),
+        steering: {
+            plan: resolve(tokens.steering).currentPlan(),
+            applied: resolve(tokens.steering).applied(),
+        },
+        lease: { isHeld: resolve(tokens.lease).isHeld(), epoch: resolve(tokens.lease).epoch() },
+        report: resolve(tokens.meter).report(),
+        connectionPools: resolve(tokens.pools).size(),
+        requests: resolve(tokens.records).latest(50),
+        memory: process.memoryUsage(),
+    });
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The entry daemon. */
+export * from "./run-entry.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/entry/src/run-entry.ts
@@ -0,0 +1,198 @@
+/** Life of an entry: start, run until a stop is asked for, graceful shutdown. */
+import {
+    MemberStatus,
+    createLogger,
+    createRandom,
+    createSystemClock,
+    getErrorMessage,
+} from "@waxwingdale/core";
+import type { Logger, Member } from "@waxwingdale/core";
+import { createHttpObjectStore } from "@waxwingdale/store";
+import { createCallerApp } from "./caller-listener.js";
+import { composeEntry, tokens } from "./compose-entry.js";
+import type { EntryBase } from "./compose-entry.js";
+import { createEntryDump, createEntryStatus, findNotReadyReason } from "./entry-state.js";
+import { EntryState } from "./entry-record.js";
+import { openHttpListener } from "./http-listener.js";
+import type { HttpListener } from "./http-listener.js";
+import { createOperatorApp } from "./operator-listener.js";
+import { createPeerHandler } from "./peer-listener.js";
+import { shutDown } from "./shut-down.js";
+import type { Settings } from "./settings.js";
+import { resolveToken } from "./tokens.js";
+import type { Token } from "./tokens.js";
+
+export interface EntryListeners {
+    callers: HttpListener;
+    peers: HttpListener;
+    operators: HttpListener;
+}
+
+/** The parts of a running entry. */
+export interface RunningEntry {
+    resolve: <T>(token: Token<T>) => T;
+    listeners: EntryListeners;
+    logger: Logger;
+    /** Stops every background task. */
+    stopTasks: () => void;
+    /** Stops gracefully and resolves when nothing is left to do. */
+    stop: () => Promise<void>;
+}
+
+/** Time in milliseconds between two looks at whether this entry is ready. */
+const readyCheckMs = 100;
+/** Time in milliseconds between two looks for unused connections. */
+const poolCheckMs = 10_000;
+
+/** Starts an entry and resolves when its listeners are open. */
+export async function startEntry(settings: Settings, fleetKey: string): Promise<RunningEntry> {
+    const clock = createSystemClock();
+    const logger = createLogger(clock, { level: settings.logLevel, base: { entry: settings.id } });
+    const stopped = new AbortController();
+    const { signal } = stopped;
+    // The handlers need addresses that are known only after the listeners are open.
+    const handlers: Partial<Record<keyof EntryListeners, Parameters<typeof openHttpListener>[0]["handler"]>> =
+        {};
+    const open = (name: keyof EntryListeners, maxConnectionsPerAddress?: number) =>
+        openHttpListener({
+            name,
+            address: settings.listen[name],
+            logger,
+            maxConnectionsPerAddress,
+            handler: (req, res) => {
+                const handler = handlers[name];
+                if (handler === undefined) {
+                    res.writeHead(503, { "waxwingdale-outcome": "not-run" }).end();
+                    return;
+                }
+                handler(req, res);
+            },
+        });
+    const listeners: EntryListeners = {
+        callers: await open("callers", settings.maxConnectionsPerCaller),
+        peers: await open("peers"),
+        operators: await open("operators"),
+    };
+
+    const self: Member = {
+        id: settings.id,
+        incarnation: clock.wallTime(),
+        status: MemberStatus.Live,
+        region: settings.region,
+        zone: settings.zone,
+        callerAddress: settings.advertise.callers ?? listeners.callers.address,
+        peerAddress: settings.advertise.peers ?? listeners.peers.address,
+        ready: false,
+    };
+    const seed = Math.floor(Math.random() * 2 ** 31);
+    const store = createHttpObjectStore({ address: settings.store, clock });
+    const base: EntryBase = {
+        settings,
+        fleetKey,
+        self,
+        operatorAddress: listeners.operators.address,
+        clock,
+        random: createRandom(seed),
+        logger,
+        store,
+        signal,
+    };
+    const scope = composeEntry(base);
+    const resolve = <T>(token: Token<T>) => resolveToken(scope, token);
+
+    const notReady = () => findNotReadyReason(resolve);
+    const callerApp = createCallerApp({
+        carrier: resolve(tokens.carrier),
+        claims: resolve(tokens.claims),
+        directory: resolve(tokens.lookups),
+        notReady,
+        countLookup: () => resolve(tokens.metrics).countLookup(),
+    });
+    const operatorApp = createOperatorApp({
+        fleetKey,
+        logger,
+        records: resolve(tokens.records),
+        directory: resolve(tokens.lookups),
+        services: () =>
+            resolve(tokens.config)
+                .current()
+                ?.manifest.services.map(service => service.name) ?? [],
+        registry: resolve(tokens.metrics).registry,
+        notReady,
+        status: createEntryStatus(resolve),
+        dump: createEntryDump(resolve),
+    });
+    handlers.callers = (req, res) => void callerApp.handler(req as never, res as never);
+    handlers.operators = (req, res) => void operatorApp.handler(req as never, res as never);
+    handlers.peers = createPeerHandler({
+        fleetKey,
+        rpc: resolve(tokens.rpcServer),
+        carrier: resolve(tokens.carrier),
+        logger,
+    });
+
+    joinGossip(resolve);
+    runTasks(resolve, signal, logger);
+    resolve(tokens.entryRecord).write(EntryState.Live);
+    const entry: RunningEntry = {
+        resolve,
+        listeners,
+        logger,
+        stopTasks: () => stopped.abort(),
+        stop: () => shutDown(entry, store),
+    };
+    return entry;
+}
+
+/** Adds what other parts tell their peers to each gossip exchange. */
+function joinGossip(resolve: RunningEntry["resolve"]): void {
+    const membership = resolve(tokens.membership);
+    const exchange = resolve(tokens.exchange);
+    const crashGuard = resolve(tokens.crashGuard);
+    membership.addExtension("documents", {
+        digest: () => exchange.orders(),
+        merge: (digest, peerAddress) => exchange.noteRemoteOrders(peerAddress, digest),
+    });
+    membership.addExtension("suspects", {
+        digest: () => crashGuard.digest(),
+        merge: digest => crashGuard.merge(digest as Parameters<typeof crashGuard.merge>[0]),
+    });
+}
+
+/** Starts the background tasks. A task that fails is a fault of the program and ends the process. */
+function runTasks(resolve: RunningEntry["resolve"], signal: AbortSignal, logger: Logger): void {
+    const { clock } = resolve(tokens.base);
+    // Parts that react to changes are built before the first change arrives.
+    resolve(tokens.lookups);
+    resolve(tokens.steering);
+    resolve(tokens.broker);
+    const tasks: Record<string, (signal: AbortSignal) => Promise<void>> = {
+        membership: resolve(tokens.membership).run,
+        config: resolve(tokens.config).run,
+        plan: resolve(tokens.plan).run,
+        backends: resolve(tokens.backends).run,
+        lease: resolve(tokens.lease).run,
+        planner: resolve(tokens.planner).run,
+        collector: resolve(tokens.collector).run,
+        steering: resolve(tokens.steering).run,
+        ready: async () => {
+            while (!signal.aborted) {
+                resolve(tokens.membership).setReady(findNotReadyReason(resolve) === undefined);
+                await clock.sleep(readyCheckMs, signal);
+            }
+        },
+        pools: async () => {
+            while (!signal.aborted) {
+                resolve(tokens.pools).closeIdle(clock.now());
+                await clock.sleep(poolCheckMs, signal);
+            }
+        },
+    };
+    for (const [name, run] of Object.entries(tasks)) {
+        run(signal).catch((err: unknown) => {
+            logger.error("task-failed", { task: name, error: getErrorMessage(err) });
+            process.exitCode = 70;
+            process.kill(process.pid, "SIGTERM");
+        });
+    }
+}
--- /dev/null
+++ b/packages/entry/src/tokens.ts
@@ -0,0 +1,34 @@
+/** Typed tokens of the dependency container. */
+import "reflect-metadata";
+import { instanceCachingFactory } from "tsyringe";
+import type { DependencyContainer } from "tsyringe";
+
+/** Names a part of the process in the container. */
+export interface Token<T> {
+    symbol: symbol;
+    /** Carries the type only; never set. */
+    type?: T;
+}
+
+/** Creates a token. */
+export function createToken<T>(name: string): Token<T> {
+    return { symbol: Symbol(name) };
+}
+
+/** Returns the one instance of a part, which is created at the first call. */
+export type Resolve = <T>(token: Token<T>) => T;
+
+/** Registers the factory of a part. */
+export function register<T>(
+    container: DependencyContainer,
+    token: Token<T>,
+    create: (resolve: Resolve) => T,
+): void {
+    const factory = instanceCachingFactory(scope => create(other => resolveToken(scope, other)));
+    container.register(token.symbol, { useFactory: factory });
+}
+
+/** Returns the one instance of a part. */
+export function resolveToken<T>(container: DependencyContainer, token: Token<T>): T {
+    return container.resolve<T>(token.symbol);
+}
--- /dev/null
+++ b/packages/reports/src/report-collector.ts
@@ -0,0 +1,149 @@
+/** Collects the reports of all live entries at the entry that plans. One task for each peer, while this entry plans. */
+import { MemberStatus, getErrorMessage } from "@waxwingdale/core";
+import type { Clock, Logger, Member, MemberView, PeerTransport, RpcRegistry } from "@waxwingdale/core";
+import * as v from "valibot";
+import { entryReportSchema, reportMethod } from "./entry-report.js";
+import type { EntryReport } from "./entry-report.js";
+
+export interface ReportCollectorOptions {
+    view: MemberView;
+    transport: PeerTransport;
+    rpc: RpcRegistry;
+    clock: Clock;
+    logger: Logger;
+    ownReport: () => EntryReport;
+    /** Whether this entry plans at the moment; otherwise it collects nothing. */
+    isCollecting: () => boolean;
+}
+
+/** Load that callers of one home region offer to one service, summed over all entries. */
+export interface CollectedDemand {
+    service: string;
+    home: string;
+    offeredPerSecond: number;
+    requestBytes: number;
+    responseBytes: number;
+    ageMs: number;
+}
+
+export interface CollectedCapacity {
+    service: string;
+    site: string;
+    warmServers: number;
+    coldServers: number;
+    meanServiceMs: number;
+    ageMs: number;
+}
+
+export interface ReportCollector {
+    demands(): CollectedDemand[];
+    capacities(): CollectedCapacity[];
+    /** Collects until the signal aborts. */
+    run(signal: AbortSignal): Promise<void>;
+}
+
+interface TimedReport {
+    report: EntryReport;
+    receivedAt: number;
+}
+
+/** Time in milliseconds between two rounds. */
+const intervalMs = 1000;
+const callTimeoutMs = 800;
+/** Age in milliseconds after which the report of an entry that is not live any more is dropped. */
+const dropAfterMs = 10_000;
+
+/** Creates the collector and registers the method by which peers ask this entry for its report. */
+export function createReportCollector(options: ReportCollectorOptions): ReportCollector {
+    const { view, clock, logger } = options;
+    const reports = new Map<string, TimedReport>();
+
+    options.rpc.addMethod(reportMethod, () => options.ownReport());
+
+    const ask = async (peer: Member) => {
+        try {
+            const answer = await options.transport.call<unknown>(
+                peer.peerAddress,
+                reportMethod,
+                {},
+                callTimeoutMs,
+            );
+            reports.set(peer.id, { report: v.parse(entryReportSchema, answer), receivedAt: clock.now() });
+        } catch (err) {
+            logger.debug("report-failed", { peer: peer.id, error: getErrorMessage(err) });
+        }
+    };
+
+    const collect = async () => {
+        const self = view.self().id;
+        reports.set(self, { report: options.ownReport(), receivedAt: clock.now() });
+        const peers = view.members().filter(({ id, status }) => id !== self && status !== MemberStatus.Dead);
+        await Promise.all(peers.map(ask));
+        for (const [id, { receivedAt }] of reports) {
+            const isLive = view.find(id) !== undefined && view.find(id)!.status !== MemberStatus.Dead;
+            if (!isLive && clock.now() - receivedAt > dropAfterMs) {
+                reports.delete(id);
+            }
+        }
+    };
+
+    const getAge = ({ receivedAt }: TimedReport) => clock.now() - receivedAt;
+
+    return {
+        demands: () => sumDemands([...reports.values()], getAge),
+        capacities: () => pickCapacities([...reports.values()], getAge),
+        run: async signal => {
+            while (!signal.aborted) {
+                if (options.isCollecting()) {
+                    await collect();
+                } else {
+                    reports.clear();
+                }
+                await clock.sleep(intervalMs, signal);
+            }
+        },
+    };
+}
+
+/** The sum is as old as the oldest report in it. */
+function sumDemands(reports: TimedReport[], getAge: (report: TimedReport) => number): CollectedDemand[] {
+    const sums = new Map<string, CollectedDemand>();
+    for (const timed of reports) {
+        for (const demand of timed.report.demands) {
+            const key = `${demand.service}\n${demand.home}`;
+            const sum = sums.get(key) ?? {
+                ...demand,
+                offeredPerSecond: 0,
+                requestBytes: 0,
+                responseBytes: 0,
+                ageMs: 0,
+            };
+            const offered = sum.offeredPerSecond + demand.offeredPerSecond;
+            const weight = offered === 0 ? 0 : demand.offeredPerSecond / offered;
+            sum.requestBytes += weight * (demand.requestBytes - sum.requestBytes);
+            sum.responseBytes += weight * (demand.responseBytes - sum.responseBytes);
+            sum.offeredPerSecond = offered;
+            sum.ageMs = Math.max(sum.ageMs, getAge(timed));
+            sums.set(key, sum);
+        }
+    }
+    return [...sums.values()];
+}
+
+/** All entries of a region see the same servers, so the newest report of a site counts. */
+function pickCapacities(
+    reports: TimedReport[],
+    getAge: (report: TimedReport) => number,
+): CollectedCapacity[] {
+    const newest = new Map<string, CollectedCapacity>();
+    for (const timed of reports) {
+        for (const capacity of timed.report.capacities) {
+            const key = `${capacity.service}\n${capacity.site}`;
+            const ageMs = getAge(timed);
+            if (ageMs < (newest.get(key)?.ageMs ?? Infinity)) {
+                newest.set(key, { ...capacity, ageMs });
+            }
+        }
+    }
+    return [...newest.values()];
+}
--- /dev/null
+++ b/packages/reports/src/report-meter.ts
@@ -0,0 +1,127 @@
+/** Measures the load that callers offer to this entry, and the service times at its backend servers. */
+import type { BackendServer, Clock } from "@waxwingdale/core";
+import type { Manifest } from "@waxwingdale/manifest";
+import type { EntryReport } from "./entry-report.js";
+import { createRateWindow } from "./rate-window.js";
+import type { RateWindow } from "./rate-window.js";
+
+export interface ReportMeterOptions {
+    entry: string;
+    region: string;
+    clock: Clock;
+    servers: () => readonly BackendServer[];
+    manifest: () => Manifest | undefined;
+    listAgeMs: () => number | undefined;
+}
+
+export interface FinishedRequest {
+    service: string;
+    home: string;
+    requestBytes: number;
+    responseBytes: number;
+}
+
+export interface ReportMeter {
+    noteRequest(req: FinishedRequest): void;
+    noteServiceTime(service: string, ms: number): void;
+    report(): EntryReport;
+}
+
+interface DemandWindows {
+    service: string;
+    home: string;
+    requests: RateWindow;
+    requestBytes: RateWindow;
+    responseBytes: RateWindow;
+}
+
+/** Weight of a new service time in the mean. */
+const smoothing = 0.05;
+
+/** Creates the meter of one entry. */
+export function createReportMeter(options: ReportMeterOptions): ReportMeter {
+    const { clock } = options;
+    const demands = new Map<string, DemandWindows>();
+    const serviceMs = new Map<string, number>();
+    const firstSeenAt = new Map<string, number>();
+
+    const findDemand = (service: string, home: string): DemandWindows => {
+        const key = `${service}\n${home}`;
+        let windows = demands.get(key);
+        if (windows === undefined) {
+            const [requests, requestBytes, responseBytes] = [
+                createRateWindow(clock),
+                createRateWindow(clock),
+                createRateWindow(clock),
+            ];
+            windows = { service, home, requests, requestBytes, responseBytes };
+            demands.set(key, windows);
+        }
+        return windows;
+    };
+
+    /** A server counts as cold for the warm-up time after this entry first saw it. */
+    const isCold = (server: BackendServer, warmUpSeconds: number): boolean => {
+        const seenAt = firstSeenAt.get(server.id) ?? clock.now();
+        firstSeenAt.set(server.id, seenAt);
+        return clock.now() - seenAt < warmUpSeconds * 1000;
+    };
+
+    const reportCapacities = (manifest: Manifest): EntryReport["capacities"] => {
+        const sites = manifest.sites.filter(site => site.region === options.region);
+        const servers = options.servers().filter(server => !server.draining);
+        return manifest.services.flatMap(service =>
+            service.sites
+                .map(({ site }) => sites.find(spec => spec.name === site))
+                .filter(site => site !== undefined)
+                .map(site => {
+                    const live = servers.filter(
+                        server => server.service === service.name && (server.site ?? site.name) === site.name,
+                    );
+                    const cold = live.filter(server => isCold(server, service.backend.warmUpSeconds)).length;
+                    return {
+                        service: service.name,
+                        site: site.name,
+                        warmServers: live.length - cold,
+                        coldServers: cold,
+                        meanServiceMs: serviceMs.get(service.name) ?? 0,
+                    };
+                }),
+        );
+    };
+
+    const reportDemands = (): EntryReport["demands"] =>
+        [...demands.values()].map(({ service, home, requests, requestBytes, responseBytes }) => {
+            const count = Math.max(1, requests.total());
+            return {
+                service,
+                home,
+                offeredPerSecond: requests.perSecond(),
+                requestBytes: requestBytes.total() / count,
+                responseBytes: responseBytes.total() / count,
+            };
+        });
+
+    return {
+        noteRequest: ({ service, home, requestBytes, responseBytes }) => {
+            const windows = findDemand(service, home);
+            windows.requests.add(1);
+            windows.requestBytes.add(requestBytes);
+            windows.responseBytes.add(responseBytes);
+        },
+        noteServiceTime: (service, ms) => {
+            const mean = serviceMs.get(service) ?? ms;
+            serviceMs.set(service, mean + smoothing * (ms - mean));
+        },
+        report: () => {
+            const manifest = options.manifest();
+            return {
+                entry: options.entry,
+                region: options.region,
+                demands: reportDemands(),
+                capacities: manifest === undefined ? [] : reportCapacities(manifest),
+                listAgeMs: options.listAgeMs() ?? 0,
+            };
+        },
+    };
+}
