feat(limits): share the slots of a region's servers between its entries

Cause: nine entries without a control instance must never send a server more requests than it has slots, and must not leave a slot idle while a request waits at another entry.

Each slot has one owner by rendezvous hash. A gained slot is used only after every other entry of the region has answered a claim and either the former owner has handed it over or the takeover delay has passed. An owner lends a free slot with a grant that counts from the borrower's own want, so a late grant never outlives the owner's expiry. A borrower passes a slot on to a waiting peer without a trip through the owner. Suspects run only on the first slot of a server, which excludes two suspects on one server in the whole region without any further message.

Ruled out: comparing view hashes instead of claims (two entries with equal views may still have requests in flight under an older one); grants in the answer to a want (a lost answer would hide the slot until its expiry).

Each of these was broken by hand and a test failed: claim granted without hand-over, gains while isolated, duplicate grants, expiry counted from the arrival, no reclaim at expiry, pause not noticed, late start, broken slot freed at once, draining and avoided servers used, two suspects on a server, several probes, no share for lower classes. Four conditions could be removed without a failing test and need one: the denial of a claim, the new claim after an isolation, the rejection of a grant after an answered claim, and the push of a hand-over (which only shortens the wait).

--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+/** The limiter: slots of backend servers, admission, links between regions, and retries. */
+export * from "./counters.js";
+export * from "./limits-config.js";
+export * from "./retry-budget.js";
+export * from "./slot-broker.js";
--- /dev/null
+++ b/packages/limits/src/want-board.ts
@@ -0,0 +1,121 @@
+/** What the peers of the region have said about their waiting requests. */
+import { classesByImportance } from "@waxwingdale/core";
+import type { WantMessage } from "./messages.js";
+
+export interface RemoteWant {
+    readonly peer: string;
+    readonly seq: number;
+    readonly receivedAt: number;
+    /** In the order of `classesByImportance`; times are of this entry's clock. */
+    readonly classes: { count: number; oldestAt: number; newestAt: number }[];
+    /** Latest deadline of the waiting requests. */
+    readonly needUntil: number;
+    readonly needMs: number;
+    readonly avoid: ReadonlySet<string>;
+    readonly suspectsOnly: boolean;
+}
+
+export interface RemoteHead {
+    want: RemoteWant;
+    /** Index in `classesByImportance`. */
+    rank: number;
+    since: number;
+}
+
+export interface WantBoard {
+    /** Takes a message in; a message that is older than the last one of the peer changes nothing. */
+    update(peer: string, msg: WantMessage, now: number): boolean;
+    /** The oldest request of the most important class that a peer waits with and that `canServe` allows. */
+    findHead(service: string, now: number, canServe: (want: RemoteWant) => boolean): RemoteHead | undefined;
+    /** Counts a slot given to the head's request. */
+    countGranted(head: RemoteHead): void;
+    hasWants(service: string, now: number): boolean;
+    forget(isKnown: (peer: string) => boolean): void;
+    size(): number;
+}
+
+/** @param ttlMs time after which a want that was not sent again does not count */
+export function createWantBoard(ttlMs: number): WantBoard {
+    const lastSeq = new Map<string, { run: string; seq: number }>();
+    const byService = new Map<string, Map<string, RemoteWant>>();
+
+    const clearPeer = (peer: string) => {
+        for (const wants of byService.values()) {
+            wants.delete(peer);
+        }
+    };
+
+    const set = (peer: string, msg: WantMessage, now: number) => {
+        clearPeer(peer);
+        for (const want of msg.wants) {
+            const wants = byService.get(want.service) ?? new Map<string, RemoteWant>();
+            byService.set(want.service, wants);
+            wants.set(peer, {
+                peer,
+                seq: msg.seq,
+                receivedAt: now,
+                classes: classesByImportance.map((_, rank) => ({
+                    count: want.classes[rank]?.count ?? 0,
+                    oldestAt: now - (want.classes[rank]?.oldestWaitMs ?? 0),
+                    newestAt: now - (want.classes[rank]?.newestWaitMs ?? 0),
+                })),
+                needUntil: now + want.needMs,
+                needMs: want.needMs,
+                avoid: new Set(want.avoid),
+                suspectsOnly: want.suspectsOnly,
+            });
+        }
+    };
+
+    const isBefore = (a: RemoteHead, b: RemoteHead | undefined) =>
+        b === undefined || a.rank < b.rank || (a.rank === b.rank && a.since < b.since);
+
+    return {
+        update: (peer, msg, now) => {
+            const last = lastSeq.get(peer);
+            if (last && last.run === msg.run && msg.seq <= last.seq) {
+                return false;
+            }
+            lastSeq.set(peer, { run: msg.run, seq: msg.seq });
+            set(peer, msg, now);
+            return true;
+        },
+        findHead: (service, now, canServe) => {
+            let head: RemoteHead | undefined;
+            for (const want of byService.get(service)?.values() ?? []) {
+                if (now - want.receivedAt > ttlMs) {
+                    continue;
+                }
+                const rank = want.classes.findIndex(({ count }) => count > 0);
+                const candidate = rank < 0 ? undefined : { want, rank, since: want.classes[rank]!.oldestAt };
+                if (candidate && isBefore(candidate, head) && canServe(want)) {
+                    head = candidate;
+                }
+            }
+            return head;
+        },
+        countGranted: ({ want, rank }) => {
+            const waiting = want.classes[rank]!;
+            // The ages of the requests between the oldest and the newest are taken as evenly spread.
+            waiting.oldestAt += (waiting.newestAt - waiting.oldestAt) / Math.max(1, waiting.count - 1);
+            waiting.count--;
+        },
+        hasWants: (service, now) => {
+            for (const want of byService.get(service)?.values() ?? []) {
+                if (now - want.receivedAt <= ttlMs && want.classes.some(({ count }) => count > 0)) {
+                    return true;
+                }
+            }
+            return false;
+        },
+        forget: isKnown => {
+            for (const peer of lastSeq.keys()) {
+                if (!isKnown(peer)) {
+                    lastSeq.delete(peer);
+                    clearPeer(peer);
+                }
+            }
+        },
+        size: () => lastSeq.size,
+    };
+}
--- /dev/null
+++ b/packages/limits/src/want-sender.ts
@@ -0,0 +1,134 @@
+/** Sends this entry's wants and claims to peers, at a bounded rate. */
+import type { Clock, MemberView, PeerTransport, Random } from "@waxwingdale/core";
+import type { BrokerCounters } from "./counters.js";
+import type { LimitsConfig } from "./limits-config.js";
+import type { ClaimAnswer, Claim, ServiceWant, WantAnswer, WantMessage } from "./messages.js";
+
+export interface WantSenderOptions {
+    view: MemberView;
+    transport: PeerTransport;
+    clock: Clock;
+    random: Random;
+    cfg: LimitsConfig;
+    run: string;
+    counters: BrokerCounters;
+    buildWants: () => ServiceWant[];
+    claims: () => Claim[];
+    claimPeers: () => readonly string[];
+    onAnswer: (claim: Claim, peer: string, answer: ClaimAnswer) => void;
+}
+
+export interface WantSender {
+    /** Tells peers soon that the waiting requests or the claims have changed. */
+    announce(): void;
+    /** When the want with the sequence number was sent. */
+    sentAt(seq: number): number | undefined;
+    close(): void;
+}
+
+/** Time for which a grant can refer to a want. */
+const rememberMs = 10_000;
+
+export function createWantSender(options: WantSenderOptions): WantSender {
+    const { view, clock, cfg, counters } = options;
+    /** Send times of the last wants, in order. */
+    const sentTimes = new Map<number, number>();
+    let seq = 0;
+    let lastSentAt = -Infinity;
+    let isScheduled = false;
+    let isClosed = false;
+    let hasTold = false;
+
+    const send = async (peer: string, msg: WantMessage) => {
+        const address = view.find(peer)?.peerAddress;
+        if (address === undefined) {
+            return;
+        }
+        counters.wantsSent++;
+        try {
+            const { transport } = options;
+            const result = await transport.call<WantAnswer>(address, "slots.want", msg, cfg.callTimeoutMs);
+            for (const { key, answer } of result.answers) {
+                const claim = msg.claims.find(other => other.key === key);
+                if (claim) {
+                    options.onAnswer(claim, peer, answer);
+                }
+            }
+        } catch {
+            // The next want carries everything that this one did.
+        }
+    };
+
+    const pickPeers = (needsAll: boolean) => {
+        const self = view.self();
+        const peers = view
+            .liveInRegion(self.region)
+            .map(({ id }) => id)
+            .filter(id => id !== self.id);
+        if (needsAll) {
+            return [...new Set([...peers, ...options.claimPeers()])];
+        }
+        while (peers.length > cfg.wantFanout) {
+            peers.splice(Math.floor(options.random() * peers.length), 1);
+        }
+        return peers;
+    };
+
+    const forgetOld = (now: number) => {
+        for (const [old, at] of sentTimes) {
+            if (now - at < rememberMs) {
+                return;
+            }
+            sentTimes.delete(old);
+        }
+    };
+
+    const flush = () => {
+        isScheduled = false;
+        const wants = options.buildWants();
+        const claims = options.claims();
+        const isEmpty = wants.length === 0 && claims.length === 0;
+        if (isClosed || (isEmpty && !hasTold)) {
+            return;
+        }
+        hasTold = !isEmpty;
+        const now = clock.now();
+        lastSentAt = now;
+        forgetOld(now);
+        sentTimes.set(++seq, now);
+        const msg = { run: options.run, seq, wants, claims };
+        for (const peer of pickPeers(claims.length > 0)) {
+            void send(peer, msg);
+        }
+        if (!isEmpty) {
+            scheduleResend(seq);
+        }
+    };
+
+    const scheduleResend = (after: number) => {
+        clock.setTimer(cfg.wantResendMs, () => {
+            if (seq === after) {
+                flush();
+            }
+        });
+    };
+
+    return {
+        announce: () => {
+            if (isScheduled || isClosed) {
+                return;
+            }
+            const waitMs = lastSentAt + cfg.wantIntervalMs - clock.now();
+            if (waitMs <= 0) {
+                flush();
+                return;
+            }
+            isScheduled = true;
+            clock.setTimer(waitMs, () => isScheduled && flush());
+        },
+        sentAt: number => sentTimes.get(number),
+        close: () => {
+            isClosed = true;
+        },
+    };
+}
--- /dev/null
+++ b/packages/limits/test/admission.test.ts
@@ -0,0 +1,161 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    ReasonCode,
+    RequestClass,
+    SlotResult,
+    classesByImportance,
+    createManualClock,
+    createRandom,
+} from "@waxwingdale/core";
+import type { Slot, SlotRequest, AdmissionRefusedError } from "@waxwingdale/core";
+import type { LimitsConfig } from "@waxwingdale/limits";
+import fc from "fast-check";
+import { createFakeRegion, never, offerLoad, service } from "./support/fake-region.js";
+
+/** One entry with one slot, which is taken. */
+const setUpBusy = async (cfg: Partial<LimitsConfig> = {}) => {
+    const clock = createManualClock();
+    const options = { entries: 1, servers: 1, slots: 1, cfg };
+    const region = createFakeRegion({ clock, random: createRandom(3), ...options });
+    await clock.advance(5100);
+    const { broker } = region.entry("e0");
+    const started: string[] = [];
+    const refused: { name: string; reason: ReasonCode; retryAfter?: number }[] = [];
+    let current: Slot | undefined;
+    const request = (name: string, requestClass: RequestClass, change: Partial<SlotRequest> = {}) => {
+        const deadlineAt = clock.now() + 10_000;
+        const req = { service, requestClass, deadlineAt, suspect: false, avoid: never, ...change };
+        return broker.acquire(req).then(
+            slot => {
+                started.push(name);
+                current = slot;
+            },
+            (err: AdmissionRefusedError) =>
+                void refused.push({ name, reason: err.reason, retryAfter: err.retryAfterSeconds }),
+        );
+    };
+    const finishOne = async () => {
+        current?.release(SlotResult.Completed);
+        await clock.advance(0);
+    };
+    await request("first", RequestClass.Lookup);
+    started.length = 0;
+    return { clock, broker, request, started, refused, finishOne };
+};
+
+// Guards against bulk transfers that delay look-ups, and against a later request overtaking an earlier one.
+test("waiting requests start by class and then by arrival", async () => {
+    await fc.assert(
+        fc.asyncProperty(
+            fc.array(fc.constantFrom(...classesByImportance), { maxLength: 12 }),
+            async classes => {
+                const { request, started, finishOne } = await setUpBusy({ lowerClassShare: 0 });
+                classes.forEach(
+                    (requestClass, index) => void request(`${requestClass}/${index}`, requestClass),
+                );
+                for (let count = 0; count < classes.length; count++) {
+                    await finishOne();
+                }
+                const rank = (name: string) =>
+                    classesByImportance.indexOf(name.split("/")[0] as RequestClass);
+                const index = (name: string) => Number(name.split("/")[1]);
+                const sorted = [...started].sort((a, b) => rank(a) - rank(b) || index(a) - index(b));
+                assert.deepEqual(started, sorted);
+                assert.equal(started.length, classes.length);
+            },
+        ),
+        { numRuns: 40 },
+    );
+});
+
+// Guards against look-ups that stop bulk transfers for ever.
+test("lower classes get their share while look-ups are always waiting", async () => {
+    const { request, started, finishOne } = await setUpBusy({ lowerClassShare: 0.1, maxWaitShare: 1 });
+    for (let count = 0; count < 5; count++) {
+        void request(`bulk`, RequestClass.Bulk);
+        void request(`write`, RequestClass.Write);
+    }
+    for (let count = 0; count < 45; count++) {
+        void request("lookup", RequestClass.Lookup);
+        void request("lookup", RequestClass.Lookup);
+        await finishOne();
+    }
+    assert.equal(started.filter(name => name === "bulk").length, 4);
+    assert.equal(started.filter(name => name === "write").length, 4);
+});
+
+// Guards against unbounded memory, and against refusing a look-up while bulk waits.
+test("a full queue refuses the newest request of the lowest class", async () => {
+    const { clock, request, refused, broker } = await setUpBusy({ queueLength: 4, maxWaitShare: 1 });
+    for (const name of ["bulk1", "bulk2", "write1", "lookup1", "lookup2", "write2", "bulk3"]) {
+        const requestClass = name.slice(0, -1) as RequestClass;
+        void request(name, requestClass);
+        await clock.advance(0);
+    }
+    assert.deepEqual(
+        refused.map(({ name }) => name),
+        ["bulk2", "bulk1", "bulk3"],
+    );
+    assert.ok(
+        refused.every(({ reason, retryAfter }) => reason === ReasonCode.Overloaded && retryAfter! >= 1),
+    );
+    assert.equal(broker.state().services[0]!.waiting["lookup"], 2);
+});
+
+// Guards against a caller that waits for a refusal which could have been given at once.
+test("a request that would wait too long is refused at arrival", async () => {
+    const { clock, request, refused } = await setUpBusy();
+    const before = clock.now();
+    await request("short", RequestClass.Lookup, { deadlineAt: clock.now() + 5 });
+    await request("tight", RequestClass.Lookup, { deadlineAt: clock.now() + 30 });
+    assert.deepEqual(
+        refused.map(({ reason }) => reason),
+        [ReasonCode.DeadlineTooShort, ReasonCode.Overloaded],
+    );
+    assert.equal(clock.now(), before);
+});
+
+// Guards against a request that is sent when its caller has stopped waiting, also after a pause of the process.
+test("a waiting request is refused before its deadline and never run late", async () => {
+    const { clock, request, started, refused, finishOne } = await setUpBusy();
+    const deadlineAt = clock.now() + 200;
+    void request("late", RequestClass.Lookup, { deadlineAt });
+    await clock.advance(199);
+    assert.equal(refused.length, 1);
+    void request("paused", RequestClass.Lookup, { deadlineAt: clock.now() + 200 });
+    clock.jump(190);
+    await finishOne();
+    assert.deepEqual(started, []);
+    assert.deepEqual(
+        refused.map(({ name }) => name),
+        ["late", "paused"],
+    );
+});
+
+// Guards against a slot given to a caller that has gone.
+test("an aborted request leaves the queue", async () => {
+    const { request, started, refused, finishOne } = await setUpBusy();
+    const caller = new AbortController();
+    const aborted = request("aborted", RequestClass.Lookup, { signal: caller.signal });
+    const next = request("next", RequestClass.Lookup);
+    caller.abort();
+    await aborted;
+    await finishOne();
+    await next;
+    assert.deepEqual(started, ["next"]);
+    assert.equal(refused[0]!.reason, ReasonCode.CallerAborted);
+});
+
+// Guards against a queue that fills with requests which then miss their deadline.
+test("goodput stays near capacity at twice the capacity", async () => {
+    const clock = createManualClock();
+    const random = createRandom(11);
+    const region = createFakeRegion({ clock, random });
+    await clock.advance(5300);
+    const before = region.totals.completed;
+    const { waits } = await offerLoad(region, clock, random, { ms: 4000, perSecond: 800 });
+    // 24 slots of 20 ms carry 1,200 requests per second.
+    assert.ok(region.totals.completed - before >= 0.95 * 4 * 1200);
+    assert.ok(Math.max(...waits) <= 400);
+});
--- /dev/null
+++ b/packages/limits/test/slot-broker.test.ts
@@ -0,0 +1,218 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AdmissionRefusedError, MemberStatus, ReasonCode, RequestClass, SlotResult } from "@waxwingdale/core";
+import { createManualClock, createRandom } from "@waxwingdale/core";
+import type { Slot, SlotRequest } from "@waxwingdale/core";
+import { createFakeRegion, never, offerLoad, service } from "./support/fake-region.js";
+
+const setUp = async (options: Partial<Parameters<typeof createFakeRegion>[0]> = {}) => {
+    const clock = createManualClock();
+    const random = createRandom(7);
+    const region = createFakeRegion({ clock, random, ...options });
+    await clock.advance(5300);
+    const request = (change: Partial<SlotRequest> = {}): SlotRequest => ({
+        service,
+        requestClass: RequestClass.Lookup,
+        deadlineAt: clock.now() + 400,
+        suspect: false,
+        avoid: never,
+        ...change,
+    });
+    const acquire = (id: string, change: Partial<SlotRequest> = {}) =>
+        region.entry(id).broker.acquire(request(change));
+    const countHeld = (id: string) => region.entry(id).broker.state().services[0]!.held;
+    return { clock, random, region, acquire, countHeld };
+};
+
+const isRefused = (reason: ReasonCode) => (err: unknown) =>
+    err instanceof AdmissionRefusedError && err.reason === reason;
+
+// Guards against a start at which entries with incomplete views use the same slots.
+test("a starting region uses no slot before the takeover delay", async () => {
+    const clock = createManualClock();
+    const region = createFakeRegion({ clock, random: createRandom(1) });
+    await clock.advance(4900);
+    assert.deepEqual(
+        region.entries.map(({ broker }) => broker.state().services[0]!.held),
+        [0, 0, 0],
+    );
+    await clock.advance(300);
+    const held = region.entries.map(({ broker }) => broker.state().services[0]!.held);
+    assert.equal(
+        held.reduce((a, b) => a + b),
+        24,
+    );
+});
+
+// Guards against waiting at an entry without free slots while a peer has some.
+test("one entry can use all slots of the region", async () => {
+    const { clock, acquire } = await setUp();
+    const slots: Slot[] = [];
+    for (let count = 0; count < 24; count++) {
+        void acquire("e2").then(slot => slots.push(slot));
+    }
+    await clock.advance(10);
+    assert.equal(slots.length, 24);
+    await assert.rejects(async () => {
+        const waiting = acquire("e2");
+        waiting.catch(() => undefined);
+        await clock.advance(500);
+        await waiting;
+    }, isRefused(ReasonCode.Overloaded));
+});
+
+// Guards against giving requests in a queue to a server that leaves.
+test("a draining server gets no new request", async () => {
+    const { clock, random, region } = await setUp();
+    const load = offerLoad(region, clock, random, { ms: 300, perSecond: 300 });
+    await load;
+    region.servers[0]!.draining = true;
+    region.entries.forEach(({ broker }) => broker.onServersChanged());
+    await offerLoad(region, clock, random, { ms: 220, perSecond: 300 });
+    assert.equal(region.inFlight("s0"), 0);
+    await offerLoad(region, clock, random, { ms: 500, perSecond: 300 });
+    assert.equal(region.inFlight("s0"), 0);
+});
+
+// Guards against a slot counted as free while the server may still run its request.
+test("a broken slot stays busy until the request's deadline", async () => {
+    const { clock, acquire } = await setUp({ entries: 1, servers: 1, slots: 1 });
+    const slot = await acquire("e0", { deadlineAt: clock.now() + 300 });
+    slot.release(SlotResult.Broken);
+    slot.release(SlotResult.Completed);
+    let startedAt = 0;
+    const next = acquire("e0", { deadlineAt: clock.now() + 2000 }).then(() => (startedAt = clock.now()));
+    const brokenUntil = clock.now() + 300;
+    await clock.advance(299);
+    assert.equal(startedAt, 0);
+    await clock.advance(2);
+    await next;
+    assert.ok(startedAt >= brokenUntil);
+});
+
+// Guards against a flood of requests to a server that refuses, and against never using it again.
+test("a refusing server is closed and probed by one request", async () => {
+    const { clock, acquire } = await setUp({ entries: 1, servers: 1 });
+    const slots = await Promise.all([acquire("e0"), acquire("e0")]);
+    slots.forEach(slot => slot.release(SlotResult.Refused));
+    const started: Slot[] = [];
+    const waiting = [1, 2, 3].map(() => acquire("e0").then(slot => started.push(slot)));
+    assert.equal(started.length, 0);
+    await clock.advance(160);
+    assert.equal(started.length, 1);
+    started[0]!.release(SlotResult.Completed);
+    await clock.advance(0);
+    await Promise.all(waiting);
+    assert.equal(started.length, 3);
+});
+
+// Guards against two requests that may both crash a server running on it together.
+test("suspects of different entries never share a server", async () => {
+    const { clock, acquire } = await setUp({ servers: 3 });
+    const started: string[] = [];
+    for (const id of ["e0", "e1", "e2", "e0", "e1"]) {
+        acquire(id, { suspect: true }).then(
+            slot => started.push(slot.server.id),
+            () => undefined,
+        );
+    }
+    await clock.advance(50);
+    assert.deepEqual(started.sort(), ["s0", "s1", "s2"]);
+});
+
+// Guards against sending a request again to a server that has refused it.
+test("avoided servers are not used", async () => {
+    const { clock, acquire } = await setUp({ servers: 2 });
+    const started: string[] = [];
+    for (let count = 0; count < 4; count++) {
+        acquire("e0", { avoid: new Set(["s0"]) }).then(
+            slot => started.push(slot.server.id),
+            () => undefined,
+        );
+    }
+    await clock.advance(30);
+    assert.deepEqual(started, ["s1", "s1", "s1"]);
+    await assert.rejects(acquire("e0", { avoid: new Set(["s0", "s1"]) }), isRefused(ReasonCode.NoBackend));
+});
+
+// Guards against a stop that takes a takeover delay of capacity away, and against slots lost with it.
+test("a leaving entry's slots are used at once by its peers", async () => {
+    const { clock, region, countHeld } = await setUp();
+    region.setStatusForAll("e1", MemberStatus.Leaving);
+    await clock.advance(300);
+    assert.equal(countHeld("e0") + countHeld("e2"), 24);
+    assert.equal(countHeld("e1"), 0);
+});
+
+// Guards against a stopped entry that takes its running slots with it or is asked for them for ever.
+test("closing hands over what is free and then what was running", async () => {
+    const { clock, region, acquire, countHeld } = await setUp();
+    const slot = await acquire("e1");
+    void region.entry("e1").broker.close();
+    region.setStatusForAll("e1", MemberStatus.Leaving);
+    await clock.advance(300);
+    assert.equal(countHeld("e0") + countHeld("e2"), 23);
+    await assert.rejects(acquire("e1"), isRefused(ReasonCode.ShuttingDown));
+    slot.release(SlotResult.Completed);
+    await clock.advance(300);
+    assert.equal(countHeld("e0") + countHeld("e2"), 24);
+});
+
+// Guards against capacity lost for good with an entry, and against use before a paused entry would notice.
+test("a crashed entry's slots are used after the takeover delay", async () => {
+    const { clock, region, countHeld } = await setUp();
+    const before = countHeld("e0") + countHeld("e2");
+    region.crash("e1");
+    region.setStatusForAll("e1", MemberStatus.Dead);
+    await clock.advance(4900);
+    assert.equal(countHeld("e0") + countHeld("e2"), before);
+    await clock.advance(300);
+    assert.equal(countHeld("e0") + countHeld("e2"), 24);
+});
+
+// Guards against an entry that hears from nobody and takes everybody's slots.
+test("an isolated entry keeps its slots and gains none", async () => {
+    const { clock, region, countHeld } = await setUp();
+    const before = countHeld("e0");
+    region.isolate("e0");
+    region.setStatus("e0", "e1", MemberStatus.Dead);
+    region.setStatus("e0", "e2", MemberStatus.Dead);
+    await clock.advance(60_000);
+    assert.equal(countHeld("e0"), before);
+});
+
+// Guards against an entry that wakes up and uses slots that its peers have taken over.
+test("an entry that was paused uses no slot before it has asked its peers", async () => {
+    const { clock, region, acquire, countHeld } = await setUp();
+    const before = countHeld("e1");
+    region.pause("e1");
+    region.setStatus("e0", "e1", MemberStatus.Dead);
+    region.setStatus("e2", "e1", MemberStatus.Dead);
+    await clock.advance(9000);
+    assert.equal(countHeld("e0") + countHeld("e2"), 24);
+    region.entry("e1").isPaused = false;
+    let isStarted = false;
+    void acquire("e1").then(slot => {
+        isStarted = true;
+        slot.release(SlotResult.Completed);
+    });
+    await Promise.resolve();
+    assert.equal(isStarted, false);
+    assert.equal(countHeld("e1"), 0);
+    region.resume("e1");
+    await clock.advance(500);
+    assert.equal(countHeld("e1"), before);
+    assert.equal(countHeld("e0") + countHeld("e1") + countHeld("e2"), 24);
+});
+
+// Guards against losing a slot with the message that lends it or gives it back.
+test("slots survive the loss of every message for a while", async () => {
+    const { clock, random, region } = await setUp();
+    region.faults.loss = 0.5;
+    await offerLoad(region, clock, random, { ms: 2000, perSecond: 400 });
+    region.faults.loss = 0;
+    // The longest deadline, the slack of a grant and the margin of its owner.
+    await clock.advance(400 + 2000 + 500 + 200);
+    const lent = region.entries.flatMap(({ broker }) => broker.state().slots).filter(slot => slot.lentTo);
+    assert.deepEqual(lent, []);
+});
