--- a/packages/carrier/src/carrier-options.ts
+++ b/packages/carrier/src/carrier-options.ts
@@ -12,18 +12,11 @@
     SlotSource,
     TrafficSteering,
 } from "@waxwingdale/core";
+import type { RetryBudget } from "@waxwingdale/limits";
 import type { ConnectionPools } from "./connection-pools.js";
 import type { RequestRecord, RequestRecords } from "./request-record.js";
 import type { RouteTable } from "./route-table.js";
 
-/** Limit on retries as a share of traffic. */
-export interface RetryBudget {
-    /** Counts a first attempt. */
-    noteRequest(): void;
-    /** Takes one retry; false when the budget is used up. */
-    tryTake(): boolean;
-}
-
 export interface CarrierMetrics {
     observe(
         service: string,
--- a/packages/carrier/src/carrier.ts
+++ b/packages/carrier/src/carrier.ts
@@ -169,11 +169,11 @@
     ): Promise<AttemptResult> => {
         const budget = options.retryBudget(ctx.service, ctx.route.name);
         const avoid = new Set<string>();
-        budget.noteRequest();
+        budget.countRequest();
         for (let attempt = 1; ; attempt++) {
             const upstream = chooseUpstream(ctx);
             const result = upstream === undefined ? shiftRefused : await upstream.send(ctx, avoid, capture);
-            if (!mayRetry(ctx, result, attempt) || !budget.tryTake()) {
+            if (!mayRetry(ctx, result, attempt) || !budget.tryRetry()) {
                 return result;
             }
             options.metrics.countRetry(ctx.service);
--- a/packages/carrier/test/carrier-fixture.ts
+++ b/packages/carrier/test/carrier-fixture.ts
@@ -171,7 +171,7 @@
         records: createRequestRecords(100),
         metrics: { observe: () => undefined, countRetry: () => undefined },
         routes: () => table,
-        retryBudget: () => ({ noteRequest: () => undefined, tryTake: () => true }),
+        retryBudget: () => ({ countRequest: () => undefined, tryRetry: () => true, available: () => 1 }),
         maxOutcomeBytes: () => 1000,
         findHome: () => "north",
         noteDraining: () => undefined,
--- a/packages/entry/src/compose-entry.ts
+++ b/packages/entry/src/compose-entry.ts
@@ -111,6 +111,8 @@
 const plannerCandidates = 3;
 /** Claim limits before the first manifest. No claim is made without a manifest. */
 const initialClaimLimits = { shards: 1, maxWritesPerSecond: 1, retentionSeconds: 3600, maxOutcomeBytes: 0 };
+/** Retry budget of routes that are not idempotent. They are sent again only when they certainly did not run. */
+const notRunRetryShare = 0.1;
 const initialCrashLimits = { crashLimit: 2, quarantineSeconds: 600 };
 
 /** Creates the container of one entry. Nothing runs yet. */
@@ -447,7 +449,7 @@
             const spec = accepted?.manifest.services
                 .find(({ name }) => name === service)
                 ?.routes.find(({ name }) => name === route);
-            budget = createRetryBudget(spec?.retryBudget ?? 0);
+            budget = createRetryBudget(spec?.idempotent === true ? spec.retryBudget : notRunRetryShare);
             budgets.set(key, budget);
         }
         return budget;
--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -166,15 +166,15 @@
     resolve(tokens.lookups);
     resolve(tokens.steering);
     resolve(tokens.broker);
-    const tasks: Record<string, (signal: AbortSignal) => Promise<void>> = {
-        membership: resolve(tokens.membership).run,
-        config: resolve(tokens.config).run,
-        plan: resolve(tokens.plan).run,
-        backends: resolve(tokens.backends).run,
-        lease: resolve(tokens.lease).run,
-        planner: resolve(tokens.planner).run,
-        collector: resolve(tokens.collector).run,
-        steering: resolve(tokens.steering).run,
+    const tasks: Record<string, () => Promise<void>> = {
+        membership: () => resolve(tokens.membership).run(signal),
+        config: () => resolve(tokens.config).run(signal),
+        plan: () => resolve(tokens.plan).run(signal),
+        backends: () => resolve(tokens.backends).run(signal),
+        lease: () => resolve(tokens.lease).run(signal),
+        planner: () => resolve(tokens.planner).run(signal),
+        collector: () => resolve(tokens.collector).run(signal),
+        steering: () => resolve(tokens.steering).run(signal),
         ready: async () => {
             while (!signal.aborted) {
                 resolve(tokens.membership).setReady(findNotReadyReason(resolve) === undefined);
@@ -189,7 +189,7 @@
         },
     };
     for (const [name, run] of Object.entries(tasks)) {
-        run(signal).catch((err: unknown) => {
+        run().catch((err: unknown) => {
             logger.error("task-failed", { task: name, error: getErrorMessage(err) });
             process.exitCode = 70;
             process.kill(process.pid, "SIGTERM");
--- a/packages/entry/src/tokens.ts
+++ b/packages/entry/src/tokens.ts
@@ -1,5 +1,4 @@
 /** Typed tokens of the dependency container. */
-import "reflect-metadata";
 import { instanceCachingFactory } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
 
