fix(stand-ins): late writes, keys created under a lag, counters

A write whose caller gave up during the delay was dropped, since its body was read after the delay; it now takes effect later, as in a slow store. A key created while reads lag was visible at once, since it had no earlier revision to answer from. Counters were readable over HTTP only.

--- a/packages/stand-ins/src/object-api/call-budget.ts
+++ b/packages/stand-ins/src/object-api/call-budget.ts
@@ -1,12 +1,20 @@
 /** Rate limit of the object API: calls started in each second, and watches that wait over from earlier seconds. */
 import type { Clock } from "@waxwingdale/core";
 
+export interface CallCounters {
+    taken: number;
+    refused: number;
+    highestInOneSecond: number;
+    /** Watches that wait now. */
+    waiting: number;
+}
+
 export interface CallBudget {
     /** Counts a call and returns whether the budget of this second allows it. */
     take(): boolean;
     /** Counts a watch as one call in each further second until the returned function is called. */
     holdWatch(): () => void;
-    counters(): { taken: number; refused: number; highestInOneSecond: number; waiting: number };
+    counters(): CallCounters;
 }
 
 /** Creates a budget of `limit` calls each second. */
--- a/packages/stand-ins/src/object-api/lagging-map.ts
+++ b/packages/stand-ins/src/object-api/lagging-map.ts
@@ -22,7 +22,7 @@
 
     /** Sets the value of a key; undefined removes it. */
     set(key: string, value: Value | undefined): void {
-        const list = this.revisions.get(key) ?? [];
+        const list = this.revisions.get(key) ?? [{ at: -Infinity, value: undefined }];
         list.push({ at: this.clock.now(), value });
         while (list.length > 1 && list[1]!.at <= this.clock.now() - this.lagMs) {
             list.shift();
--- a/packages/stand-ins/src/object-api/object-api-server.ts
+++ b/packages/stand-ins/src/object-api/object-api-server.ts
@@ -15,6 +15,7 @@
 import { instanceSchema } from "@waxwingdale/store";
 import * as v from "valibot";
 import { createCallBudget } from "./call-budget.js";
+import type { CallCounters } from "./call-budget.js";
 import { LaggingObjectStore } from "./lagging-object-store.js";
 import { faultsSchema } from "./object-api-faults.js";
 import type { ObjectApiFaults } from "./object-api-faults.js";
@@ -46,14 +47,24 @@
     /** The state, for tests in the same process. */
     readonly store: LaggingObjectStore;
     setFaults(faults: Partial<ObjectApiFaults>): void;
+    counters(): ObjectApiCounters;
     close(): Promise<void>;
 }
 
+export interface ObjectApiCounters {
+    reads: CallCounters;
+    writes: CallCounters;
+    /** Connections reset by faults. */
+    resets: number;
+}
+
 interface Call {
     method: string;
     path: string;
     query: URLSearchParams;
     req: IncomingMessage;
+    /** JSON value of a PUT. */
+    body: unknown;
     signal: AbortSignal;
 }
 
@@ -90,9 +101,11 @@
         }
     };
 
-    const runControl = async ({ method, path, req }: Call): Promise<Answer> => {
+    const counters = () => ({ reads: reads.counters(), writes: writes.counters(), resets });
+
+    const runControl = async ({ method, path, body }: Call): Promise<Answer> => {
         if (path === "/control/faults" && method === "PUT") {
-            setFaults(v.parse(faultsSchema, await readJson(req)));
+            setFaults(v.parse(faultsSchema, body));
             return { status: 200, body: faults };
         }
         if (path === "/control/faults" && method === "GET") {
@@ -102,12 +115,12 @@
             };
         }
         if (path === "/control/counters" && method === "GET") {
-            return { status: 200, body: { reads: reads.counters(), writes: writes.counters(), resets } };
+            return { status: 200, body: counters() };
         }
         return { status: 404 };
     };
 
-    const runObject = async ({ method, req, signal }: Call, key: string): Promise<Answer> => {
+    const runObject = async ({ method, body, req, signal }: Call, key: string): Promise<Answer> => {
         if (method === "GET") {
             const object = await store.get(key, signal);
             return object === undefined ? { status: 404 } : { status: 200, body: object };
@@ -117,8 +130,7 @@
             await store.delete(key, expectedVersion);
             return { status: 200, body: {} };
         }
-        const value = await readJson(req);
-        return { status: 200, body: { version: await store.put(key, value, expectedVersion) } };
+        return { status: 200, body: { version: await store.put(key, body, expectedVersion) } };
     };
 
     const runWatch = async ({ query, signal }: Call): Promise<Answer> => {
@@ -135,7 +147,8 @@
     const runStoreCall = async (call: Call): Promise<Answer> => {
         const { method, path, query, signal } = call;
         if (faults.slow > 0) {
-            await clock.sleep(faults.slow, signal);
+            // A write goes on when its caller has given up, so it can take effect later.
+            await clock.sleep(faults.slow, method === "GET" ? signal : undefined);
         }
         if (faults.down) {
             throw new ConnectionReset();
@@ -157,7 +170,7 @@
     };
 
     /** Runs a change of the list of instances. The platform makes it itself, so faults and budgets don't apply. */
-    const runInstance = async ({ method, req }: Call, id: string): Promise<Answer> => {
+    const runInstance = async ({ method, body }: Call, id: string): Promise<Answer> => {
         if (method === "GET") {
             const row = store.findInstance(id);
             return row === undefined ? { status: 404 } : { status: 200, body: row };
@@ -165,7 +178,7 @@
         if (method !== "PUT" && method !== "DELETE") {
             return { status: 404 };
         }
-        const row = method === "PUT" ? { ...v.parse(instanceSchema, await readJson(req)), id } : undefined;
+        const row = method === "PUT" ? { ...v.parse(instanceSchema, body), id } : undefined;
         store.setInstance(id, row);
         return { status: 200, body: {} };
     };
@@ -195,9 +208,10 @@
             controller.abort();
         });
         const query = new URLSearchParams(search);
-        const call = { method: req.method ?? "GET", path, query, req, signal: controller.signal };
+        const method = req.method ?? "GET";
         try {
-            send(res, await dispatch(call));
+            const body = method === "PUT" ? await readJson(req) : undefined;
+            send(res, await dispatch({ method, path, query, req, body, signal: controller.signal }));
         } catch (err) {
             const answer = toAnswer(err);
             if (answer !== undefined) {
@@ -218,6 +232,7 @@
         address: `${address}:${port}`,
         store,
         setFaults,
+        counters,
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
