--- a/packages/config/test/fleet.ts
+++ b/packages/config/test/fleet.ts
@@ -1,5 +1,11 @@
 /** Entries that gossip over an in-memory network; `reaches` cuts it. */
-import { PeerUnreachableError, createLogger, createManualClock, createRandom } from "@waxwingdale/core";
+import {
+    PeerUnreachableError,
+    createLogger,
+    createManualClock,
+    createRandom,
+    rankOwners,
+} from "@waxwingdale/core";
 import type { ManualClock, ObjectStore, PeerTransport, Random, RpcHandler } from "@waxwingdale/core";
 import type { AcceptedManifest, Manifest } from "@waxwingdale/manifest";
 import { manifestKey } from "@waxwingdale/manifest";
@@ -80,17 +86,11 @@
     });
 
     const nextPeer = (from: string): FakeEntry | undefined => {
-        let order = orders.get(from) ?? [];
-        if (order.length === 0) {
-            const others = entries.map(({ address }) => address).filter(address => address !== from);
-            order = others
-                .map(address => ({ address, rank: random() }))
-                .sort((a, b) => a.rank - b.rank)
-                .map(({ address }) => address);
-            orders.set(from, order);
-        }
-        const to = order.pop();
-        return entries.find(({ address }) => address === to);
+        const others = entries.map(({ address }) => address).filter(address => address !== from);
+        const waiting = orders.get(from) ?? [];
+        const order = waiting.length > 0 ? waiting : rankOwners(`${random()}`, others);
+        orders.set(from, order.slice(1));
+        return entries.find(({ address }) => address === order[0]);
     };
 
     const fleet: Fleet = {
@@ -106,18 +106,9 @@
             const logger = createLogger(clock, { write: line => log.push(line) });
             const registry = { addMethod: (name: string, run: RpcHandler) => void methods.set(name, run) };
             const exchange = createDocumentExchange({ registry, logger });
-            const transport = transportOf(address);
             const { formats } = options;
-            const config = createAcceptedConfig({
-                store,
-                transport,
-                exchange,
-                clock,
-                random,
-                logger,
-                parseManifest,
-                formats,
-            });
+            const shared = { store, exchange, clock, random, logger, transport: transportOf(address) };
+            const config = createAcceptedConfig({ ...shared, parseManifest, formats });
             const applied: number[] = [];
             config.onChange(({ generation }) => applied.push(generation));
             const controller = new AbortController();
--- a/packages/store/test/remote-store.ts
+++ b/packages/store/test/remote-store.ts
@@ -1,7 +1,7 @@
 /** A store across a network: writes land later, answers get lost, and the caller can be paused in the middle of a call. */
 import { MemoryObjectStore } from "@waxwingdale/store";
-import { ObjectStore, StoreOutcomeUnknownError, StoreUnavailableError } from "@waxwingdale/core";
-import type { Clock, InstanceRecord, ObjectChange, StoredObject, WatchResult } from "@waxwingdale/core";
+import { StoreOutcomeUnknownError, StoreUnavailableError } from "@waxwingdale/core";
+import type { Clock, ObjectChange, ObjectStore, StoredObject } from "@waxwingdale/core";
 
 /** Keeps every change for the checks at the end of a run. */
 export class RecordingStore extends MemoryObjectStore {
@@ -22,14 +22,15 @@
 
 const timeoutMs = 700;
 
-export class RemoteStore extends ObjectStore {
+/** Offers `get` and `put`. */
+export class RemoteStore extends MemoryObjectStore {
     constructor(
         private readonly shared: ObjectStore,
         private readonly worldClock: Clock,
         private readonly callerClock: Clock,
         private readonly network: Network,
     ) {
-        super();
+        super(callerClock);
     }
 
     override get(key: string): Promise<StoredObject | undefined> {
@@ -43,19 +44,6 @@
         );
     }
 
-    override list(): Promise<StoredObject[]> {
-        throw new Error("not used");
-    }
-    override delete(): Promise<void> {
-        throw new Error("not used");
-    }
-    override watch(): Promise<WatchResult> {
-        throw new Error("not used");
-    }
-    override listInstances(): Promise<InstanceRecord[]> {
-        throw new Error("not used");
-    }
-
     /** The effect happens on the world's clock, the answer is seen on the caller's. */
     private async call<Result>(run: () => Promise<Result>, lost: Error): Promise<Result> {
         const { delayMs, down } = this.network;
@@ -68,14 +56,12 @@
             if (delayMs > 0) {
                 await this.worldClock.sleep(delayMs);
             }
-            try {
-                const result = await run();
-                answer = () => result;
-            } catch (err) {
-                answer = () => {
+            answer = await run().then(
+                result => () => result,
+                (err: Error) => () => {
                     throw err;
-                };
-            }
+                },
+            );
         };
         const loses = this.network.loseAnswers > 0;
         this.network.loseAnswers -= loses ? 1 : 0;
