fix(entry): readiness waits for slots; callers of the demo have home regions

Cause: an entry uses no slot in its first 5 s, and said it was ready before; all callers of the demo came from one address, so one region was the home of all traffic; the store client dropped the site of an instance, so each site was counted with the servers of the whole region. Ruled out: too few slots; the dump showed 4 confirmed ones free in each entry. Conclusion: what is left of the refusals needs another look.

--- a/packages/entry/src/compose-entry.ts
+++ b/packages/entry/src/compose-entry.ts
@@ -74,6 +74,8 @@
     self: Member;
     operatorAddress: string;
     clock: Clock;
+    /** Time of the clock at the start of the process. */
+    startedAt: number;
     random: Random;
     logger: Logger;
     store: ObjectStore;
--- a/packages/entry/src/entry-state.ts
+++ b/packages/entry/src/entry-state.ts
@@ -1,13 +1,17 @@
 /** What an entry tells about itself: readiness, a short status and the dump of its whole state. */
 import { MemberStatus } from "@waxwingdale/core";
+import { defaultLimitsConfig } from "@waxwingdale/limits";
 import { tokens } from "./compose-entry.js";
 import type { Resolve } from "./tokens.js";
 
+/** A started entry uses no slot before this time in milliseconds, since another entry may still use it. */
+const slotWaitMs = defaultLimitsConfig.takeoverDelayMs + 500;
+
 /** Returns why the entry should not be used by callers, or undefined. */
 export function findNotReadyReason(resolve: Resolve): string | undefined {
     const config = resolve(tokens.config);
     const accepted = config.current();
-    const { settings } = resolve(tokens.base);
+    const { settings, clock, startedAt } = resolve(tokens.base);
     const { unsupported } = config.status();
     if (accepted === undefined) {
         return "no manifest is in force";
@@ -22,6 +26,9 @@
     if (resolve(tokens.backends).listAgeMs() === undefined) {
         return "the list of backend servers has not been read yet";
     }
+    if (clock.now() - startedAt < slotWaitMs) {
+        return "slots of backend servers are not confirmed yet";
+    }
     return resolve(tokens.membership).self().status === MemberStatus.Live
         ? undefined
         : "the entry is stopping";
--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -7,6 +7,7 @@
     getErrorMessage,
 } from "@waxwingdale/core";
 import type { Logger, Member } from "@waxwingdale/core";
+import { setMaxListeners } from "node:events";
 import { createHttpObjectStore } from "@waxwingdale/store";
 import { createCallerApp } from "./caller-listener.js";
 import { composeEntry, tokens } from "./compose-entry.js";
@@ -50,6 +51,8 @@
     const logger = createLogger(clock, { level: settings.logLevel, base: { entry: settings.id } });
     const stopped = new AbortController();
     const { signal } = stopped;
+    // Every background task listens to this one signal.
+    setMaxListeners(0, signal);
     // The handlers need addresses that are known only after the listeners are open.
     const handlers: Partial<Record<keyof EntryListeners, Parameters<typeof openHttpListener>[0]["handler"]>> =
         {};
@@ -92,6 +95,7 @@
         self,
         operatorAddress: listeners.operators.address,
         clock,
+        startedAt: clock.now(),
         random: createRandom(seed),
         logger,
         store,
--- a/packages/stand-ins/src/bin/demo.ts
+++ b/packages/stand-ins/src/bin/demo.ts
@@ -1,10 +1,8 @@
 /** Demo: a deployment's frame under a mixed load, with one drain and one planned stop of an entry. */
-import { mkdtemp, readFile, writeFile } from "node:fs/promises";
+import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import type { Manifest } from "@waxwingdale/manifest";
-import { parse } from "jsonc-parser";
 import sade from "sade";
 import { findBinary, runToEnd } from "../launcher/child-process.js";
 import { launchFleet } from "../launcher/launch-fleet.js";
@@ -56,7 +54,7 @@
         if (flags.serve) {
             await serve(fleet, fleetKey);
         } else {
-            process.exitCode = (await runLoadAndEvents(flags, fleet, manifestFile, folder)) ? 0 : 1;
+            process.exitCode = (await runLoadAndEvents(flags, fleet, folder)) ? 0 : 1;
         }
     } finally {
         await fleet.stop();
@@ -72,7 +70,7 @@
             .join("\n"),
     );
     console.log(`store ${fleet.storeAddress}\n\ntry:`);
-    console.log(`  curl 'http://${first!.callers}/v1/lookup?service=${service!.name}&client=10.1.0.1'`);
+    console.log(`  curl 'http://${first!.callers}/v1/lookup?service=${service!.name}&client=127.1.0.1'`);
     console.log(`  curl -i http://${first!.callers}/${service!.name}${service!.routes[0]!.path}/7`);
     console.log(
         `  curl -H 'authorization: Bearer ${fleetKey}' http://${first!.operators}/status\n\nCtrl-C stops all processes.`,
@@ -80,12 +78,7 @@
     await new Promise(resolve => process.once("SIGINT", resolve));
 }
 
-async function runLoadAndEvents(
-    flags: Flags,
-    fleet: Fleet,
-    manifestFile: string,
-    folder: string,
-): Promise<boolean> {
+async function runLoadAndEvents(flags: Flags, fleet: Fleet, folder: string): Promise<boolean> {
     const addresses = fleet.entries.map(entry => entry.callers).join(",");
     const args = [
         "--deployment",
@@ -101,7 +94,7 @@
     ];
     const load = runToEnd(findBinary("stand-ins", "load-driver"), args);
     await sleep(flags.seconds * 250);
-    const drain = await drainSite(fleet, manifestFile, folder);
+    const drain = await drainSite(fleet, folder);
     await sleep(flags.seconds * 150);
     const stop = await stopEntry(fleet);
     const { stdout, code, stderr } = await load;
@@ -114,8 +107,8 @@
 }
 
 /** Pushes a manifest that drains the first site of the first service, and waits until its servers are idle. */
-async function drainSite(fleet: Fleet, manifestFile: string, folder: string): Promise<DrainResult> {
-    const manifest = parse(await readFile(manifestFile, "utf8")) as Manifest;
+async function drainSite(fleet: Fleet, folder: string): Promise<DrainResult> {
+    const manifest = structuredClone(fleet.manifest);
     const service = manifest.services[0]!.name;
     const place = manifest.services[0]!.sites[0]!.site;
     manifest.drains.push({ place, service, startsAt: new Date().toISOString() });
--- a/packages/stand-ins/src/launcher/launch-fleet.ts
+++ b/packages/stand-ins/src/launcher/launch-fleet.ts
@@ -62,7 +62,9 @@
 /** Starts store, backend servers and entries, pushes the manifest, and resolves when all entries are ready. */
 export async function launchFleet(options: FleetOptions): Promise<Fleet> {
     await mkdir(options.folder, { recursive: true });
-    const manifest = parse(await readFile(options.manifestFile, "utf8")) as Manifest;
+    const manifest = addLoopbackBlocks(parse(await readFile(options.manifestFile, "utf8")) as Manifest);
+    const manifestFile = join(options.folder, "manifest.json");
+    await writeFile(manifestFile, JSON.stringify(manifest, undefined, 4));
     const processes: LaunchedProcess[] = [];
     const env = { WAXWINGDALE_FLEET_KEY: options.fleetKey };
 
@@ -139,7 +141,7 @@
 
         const runCommand = (args: string[]) =>
             runToEnd(findBinary("cli", "waxwingdale"), [...args, "--store", storeAddress], env);
-        const pushed = await runCommand(["push", options.manifestFile]);
+        const pushed = await runCommand(["push", manifestFile]);
         if (pushed.code !== 0) {
             throw new Error(`push failed with exit code ${pushed.code}: ${pushed.stderr}`);
         }
@@ -151,6 +153,12 @@
     }
 }
 
+/** Gives each region a block of the loopback network, so that the load driver's callers have a home region. */
+function addLoopbackBlocks(manifest: Manifest): Manifest {
+    const blocks = manifest.regions.map(({ name }, i) => ({ block: `127.${i + 1}.0.0/16`, region: name }));
+    return { ...manifest, clientBlocks: [...manifest.clientBlocks, ...blocks] };
+}
+
 function listBackends(manifest: Manifest) {
     const sites = new Map(manifest.sites.map(site => [site.name, site]));
     return manifest.services.flatMap(service =>
--- a/packages/stand-ins/src/load/caller.ts
+++ b/packages/stand-ins/src/load/caller.ts
@@ -56,12 +56,12 @@
 /** Pause in milliseconds before a request is sent again. */
 const retryPauseMs = 100;
 
-/** Creates the connections that callers share. */
-export function createCallerAgent(): Agent {
+/** Creates the connections that callers share. An address of the loopback network stands for a block of clients. */
+export function createCallerAgent(localAddress?: string): Agent {
     return new Agent({
         connections: 128,
         pipelining: 1,
-        connect: { timeout: 1000 },
+        connect: { timeout: 1000, localAddress },
         headersTimeout: 0,
         bodyTimeout: 0,
     });
--- a/packages/stand-ins/src/load/run-load.ts
+++ b/packages/stand-ins/src/load/run-load.ts
@@ -47,18 +47,23 @@
 const callersPerRegion = 40;
 const regions = 3;
 
+/** Address on the loopback network that the callers of a region connect from. */
+export function getLoopbackClient(region: number): string {
+    return `127.${region + 1}.0.1`;
+}
+
 /** Runs the load and resolves when every request has ended. */
 export async function runLoad(options: LoadOptions): Promise<LoadReport> {
     const { clock } = options;
     const random = createRandom(options.seed);
-    const dispatcher = createCallerAgent();
+    const agents = Array.from({ length: regions }, (_, i) => createCallerAgent(getLoopbackClient(i)));
     const callers = Array.from({ length: regions * callersPerRegion }, (_, i) =>
         createCaller({
             clock,
             random,
             entries: options.entries,
-            dispatcher,
-            client: `10.${1 + (i % regions)}.0.${1 + Math.floor(i / regions)}`,
+            dispatcher: agents[i % regions]!,
+            client: `127.${1 + (i % regions)}.0.${1 + Math.floor(i / regions)}`,
         }),
     );
     const histograms = new Map(
@@ -90,7 +95,7 @@
         }
     }
     await Promise.all(running);
-    await dispatcher.destroy();
+    await Promise.all(agents.map(agent => agent.destroy()));
     report.latency = [...histograms]
         .filter(([, histogram]) => histogram.totalCount > 0)
         .map(([name, histogram]) => summarize(name, histogram));
--- a/packages/store/src/http-object-store.ts
+++ b/packages/store/src/http-object-store.ts
@@ -82,6 +82,7 @@
     address: v.string(),
     region: v.string(),
     zone: v.string(),
+    site: v.optional(v.string()),
     service: v.optional(v.string()),
     state: v.enum(InstanceState),
 });
