feat(membership): total merge order, sync by buckets, pause and isolation guards, and reunion after cuts

Cause: the first version sent the whole view whenever two view hashes differed, so one change made every exchange of the fleet a full one; it kept stale timers over a pause, never called dead members again after a cut, never gave up a leaving member that crashed, and let a malformed message throw.

Now createMembership wires modules of one job each: row codec and order, table with bucket hashes, local view, rumors, row budget, suspicions, pause guard, contact record, failure detector, exchange, reunion. Rows merge by the total order (incarnation, status, text). Views that differ compare 64 bucket hashes and exchange only those buckets, at most 64 rows in one answer and within a row budget. A death older than 10 s is passed on as a suspicion, so the live side of a healed cut can refute before anyone drops it. An unreachable host (EHOSTUNREACH, connect timeout) no longer gets the short suspicion of a refused connection, since a cut network gives the same errors.

Ruled out: sending only deaths by gossip and calling every dead address on heal (one call per dead member and entry); accepting rows of unknown ids only when live (merging would depend on the order).

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,4 +1,6 @@
 /** Which entry instances are live, leaving or dead. */
 export * from "./gossip-message.js";
+export * from "./member-row.js";
 export * from "./member-table.js";
+export * from "./membership-limits.js";
 export * from "./membership.js";
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -1,62 +1,73 @@
-/** Rows of the known entry instances, merged by incarnation and then by status. */
+/** Rows of the known entry instances, with the indexes and hashes that readers need. */
 import { MemberStatus, hashText } from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
+import { isServing } from "./member-row.js";
 
-/** At equal incarnations the later status of this list wins, so that all entries end with the same row. */
-const statusOrder: readonly MemberStatus[] = [
-    MemberStatus.Live,
-    MemberStatus.Suspect,
-    MemberStatus.Leaving,
-    MemberStatus.Dead,
-];
+/** Buckets of ids whose hashes two entries compare to find the rows in which they differ. */
+export const bucketCount = 64;
+const bucketHashLength = 5;
 
-/** Returns whether `next` replaces `current`. */
-export function isNewer(next: Member, current: Member | undefined): boolean {
-    if (current === undefined || next.incarnation !== current.incarnation) {
-        return current === undefined || next.incarnation > current.incarnation;
-    }
-    if (next.status !== current.status) {
-        return statusOrder.indexOf(next.status) > statusOrder.indexOf(current.status);
-    }
-    return false;
-}
-
-/** A member that still serves: live, or suspected but not yet given up. */
-export function isServing(member: Member): boolean {
-    return member.status === MemberStatus.Live || member.status === MemberStatus.Suspect;
-}
-
-/** Copy of the rows with the indexes that readers need. Every change builds a new list, so readers may keep one. */
+/** Every change builds new lists, so readers may keep one. */
 export interface MemberTable {
     find(id: string): Member | undefined;
     all(): readonly Member[];
     servingInRegion(region: string): readonly Member[];
-    /** Hash over the ids, incarnations and statuses of all rows. */
+    inBucket(bucket: number): readonly Member[];
+    /** Time of the clock at which the row was set. */
+    changedAt(id: string): number;
+    /**
+     * Hashes of all buckets, joined. Dead rows do not count, since entries forget them at different times and would
+     * exchange them again and again.
+     */
+    bucketHashes(): string;
     viewHash(): string;
-    set(member: Member): void;
+    set(member: Member, now: number): void;
     remove(id: string): void;
 }
 
+/** Returns the buckets whose hashes differ between two joined lists of hashes. */
+export function compareBuckets(a: string, b: string): number[] {
+    const hashOf = (text: string, bucket: number) =>
+        text.slice(bucket * bucketHashLength, (bucket + 1) * bucketHashLength);
+    return Array.from({ length: bucketCount }, (_, bucket) => bucket).filter(
+        bucket => hashOf(a, bucket) !== hashOf(b, bucket),
+    );
+}
+
+function bucketOf(id: string): number {
+    return parseInt(hashText(id).slice(-4), 16) % bucketCount;
+}
+
 /** Creates an empty table. */
 export function createMemberTable(): MemberTable {
-    const rows = new Map<string, Member>();
+    const rows = new Map<string, { member: Member; bucket: number; changedAt: number }>();
+    const buckets = Array.from({ length: bucketCount }, () => new Map<string, Member>());
+    const hashes: (string | undefined)[] = buckets.map(() => undefined);
     let sorted: readonly Member[] | undefined;
     let byRegion = new Map<string, readonly Member[]>();
-    let hash: string | undefined;
 
-    const invalidate = () => {
+    const invalidate = (bucket: number) => {
         sorted = undefined;
-        hash = undefined;
         byRegion = new Map();
+        hashes[bucket] = undefined;
     };
 
     const all = () => {
-        sorted ??= [...rows.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
+        sorted ??= sortById([...rows.values()].map(({ member }) => member));
         return sorted;
     };
 
+    const hashBucket = (bucket: number) => {
+        const lines = sortById([...buckets[bucket]!.values()])
+            .filter(({ status }) => status !== MemberStatus.Dead)
+            .map(({ id, incarnation, status }) => `${id} ${incarnation} ${status}`);
+        return hashText(lines.join("\n")).slice(0, bucketHashLength);
+    };
+
+    const bucketHashes = () => hashes.map((hash, i) => (hashes[i] = hash ?? hashBucket(i))).join("");
+
     return {
-        find: id => rows.get(id),
+        find: id => rows.get(id)?.member,
         all,
         servingInRegion: region => {
             let list = byRegion.get(region);
@@ -66,21 +77,27 @@
             }
             return list;
         },
-        viewHash: () => {
-            hash ??= hashText(
-                all()
-                    .map(({ id, incarnation, status, ready }) => `${id} ${incarnation} ${status} ${ready}`)
-                    .join("\n"),
-            );
-            return hash;
-        },
-        set: member => {
-            rows.set(member.id, member);
-            invalidate();
+        inBucket: bucket => [...(buckets[bucket]?.values() ?? [])],
+        changedAt: id => rows.get(id)?.changedAt ?? 0,
+        bucketHashes,
+        viewHash: () => hashText(bucketHashes()).slice(0, 12),
+        set: (member, now) => {
+            const bucket = rows.get(member.id)?.bucket ?? bucketOf(member.id);
+            rows.set(member.id, { member, bucket, changedAt: now });
+            buckets[bucket]!.set(member.id, member);
+            invalidate(bucket);
         },
         remove: id => {
-            rows.delete(id);
-            invalidate();
+            const row = rows.get(id);
+            if (row !== undefined) {
+                rows.delete(id);
+                buckets[row.bucket]!.delete(id);
+                invalidate(row.bucket);
+            }
         },
     };
 }
+
+function sortById(members: Member[]): Member[] {
+    return members.sort((a, b) => (a.id < b.id ? -1 : 1));
+}
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -3,7 +3,7 @@
  * answers neither directly nor through others becomes suspect, and dead when it does not refute in time. The cost for
  * each entry does not grow with the fleet, but for the number of recent changes.
  */
-import { MemberStatus, PeerUnreachableError, getErrorMessage } from "@waxwingdale/core";
+import { MemberStatus } from "@waxwingdale/core";
 import type {
     Clock,
     Logger,
@@ -12,44 +12,21 @@
     PeerTransport,
     Random,
     RpcRegistry,
-    Timer,
 } from "@waxwingdale/core";
-import { isMember } from "./gossip-message.js";
-import type { GossipExtension, GossipMessage, ProbeMessage, ProbeResult } from "./gossip-message.js";
-import { createMemberTable, isNewer, isServing } from "./member-table.js";
-
-export interface MembershipLimits {
-    /** @default 500 */
-    intervalMs: number;
-    /** @default 800 */
-    callTimeoutMs: number;
-    /**
-     * Time in milliseconds that a suspect has to refute.
-     * @default 3000
-     */
-    suspicionMs: number;
-    /**
-     * Suspicion time in milliseconds when the peer's address refused the connection: its process is gone.
-     * @default 1000
-     */
-    refusedSuspicionMs: number;
-    /**
-     * Time in milliseconds that the row of a dead member is kept, so that old gossip cannot bring it back.
-     * @default 120000
-     */
-    deadRetentionMs: number;
-    /** @default 2 */
-    indirectProbes: number;
-}
-
-export const defaultMembershipLimits: MembershipLimits = {
-    intervalMs: 500,
-    callTimeoutMs: 800,
-    suspicionMs: 3000,
-    refusedSuspicionMs: 1000,
-    deadRetentionMs: 120_000,
-    indirectProbes: 2,
-};
+import { createContactRecord } from "./contact-record.js";
+import { createFailureDetector } from "./failure-detector.js";
+import type { GossipExtension } from "./gossip-message.js";
+import { createLocalView } from "./local-view.js";
+import { createMemberTable } from "./member-table.js";
+import { defaultMembershipLimits } from "./membership-limits.js";
+import type { MembershipLimits } from "./membership-limits.js";
+import { createPauseGuard } from "./pause-guard.js";
+import { createPeerOrder } from "./peer-order.js";
+import { createReunion } from "./reunion.js";
+import { createRowBudget } from "./row-budget.js";
+import { createRumors } from "./rumors.js";
+import { createSuspicions } from "./suspicions.js";
+import { createViewExchange } from "./view-exchange.js";
 
 export interface MembershipOptions {
     self: Member;
@@ -59,7 +36,7 @@
     random: Random;
     logger: Logger;
     limits?: Partial<MembershipLimits>;
-    /** Peer addresses to join by, read again while no peer is known. */
+    /** Peer addresses to join by, read again while no peer is known and at a low rate later. */
     findSeeds: () => Promise<string[]>;
 }
 
@@ -77,288 +54,163 @@
     state(): unknown;
 }
 
-/** Exchanges that carry a changed row: a multiple of the rounds that an epidemic needs to reach all members. */
-const retransmitFactor = 3;
-/** Peers that hear of a planned stop directly. */
-const farewellPeers = 4;
+/** Peers that hear of a planned stop, or of the end of a pause, directly. */
+const directPeers = 4;
+/** Checks of members at the same time: silent members take longer than an interval and must not hold up the others. */
+const maxChecks = 8;
 
 /** Creates the membership of one entry instance. */
 export function createMembership(options: MembershipOptions): Membership {
     const { transport, clock, random, logger } = options;
     const limits = { ...defaultMembershipLimits, ...options.limits };
     const table = createMemberTable();
-    const pending = new Map<string, number>();
-    const suspicions = new Map<string, Timer>();
-    const extensions = new Map<string, GossipExtension>();
-    const listeners = new Set<() => void>();
-    let self: Member = { ...options.self };
-    let order: string[] = [];
-    let lastContact: number | undefined;
-
-    const retransmits = () => retransmitFactor * Math.ceil(Math.log2(table.all().length + 1));
-
-    const apply = (member: Member) => {
-        table.set(member);
-        pending.set(member.id, retransmits());
-        for (const listener of listeners) {
-            listener();
-        }
-    };
-
-    const setSelf = (change: Partial<Member>) => {
-        self = { ...self, ...change };
-        apply(self);
-    };
-
-    const refute = (row: Member) => {
-        const keepsStatus = row.incarnation < self.incarnation;
-        if (keepsStatus || (row.incarnation === self.incarnation && row.status === self.status)) {
-            return;
-        }
-        logger.warn("membership-refuted", { status: row.status, incarnation: row.incarnation });
-        setSelf({ incarnation: row.incarnation + 1 });
-    };
-
-    const mergeRow = (row: Member) => {
-        if (row.id === self.id) {
-            refute(row);
-            return;
-        }
-        const current = table.find(row.id);
-        if (!isNewer(row, current)) {
-            return;
-        }
-        apply(row);
-        if (current?.status !== row.status) {
-            logger.info("member-status", {
-                member: row.id,
-                status: row.status,
-                incarnation: row.incarnation,
-            });
-        }
-        watchSuspicion(row, limits.suspicionMs);
-    };
-
-    const watchSuspicion = (row: Member, waitMs: number) => {
-        suspicions.get(row.id)?.cancel();
-        suspicions.delete(row.id);
-        if (row.status === MemberStatus.Suspect) {
-            suspicions.set(
-                row.id,
-                clock.setTimer(waitMs, () => declareDead(row)),
-            );
-        } else if (row.status === MemberStatus.Dead) {
-            suspicions.set(
-                row.id,
-                clock.setTimer(limits.deadRetentionMs, () => forget(row)),
-            );
-        }
-    };
-
-    const declareDead = (row: Member) => {
-        const current = table.find(row.id);
-        if (current?.incarnation === row.incarnation && current.status === MemberStatus.Suspect) {
-            mergeRow({ ...current, status: MemberStatus.Dead });
-        }
-    };
-
-    const forget = (row: Member) => {
-        if (table.find(row.id)?.status === MemberStatus.Dead) {
-            table.remove(row.id);
-            pending.delete(row.id);
-        }
-    };
+    const rumors = createRumors(table);
+    const contact = createContactRecord(clock, logger, limits.isolationFailures);
+    const order = createPeerOrder(table, options.self.id, random);
+    const budget = createRowBudget(clock, limits.rowsPerSecond, limits.rowBurst);
+    const guard = createPauseGuard(clock, limits.pauseMs, gapMs => resume(gapMs));
+    const suspicions = createSuspicions({
+        clock,
+        guard,
+        suspicionMs: limits.suspicionMs,
+        isTrusted: () => contact.isTrusted(),
+        onExpired: row => view.declareDead(row),
+    });
+    const view = createLocalView({
+        self: options.self,
+        table,
+        rumors,
+        suspicions: () => suspicions,
+        clock,
+        logger,
+        limits,
+        onNewMember: id => order.insert(id),
+    });
+    const parts = { view, table, rumors, budget, contact, order, guard, transport, clock, random };
+    const exchange = createViewExchange({ ...parts, logger, limits });
+    const detector = createFailureDetector({ ...parts, exchange, logger, limits });
+    const reunion = createReunion({
+        self: () => view.self(),
+        table,
+        exchange,
+        findSeeds: options.findSeeds,
+        clock,
+        random,
+        logger,
+        limits,
+    });
+    const running = new Set<Promise<unknown>>();
 
-    const suspect = (member: Member, waitMs: number) => {
-        const current = table.find(member.id);
-        if (current?.incarnation !== member.incarnation || current.status !== MemberStatus.Live) {
-            return;
-        }
-        mergeRow({ ...current, status: MemberStatus.Suspect });
-        watchSuspicion({ ...current, status: MemberStatus.Suspect }, waitMs);
+    const start = (task: Promise<unknown>) => {
+        running.add(task);
+        void task.finally(() => running.delete(task));
     };
 
-    const takePendingRows = (): Member[] => {
-        const rows: Member[] = [];
-        for (const [id, left] of pending) {
-            const row = table.find(id);
-            if (row !== undefined) {
-                rows.push(row);
-            }
-            if (left <= 1) {
-                pending.delete(id);
-            } else {
-                pending.set(id, left - 1);
-            }
-        }
-        return rows;
+    const tellSome = async () => {
+        const peers = order.sample(directPeers);
+        await Promise.allSettled(peers.map(peer => exchange.exchange(peer.peerAddress)));
     };
 
-    const createMessage = (rows: Member[], wantAll: boolean): GossipMessage => ({
-        from: self,
-        rows,
-        viewHash: table.viewHash(),
-        wantAll,
-        digests: Object.fromEntries([...extensions].map(([name, extension]) => [name, extension.digest()])),
-    });
-
-    const mergeMessage = (message: GossipMessage) => {
-        lastContact = clock.now();
-        mergeContact(message.from);
-        message.rows.filter(isMember).forEach(mergeRow);
-        for (const [name, digest] of Object.entries(message.digests)) {
-            extensions.get(name)?.merge(digest, message.from.peerAddress);
+    /** Others may have declared this entry dead in the pause; what it holds against them is out of date. */
+    const resume = (gapMs: number) => {
+        logger.warn("process-paused", { gapMs: Math.round(gapMs) });
+        contact.doubt();
+        suspicions.restartAll();
+        if (view.self().status !== MemberStatus.Dead) {
+            view.changeSelf({});
+            start(tellSome());
         }
     };
 
-    /** A member that speaks is not suspect, but only a greater incarnation clears the row at the other entries. */
-    const mergeContact = (from: Member) => {
-        if (!isMember(from)) {
-            return;
+    const gossip = () => {
+        const peer = order.next();
+        if (peer !== undefined && running.size < maxChecks) {
+            start(detector.check(peer));
         }
-        const known = table.find(from.id);
-        if (known?.incarnation === from.incarnation && known.ready !== from.ready) {
-            table.set({ ...known, ready: from.ready });
+        if (running.size < maxChecks) {
+            start(reunion.retryLost());
         }
-        mergeRow(from);
+        view.forgetOld();
     };
 
-    const exchange = async (peerAddress: string): Promise<void> => {
-        const sent = createMessage(takePendingRows(), false);
-        const reply = await call(peerAddress, sent);
-        mergeMessage(reply);
-        if (reply.viewHash !== table.viewHash()) {
-            mergeMessage(await call(peerAddress, createMessage([...table.all()], true)));
+    const joinOnce = async (failures: number, signal: AbortSignal): Promise<number> => {
+        if (await reunion.join()) {
+            return 0;
         }
+        await clock.sleep(reunion.joinDelayMs(failures), signal);
+        return failures + 1;
     };
 
-    const call = (peerAddress: string, message: GossipMessage) =>
-        transport.call<GossipMessage>(peerAddress, "gossip.exchange", message, limits.callTimeoutMs);
-
-    const probe = async (member: Member): Promise<boolean> => {
-        const helpers = shuffle(others().filter(other => other.id !== member.id)).slice(
-            0,
-            limits.indirectProbes,
-        );
-        const params: ProbeMessage = { peerAddress: member.peerAddress };
-        const results = await Promise.all(
-            helpers.map(async helper => {
-                try {
-                    const timeoutMs = 2 * limits.callTimeoutMs;
-                    const result = await transport.call<ProbeResult>(
-                        helper.peerAddress,
-                        "gossip.probe",
-                        params,
-                        timeoutMs,
-                    );
-                    return result.reachable;
-                } catch {
-                    return false;
+    const runRounds = async (signal: AbortSignal) => {
+        let joinFailures = 0;
+        while (!signal.aborted) {
+            if (view.self().status !== MemberStatus.Dead) {
+                if (order.sample(1).length === 0) {
+                    joinFailures = await joinOnce(joinFailures, signal);
                 }
-            }),
-        );
-        return results.includes(true);
-    };
-
-    const others = () => table.all().filter(member => member.id !== self.id && isServing(member));
-
-    const shuffle = <T>(items: T[]): T[] => {
-        for (let i = items.length - 1; i > 0; i--) {
-            const j = Math.floor(random() * (i + 1));
-            [items[i], items[j]] = [items[j]!, items[i]!];
-        }
-        return items;
-    };
-
-    const nextPeer = (): Member | undefined => {
-        for (;;) {
-            const id = order.pop();
-            if (id === undefined) {
-                order = shuffle(others().map(member => member.id));
-                return order.length === 0 ? undefined : table.find(order.pop()!);
-            }
-            const member = table.find(id);
-            if (member !== undefined && isServing(member)) {
-                return member;
+                gossip();
             }
-        }
-    };
-
-    const gossipWith = async (member: Member) => {
-        try {
-            await exchange(member.peerAddress);
-        } catch (err) {
-            logger.debug("gossip-failed", { peer: member.id, error: getErrorMessage(err) });
-            if (!(await probe(member))) {
-                const refused = err instanceof PeerUnreachableError;
-                suspect(member, refused ? limits.refusedSuspicionMs : limits.suspicionMs);
-            }
-        }
-    };
-
-    const join = async () => {
-        try {
-            const seeds = (await options.findSeeds()).filter(address => address !== self.peerAddress);
-            await Promise.any(shuffle(seeds).slice(0, 3).map(exchange));
-        } catch (err) {
-            logger.debug("join-failed", { error: getErrorMessage(err) });
-        }
-    };
-
-    const tellSome = async () => {
-        const peers = shuffle(others()).slice(0, farewellPeers);
-        await Promise.allSettled(peers.map(peer => exchange(peer.peerAddress)));
-    };
-
-    options.rpc.addMethod("gossip.exchange", params => {
-        const message = params as GossipMessage;
-        mergeMessage(message);
-        const differs = message.wantAll || message.viewHash !== table.viewHash();
-        return createMessage(differs ? [...table.all()] : takePendingRows(), false);
-    });
-
-    options.rpc.addMethod("gossip.probe", async (params): Promise<ProbeResult> => {
-        try {
-            await exchange((params as ProbeMessage).peerAddress);
-            return { reachable: true };
-        } catch {
-            return { reachable: false };
-        }
-    });
-
-    apply(self);
+            await clock.sleep(limits.intervalMs * (0.8 + 0.4 * random()), signal);
+        }
+    };
+
+    const { rpc } = options;
+    const guarded =
+        <Result>(handle: (params: unknown) => Result) =>
+        (params: unknown) => {
+            guard.check();
+            return handle(params);
+        };
+    rpc.addMethod(
+        "gossip.exchange",
+        guarded(params => exchange.handleExchange(params)),
+    );
+    rpc.addMethod(
+        "gossip.sync",
+        guarded(params => exchange.handleSync(params)),
+    );
+    rpc.addMethod(
+        "gossip.probe",
+        guarded(params => detector.handleProbe(params)),
+    );
 
     return {
-        self: () => self,
+        self: () => view.self(),
         members: () => table.all(),
         liveInRegion: region => table.servingInRegion(region),
         find: id => table.find(id),
-        onChange: listener => {
-            listeners.add(listener);
-            return () => listeners.delete(listener);
-        },
-        addExtension: (name, extension) => void extensions.set(name, extension),
+        onChange: listener => view.onChange(listener),
+        addExtension: (name, extension) => exchange.addExtension(name, extension),
         setReady: ready => {
-            if (self.ready !== ready) {
-                setSelf({ ready, incarnation: self.incarnation + 1 });
+            if (view.self().ready !== ready) {
+                view.changeSelf({ ready });
             }
         },
         leave: async () => {
-            setSelf({ status: MemberStatus.Leaving });
+            view.changeSelf({ status: MemberStatus.Leaving });
             await tellSome();
         },
         stopServing: async () => {
-            setSelf({ status: MemberStatus.Dead });
+            view.changeSelf({ status: MemberStatus.Dead });
             await tellSome();
         },
         run: async signal => {
-            while (!signal.aborted) {
-                const peer = nextPeer();
-                await (peer === undefined ? join() : gossipWith(peer));
-                await clock.sleep(limits.intervalMs * (0.8 + 0.4 * random()), signal);
+            guard.start();
+            try {
+                await runRounds(signal);
+                await Promise.allSettled(running);
+            } finally {
+                guard.stop();
+                suspicions.cancelAll();
             }
         },
-        lastContactAt: () => lastContact,
-        state: () => ({ self, members: table.all(), pendingRows: pending.size, lastContactAt: lastContact }),
+        lastContactAt: () => contact.lastContactAt(),
+        state: () => ({
+            self: view.self(),
+            members: table.all(),
+            pendingRows: rumors.size(),
+            lastContactAt: contact.lastContactAt(),
+            isTrusted: contact.isTrusted(),
+        }),
     };
 }
--- /dev/null
+++ b/packages/membership/src/view-exchange.ts
@@ -0,0 +1,197 @@
+/** The two exchanges between peers: recent changes, and the sync of the buckets in which two views differ. */
+import { MemberStatus, getErrorMessage } from "@waxwingdale/core";
+import type { Clock, Logger, Member, PeerTransport, Random } from "@waxwingdale/core";
+import type { ContactRecord } from "./contact-record.js";
+import { gossipVersion, parseMessage } from "./gossip-message.js";
+import type {
+    GossipExtension,
+    GossipMessage,
+    ReceivedMessage,
+    SyncMessage,
+    SyncResult,
+} from "./gossip-message.js";
+import type { LocalView } from "./local-view.js";
+import { encodeRow } from "./member-row.js";
+import { compareBuckets } from "./member-table.js";
+import type { MemberTable } from "./member-table.js";
+import type { MembershipLimits } from "./membership-limits.js";
+import { shuffle } from "./peer-order.js";
+import type { RowBudget } from "./row-budget.js";
+import type { Rumors } from "./rumors.js";
+
+/** Rows that an answer holds even when the budget is used up, so that a new entry always gets on. */
+const minSyncRows = 8;
+/** Time in milliseconds between syncs while changes still spread; views differ then without anything being lost. */
+const busySyncMs = 5000;
+
+export interface ViewExchange {
+    /**
+     * Exchanges with the peer at an address and returns the peer's row.
+     * @throws PeerUnreachableError, PeerTimeoutError, PeerRejectedError, GossipFormatError
+     */
+    exchange(peerAddress: string): Promise<Member>;
+    handleExchange(params: unknown): GossipMessage;
+    handleSync(params: unknown): SyncResult;
+    addExtension(name: string, extension: GossipExtension): void;
+}
+
+export interface ViewExchangeOptions {
+    view: LocalView;
+    table: MemberTable;
+    rumors: Rumors;
+    budget: RowBudget;
+    contact: ContactRecord;
+    transport: PeerTransport;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    limits: MembershipLimits;
+}
+
+export function createViewExchange(options: ViewExchangeOptions): ViewExchange {
+    const { view, table, rumors, budget, contact, transport, clock, random, logger, limits } = options;
+    const extensions = new Map<string, GossipExtension>();
+    let nextSyncAt = 0;
+    /** Until the first complete sync this entry lacks most rows, so it syncs in every exchange. */
+    let isNew = true;
+
+    const takeRows = (first: Member[]): Member[] => {
+        const due = budget.take(Math.min(limits.rowsPerExchange, first.length + rumors.size()), 1);
+        const rows = first.slice(0, due);
+        return [...rows, ...rumors.take(due - rows.length)];
+    };
+
+    const collectDigests = () => {
+        const digests: Record<string, unknown> = {};
+        for (const [name, extension] of extensions) {
+            try {
+                digests[name] = extension.digest();
+            } catch (err) {
+                logger.error("gossip-digest-failed", { extension: name, error: getErrorMessage(err) });
+            }
+        }
+        return digests;
+    };
+
+    const createMessage = (rows: Member[]): GossipMessage => ({
+        v: gossipVersion,
+        from: encodeRow(view.self()),
+        rows: rows.map(encodeRow),
+        hash: table.viewHash(),
+        digests: collectDigests(),
+    });
+
+    const createSync = (buckets: string, rows: Member[]): SyncMessage => ({
+        v: gossipVersion,
+        from: encodeRow(view.self()),
+        buckets,
+        rows: rows.map(encodeRow),
+    });
+
+    const mergeDigest = (name: string, digest: unknown, peerAddress: string) => {
+        try {
+            extensions.get(name)?.merge(digest, peerAddress);
+        } catch (err) {
+            logger.warn("gossip-digest-rejected", {
+                extension: name,
+                peer: peerAddress,
+                error: getErrorMessage(err),
+            });
+        }
+    };
+
+    const receive = (value: unknown): { message: ReceivedMessage; corrections: Member[] } => {
+        const message = parseMessage(value);
+        if (message.rejectedRows > 0) {
+            logger.warn("gossip-rows-rejected", { peer: message.from.id, rows: message.rejectedRows });
+        }
+        contact.succeed();
+        const corrections = view.merge(message.from, message.rows);
+        for (const [name, digest] of message.digests) {
+            mergeDigest(name, digest, message.from.peerAddress);
+        }
+        return { message, corrections };
+    };
+
+    const call = async (peerAddress: string, method: string, params: unknown) =>
+        receive(await transport.call<unknown>(peerAddress, method, params, limits.callTimeoutMs));
+
+    /** A peer that others call suspect or dead must hear of it, since only it can refute. */
+    const findAccusation = (peerAddress: string) =>
+        table
+            .all()
+            .filter(
+                ({ peerAddress: address, status }) =>
+                    address === peerAddress &&
+                    (status === MemberStatus.Suspect || status === MemberStatus.Dead),
+            );
+
+    const isSyncDue = (reply: ReceivedMessage) => {
+        const isQuiet = rumors.size() === 0 && reply.rows.length === 0;
+        return reply.hash !== table.viewHash() && (isNew || isQuiet || clock.now() >= nextSyncAt);
+    };
+
+    const sync = async (peerAddress: string, known: Member[]) => {
+        nextSyncAt = clock.now() + busySyncMs;
+        const { message, corrections } = await call(
+            peerAddress,
+            "gossip.sync",
+            createSync(table.bucketHashes(), []),
+        );
+        const received = new Set(message.rows.map(({ id }) => id));
+        const missing = message.complete
+            ? listBuckets(message.differing).filter(({ id }) => !received.has(id))
+            : [];
+        if (message.complete) {
+            isNew = false;
+        } else {
+            nextSyncAt = 0;
+        }
+        const better = [...known, ...corrections, ...missing];
+        const count = budget.take(Math.min(limits.rowsPerSync, better.length), minSyncRows);
+        if (count > 0) {
+            await call(peerAddress, "gossip.sync", createSync("", better.slice(0, count)));
+        }
+    };
+
+    const listBuckets = (buckets: number[]) =>
+        buckets
+            .flatMap(bucket => table.inBucket(bucket))
+            .filter(({ status }) => status !== MemberStatus.Dead);
+
+    return {
+        exchange: async peerAddress => {
+            const sent = createMessage(takeRows(findAccusation(peerAddress)));
+            const { message, corrections } = await call(peerAddress, "gossip.exchange", sent);
+            if (isSyncDue(message)) {
+                await sync(peerAddress, corrections);
+            } else if (corrections.length > 0) {
+                const count = budget.take(Math.min(limits.rowsPerExchange, corrections.length), 1);
+                await call(peerAddress, "gossip.sync", createSync("", corrections.slice(0, count)));
+            } else if (message.hash === table.viewHash()) {
+                isNew = false;
+            }
+            return message.from;
+        },
+        handleExchange: params => {
+            const { corrections } = receive(params);
+            return createMessage(takeRows(corrections));
+        },
+        handleSync: params => {
+            const { message, corrections } = receive(params);
+            const differing =
+                message.buckets === "" ? [] : compareBuckets(message.buckets, table.bucketHashes());
+            const rows = listBuckets(shuffle([...differing], random));
+            const wanted = Math.min(limits.rowsPerSync, corrections.length + rows.length);
+            const count = budget.take(wanted, minSyncRows);
+            return {
+                v: gossipVersion,
+                from: encodeRow(view.self()),
+                differing,
+                rows: [...corrections, ...rows].slice(0, count).map(encodeRow),
+                complete: count >= corrections.length + rows.length,
+            };
+        },
+        addExtension: (name, extension) => void extensions.set(name, extension),
+    };
+}
--- /dev/null
+++ b/packages/membership/test/fake-fleet.ts
@@ -0,0 +1,255 @@
+/** Memberships on one manual clock and an in-memory network with delay, loss, cuts, pauses and crashes. */
+import {
+    MemberStatus,
+    PeerRejectedError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+    createLogger,
+    createManualClock,
+    createRandom,
+} from "@waxwingdale/core";
+import type { Clock, ManualClock, Member, PeerTransport, RpcHandler } from "@waxwingdale/core";
+import { createMembership } from "@waxwingdale/membership";
+import type { Membership } from "@waxwingdale/membership";
+
+export interface FakeEntry {
+    member: Member;
+    membership: Membership;
+    methods: Map<string, RpcHandler>;
+    log: string[];
+    /** Ends the process: its address refuses, or is silent when the whole instance is gone. */
+    crash(isSilent?: boolean): void;
+    pause(): void;
+    resume(): void;
+}
+
+export interface EntryOptions {
+    incarnation?: number;
+    address?: string;
+    findSeeds?: () => Promise<string[]>;
+}
+
+export interface Fleet {
+    clock: ManualClock;
+    entries: FakeEntry[];
+    /** Whether messages pass from one region to another. */
+    passes: (from: Member, to: Member) => boolean;
+    lossRate: number;
+    /** Message bytes sent and received by entry id. */
+    bytes: Map<string, number>;
+    add(id: string, region: string, options?: EntryOptions): FakeEntry;
+    /** Advances in steps until the condition holds, and returns the time in milliseconds that it took. */
+    until(condition: () => boolean, limitMs: number): Promise<number>;
+    /** Advances until a promise settles. */
+    wait(task: Promise<unknown>): Promise<void>;
+    /** Whether every listed entry sees every other one as live. */
+    isWhole(entries?: FakeEntry[]): boolean;
+}
+
+export function makeMember(id: string, change: Partial<Member> = {}): Member {
+    return {
+        id,
+        incarnation: 1,
+        status: MemberStatus.Live,
+        region: "north",
+        zone: "north-a",
+        callerAddress: `${id}.test:80`,
+        peerAddress: `${id}.test:81`,
+        ready: true,
+        ...change,
+    };
+}
+
+/** The clock of one process: while the process is paused no timer of it runs, and at the end all due ones do. */
+function createProcessClock(clock: ManualClock) {
+    let isPaused = false;
+    let due: (() => void)[] = [];
+    const setTimer = (delayMs: number, callback: () => void) => {
+        let isCancelled = false;
+        const run = () => (isCancelled ? undefined : callback());
+        const timer = clock.setTimer(delayMs, () => (isPaused ? void due.push(run) : run()));
+        return {
+            cancel: () => {
+                isCancelled = true;
+                timer.cancel();
+            },
+        };
+    };
+    const processClock: Clock = {
+        now: () => clock.now(),
+        wallTime: () => clock.wallTime(),
+        setTimer,
+        sleep: (delayMs, signal) =>
+            new Promise(resolve => {
+                const finish = () => {
+                    timer.cancel();
+                    signal?.removeEventListener("abort", finish);
+                    resolve();
+                };
+                const timer = setTimer(delayMs, finish);
+                signal?.addEventListener("abort", finish);
+            }),
+    };
+    return {
+        processClock,
+        isPaused: () => isPaused,
+        pause: () => void (isPaused = true),
+        resume: () => {
+            isPaused = false;
+            const callbacks = due;
+            due = [];
+            callbacks.forEach(callback => callback());
+        },
+        whenRunning: (callback: () => void) => (isPaused ? void due.push(callback) : callback()),
+    };
+}
+
+const delayMs = 20;
+
+export function createFleet(seed = 1): Fleet {
+    const clock = createManualClock(1000);
+    const random = createRandom(seed);
+    const hosts = new Map<string, { entry: FakeEntry; state: ReturnType<typeof createProcessClock> }>();
+    const silent = new Set<string>();
+    const bytes = new Map<string, number>();
+    const count = (id: string, size: number) => bytes.set(id, (bytes.get(id) ?? 0) + size);
+
+    const createTransport = (self: Member, state: ReturnType<typeof createProcessClock>): PeerTransport => ({
+        call: <Result>(peerAddress: string, method: string, params: unknown, timeoutMs: number) =>
+            new Promise<Result>((resolve, reject) => {
+                const text = JSON.stringify(params);
+                count(self.id, text.length);
+                const timeout = state.processClock.setTimer(timeoutMs, () =>
+                    reject(new PeerTimeoutError(`no answer from ${peerAddress}`)),
+                );
+                const finish = (settle: () => void) => {
+                    timeout.cancel();
+                    settle();
+                };
+                const deliver = () => {
+                    const host = hosts.get(peerAddress);
+                    if (
+                        silent.has(peerAddress) ||
+                        random() < fleet.lossRate ||
+                        (host !== undefined && !fleet.passes(self, host.entry.member))
+                    ) {
+                        return;
+                    }
+                    if (host === undefined) {
+                        const cause = Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
+                        finish(() => reject(new PeerUnreachableError(`${peerAddress} refused`, { cause })));
+                        return;
+                    }
+                    count(host.entry.member.id, text.length);
+                    host.state.whenRunning(() => void answer(host.entry));
+                };
+                const answer = async (entry: FakeEntry) => {
+                    let settle: () => void;
+                    try {
+                        const result = await entry.methods.get(method)!(JSON.parse(text), self.id);
+                        const reply = JSON.stringify(result);
+                        count(entry.member.id, reply.length);
+                        count(self.id, reply.length);
+                        settle = () => resolve(JSON.parse(reply) as Result);
+                    } catch (err) {
+                        settle = () => reject(new PeerRejectedError(String(err), -32000));
+                    }
+                    clock.setTimer(delayMs, () => {
+                        if (fleet.passes(entry.member, self) && random() >= fleet.lossRate) {
+                            state.whenRunning(() => finish(settle));
+                        }
+                    });
+                };
+                clock.setTimer(delayMs, deliver);
+            }),
+    });
+
+    const fleet: Fleet = {
+        clock,
+        entries: [],
+        passes: () => true,
+        lossRate: 0,
+        bytes,
+        add: (id, region, options = {}) => {
+            const member = makeMember(id, {
+                region,
+                zone: `${region}-a`,
+                incarnation: options.incarnation ?? 1,
+                peerAddress: options.address ?? `${id}.test:81`,
+            });
+            const state = createProcessClock(clock);
+            const methods = new Map<string, RpcHandler>();
+            const log: string[] = [];
+            const abort = new AbortController();
+            const membership = createMembership({
+                self: member,
+                transport: createTransport(member, state),
+                rpc: { addMethod: (name, handler) => void methods.set(name, handler) },
+                clock: state.processClock,
+                random: createRandom(seed * 1000 + hosts.size),
+                logger: createLogger(clock, { write: line => void log.push(line) }),
+                findSeeds:
+                    options.findSeeds ?? (async () => fleet.entries.map(entry => entry.member.peerAddress)),
+            });
+            const entry: FakeEntry = {
+                member,
+                membership,
+                methods,
+                log,
+                crash: isSilent => {
+                    abort.abort();
+                    state.pause();
+                    hosts.delete(member.peerAddress);
+                    fleet.entries = fleet.entries.filter(other => other !== entry);
+                    if (isSilent === true) {
+                        silent.add(member.peerAddress);
+                    }
+                },
+                pause: state.pause,
+                resume: state.resume,
+            };
+            silent.delete(member.peerAddress);
+            hosts.set(member.peerAddress, { entry, state });
+            fleet.entries.push(entry);
+            void membership.run(abort.signal);
+            return entry;
+        },
+        until: async (condition, limitMs) => {
+            const start = clock.now();
+            while (!condition()) {
+                if (clock.now() - start >= limitMs) {
+                    throw new Error(`the condition does not hold after ${limitMs} ms`);
+                }
+                await clock.advance(100);
+            }
+            return clock.now() - start;
+        },
+        wait: async task => {
+            let isSettled = false;
+            void task.finally(() => (isSettled = true));
+            await fleet.until(() => isSettled, 10_000);
+        },
+        isWhole: (entries = fleet.entries) =>
+            entries.every(one =>
+                entries.every(other => one.membership.find(other.member.id)?.status === MemberStatus.Live),
+            ),
+    };
+    return fleet;
+}
+
+/** Nine entries in three regions that start at once and have met. */
+export async function startNine(seed = 1): Promise<Fleet> {
+    const fleet = createFleet(seed);
+    for (const region of ["north", "central", "south"]) {
+        for (const number of [1, 2, 3]) {
+            fleet.add(`${region}-${number}`, region);
+        }
+    }
+    await fleet.until(() => fleet.isWhole(), 10_000);
+    return fleet;
+}
+
+/** Number of entries, of those given, that hold the member as the status. */
+export function countViews(entries: FakeEntry[], id: string, status: MemberStatus): number {
+    return entries.filter(entry => entry.membership.find(id)?.status === status).length;
+}
