--- /dev/null
+++ b/packages/limits/test/retry-budget.test.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRetryBudget } from "@waxwingdale/limits";
+import fc from "fast-check";
+
+// Guards against retries that multiply the load when every request fails.
+test("retries stay within the share of the requests and the first allowance", () => {
+    const shares = fc.double({ min: 0, max: 1, noNaN: true });
+    const steps = fc.array(fc.boolean(), { maxLength: 500 });
+    fc.assert(
+        fc.property(shares, steps, (share, isRequest) => {
+            const budget = createRetryBudget(share, { initial: 2 });
+            let requests = 0;
+            let retries = 0;
+            for (const isFirst of isRequest) {
+                if (isFirst) {
+                    budget.countRequest();
+                    requests++;
+                } else if (budget.tryRetry()) {
+                    retries++;
+                }
+                assert.ok(retries <= share * requests + (share === 0 ? 0 : 2) + 1e-6);
+            }
+        }),
+    );
+});
+
+// Guards against a burst of retries after a long time without failures.
+test("unused retries are saved up to a bound", () => {
+    const budget = createRetryBudget(0.5, { maxSaved: 4 });
+    for (let count = 0; count < 1000; count++) {
+        budget.countRequest();
+    }
+    let retries = 0;
+    while (budget.tryRetry()) {
+        retries++;
+    }
+    assert.equal(retries, 4);
+});
+
+// Guards against a share given in per cent.
+test("a share above one is rejected", () => {
+    assert.throws(() => createRetryBudget(10), /from 0 to 1/);
+});
