feat(bench): measure the limiter against baselines and an ideal queue

Cause: whether sharing slots is worth its messages can only be told on the same offered load as simpler policies and as a queue that knows everything.

The harness drives the real broker on the manual clock with round robin, least outstanding of each entry, best of two choices and an ideal queue beside it. One region is simulated at a time, since the limiter crosses no region.

--- /dev/null
+++ b/packages/bench/src/policy/broker-policy.ts
@@ -0,0 +1,124 @@
+/** The real slot broker of each entry, with a network in memory between them. */
+import {
+    MemberStatus,
+    PeerTimeoutError,
+    SlotResult,
+    createRandom,
+    createSilentLogger,
+} from "@waxwingdale/core";
+import type { BackendServer, Member, MemberView, PeerTransport, RpcHandler } from "@waxwingdale/core";
+import { createSlotBroker } from "@waxwingdale/limits";
+import type { BrokerCounters, SlotBroker } from "@waxwingdale/limits";
+import { Policy } from "./policy.js";
+import type { SimContext } from "./policy.js";
+import type { SimRequest, SimResult } from "./simulation.js";
+
+export const simService = "register";
+const region = "north";
+
+const createMember = (id: string): Member => ({
+    id,
+    incarnation: 1,
+    status: MemberStatus.Live,
+    region,
+    zone: "a",
+    callerAddress: id,
+    peerAddress: id,
+    ready: true,
+});
+
+/** View of a region whose members do not change. */
+export function createFixedView(ids: readonly string[], own: string): MemberView {
+    const members = ids.map(createMember);
+    return {
+        self: () => members.find(({ id }) => id === own)!,
+        members: () => members,
+        liveInRegion: () => members,
+        find: id => members.find(other => other.id === id),
+        onChange: () => () => undefined,
+    };
+}
+
+/** Transport that delivers each call and its answer after `delayMs`. */
+export function createDelayedTransport(
+    ctx: Pick<SimContext, "clock">,
+    delayMs: number,
+    from: string,
+    methodsOf: (id: string) => Map<string, RpcHandler>,
+): PeerTransport {
+    return {
+        call: (to, method, params, timeoutMs) =>
+            new Promise((resolve, reject) => {
+                const timer = ctx.clock.setTimer(timeoutMs, () => reject(new PeerTimeoutError("timeout")));
+                const body = structuredClone(params);
+                ctx.clock.setTimer(delayMs, () => {
+                    const result = methodsOf(to).get(method)!(body, from);
+                    ctx.clock.setTimer(delayMs, () => {
+                        timer.cancel();
+                        resolve(result as never);
+                    });
+                });
+            }),
+    };
+}
+
+export class BrokerPolicy extends Policy {
+    private readonly brokers: SlotBroker[];
+    private readonly backends: BackendServer[];
+
+    constructor(ctx: SimContext) {
+        super(ctx);
+        const ids = Array.from({ length: ctx.topology.entries }, (_, index) => `entry-${index}`);
+        const methods = new Map(ids.map(id => [id, new Map<string, RpcHandler>()]));
+        this.backends = ctx.servers.map(({ id, slots }) => ({
+            id,
+            service: simService,
+            address: id,
+            region,
+            zone: "a",
+            slots,
+            draining: false,
+        }));
+        this.brokers = ids.map((id, index) =>
+            createSlotBroker({
+                view: createFixedView(ids, id),
+                transport: createDelayedTransport(ctx, ctx.topology.zoneDelayMs, id, to => methods.get(to)!),
+                rpc: { addMethod: (name, handler) => void methods.get(id)!.set(name, handler) },
+                servers: () => this.backends,
+                clock: ctx.clock,
+                // An own source, so the policy does not change what the load draws.
+                random: createRandom(1000 + index),
+                logger: createSilentLogger(),
+            }),
+        );
+    }
+
+    override onServersChanged(): void {
+        this.backends.forEach((backend, index) => (backend.draining = this.ctx.servers[index]!.draining));
+        this.brokers.forEach(broker => broker.onServersChanged());
+    }
+
+    override submit(req: SimRequest, onResult: (result: SimResult) => void): void {
+        const slotRequest = {
+            service: simService,
+            requestClass: req.requestClass,
+            deadlineAt: req.at + req.deadlineMs,
+            suspect: false,
+            avoid: new Set<string>(),
+        };
+        this.brokers[req.entry]!.acquire(slotRequest).then(
+            slot => {
+                const server = this.ctx.servers.find(({ id }) => id === slot.server.id)!;
+                this.runOn(server, req, result => {
+                    slot.release(SlotResult.Completed, server.reportedBusy());
+                    onResult(result);
+                });
+            },
+            () => this.refuse(req, onResult),
+        );
+    }
+
+    counters(): Readonly<BrokerCounters>[] {
+        return this.brokers.map(broker => broker.counters());
+    }
+}
--- a/packages/bench/src/policy/index.ts
+++ b/packages/bench/src/policy/index.ts
@@ -1,6 +1,229 @@
-/** Placeholder until the policy benchmark is written. */
+/** The policy benchmark: the real limiter against baselines and an ideal queue on the same offered load. */
+import { RequestClass, classesByImportance } from "@waxwingdale/core";
 import type { BenchOptions } from "../bench-options.js";
+import { BrokerPolicy } from "./broker-policy.js";
+import { measureAcquireCost } from "./acquire-cost.js";
+import { runLinkCase } from "./link-case.js";
+import { IdealQueuePolicy, LeastOutstandingPolicy, RoundRobinPolicy, TwoChoicesPolicy } from "./policy.js";
+import type { Policy, SimContext } from "./policy.js";
+import { runCase } from "./run-case.js";
+import type { CaseFigures, PolicyCase } from "./run-case.js";
+import { deadlinesMs } from "./simulation.js";
+import type { Topology } from "./simulation.js";
 
-export function runPolicyBench(_options: BenchOptions): Promise<void> {
-    return Promise.reject(new Error("the policy benchmark is not written yet"));
+const topologies: readonly Topology[] = [
+    { name: "association", entries: 3, servers: 8, slots: 3, zoneDelayMs: 1 },
+    { name: "khata", entries: 3, servers: 8, slots: 3, zoneDelayMs: 0.5 },
+];
+
+const cases: readonly PolicyCase[] = [
+    { name: "load-50", load: 0.5, reportDelayMs: 0 },
+    { name: "load-85", load: 0.85, reportDelayMs: 0 },
+    { name: "load-200", load: 2, reportDelayMs: 0 },
+    { name: "uneven-85", load: 0.85, reportDelayMs: 0, firstEntryShare: 0.5 },
+    { name: "reports-0.5s-late-85", load: 0.85, reportDelayMs: 500 },
+    { name: "reports-5s-late-85", load: 0.85, reportDelayMs: 5000 },
+    { name: "slow-server-85", load: 0.85, reportDelayMs: 0, slowness: index => (index === 3 ? 4 : 1) },
+    { name: "cold-region-80", load: 0.8, reportDelayMs: 0, coldSlowness: 2 },
+    { name: "drain-70", load: 0.7, reportDelayMs: 0, drains: true },
+];
+
+const policies: Record<string, (ctx: SimContext) => Policy> = {
+    "round-robin": ctx => new RoundRobinPolicy(ctx),
+    "least-outstanding": ctx => new LeastOutstandingPolicy(ctx),
+    "two-choices": ctx => new TwoChoicesPolicy(ctx),
+    ideal: ctx => new IdealQueuePolicy(ctx),
+    limiter: ctx => new BrokerPolicy(ctx),
+};
+const baselines = ["round-robin", "least-outstanding", "two-choices"];
+
+type Rounds = Record<string, CaseFigures[]>;
+type Measure = (figures: CaseFigures) => number;
+
+const median = (values: readonly number[]) =>
+    [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
+const format = (value: number) => (Math.abs(value) >= 100 ? value.toFixed(0) : value.toFixed(2));
+
+/** Median of the rounds with the least and the largest value. */
+const formatSpread = (values: readonly number[]) =>
+    `${format(median(values))} [${format(Math.min(...values))}..${format(Math.max(...values))}]`;
+
+const write = (line: string) => void process.stdout.write(`${line}\n`);
+
+interface Check {
+    name: string;
+    target: string;
+    /** One value for each round. */
+    measured: number[];
+    /** Left out for a figure without a target. */
+    isMet?: (value: number) => boolean;
+}
+
+const lookupP99: Measure = figures => figures.byClass[RequestClass.Lookup].p99;
+const meanWait: Measure = figures => figures.meanWait;
+
+/** Ratio of one policy to the best of the other policies, round by round. */
+const ratios = (rounds: Rounds, names: readonly string[], measure: Measure, of = "limiter") =>
+    rounds[of]!.map(
+        (own, round) => measure(own) / Math.min(...names.map(name => measure(rounds[name]![round]!))),
+    );
+
+const atMost = (limit: number) => (value: number) => value <= limit;
+const atLeast = (limit: number) => (value: number) => value >= limit;
+
+function listChecks(name: string, rounds: Rounds): Check[] {
+    const own = rounds["limiter"]!;
+    const checks: Check[] = [
+        { name: "broken limits", target: "= 0", measured: own.map(f => f.overLimit), isMet: atMost(0) },
+    ];
+    const toIdeal = ratios(rounds, ["ideal"], lookupP99);
+    const toBaseline = ratios(rounds, baselines, lookupP99);
+    if (name === "load-85") {
+        const waits = ratios(rounds, baselines, meanWait);
+        checks.push({ name: "look-up p99 / ideal", target: "<= 1.1", measured: toIdeal, isMet: atMost(1.1) });
+        const lookupWaits = ratios(rounds, baselines, f => f.byClass[RequestClass.Lookup].meanWait);
+        checks.push({
+            name: "look-up wait / best baseline",
+            target: "<= 0.4",
+            measured: lookupWaits,
+            isMet: atMost(0.4),
+        });
+        checks.push({
+            name: "ideal's wait / best baseline",
+            target: "(bound)",
+            measured: ratios(rounds, baselines, meanWait, "ideal"),
+        });
+        checks.push({
+            name: "mean wait / best baseline",
+            target: "<= 0.4",
+            measured: waits,
+            isMet: atMost(0.4),
+        });
+    }
+    if (name === "reports-5s-late-85" || name === "slow-server-85") {
+        checks.push({ name: "look-up p99 / ideal", target: "<= 1.3", measured: toIdeal, isMet: atMost(1.3) });
+        checks.push({
+            name: "look-up p99 / best baseline",
+            target: "<= 1",
+            measured: toBaseline,
+            isMet: atMost(1),
+        });
+    }
+    if (name === "load-200") {
+        const deadline = deadlinesMs[RequestClass.Lookup];
+        checks.push({
+            name: "goodput",
+            target: ">= 0.95",
+            measured: own.map(f => f.goodput),
+            isMet: atLeast(0.95),
+        });
+        checks.push({
+            name: "look-up p99",
+            target: `<= ${deadline} ms`,
+            measured: own.map(lookupP99),
+            isMet: atMost(deadline),
+        });
+    }
+    if (name === "drain-70") {
+        // The longest request of the load runs for less than 300 ms.
+        checks.push({
+            name: "drain time",
+            target: "<= 3300 ms",
+            measured: own.map(f => f.drainMs),
+            isMet: atMost(3300),
+        });
+    }
+    return checks;
+}
+
+function printFigures(rounds: Rounds): void {
+    for (const [policy, figures] of Object.entries(rounds)) {
+        const show = (measure: Measure) => formatSpread(figures.map(measure));
+        for (const requestClass of classesByImportance) {
+            const of = (pick: "p50" | "p99" | "p999" | "meanWait") =>
+                show(f => f.byClass[requestClass][pick]);
+            write(
+                `  ${policy.padEnd(18)} ${requestClass.padEnd(7)} p50 ${of("p50")}  p99 ${of("p99")}  p99.9 ${of("p999")}  wait ${of("meanWait")}`,
+            );
+        }
+        write(
+            `  ${policy.padEnd(18)} all     wait ${show(meanWait)}  goodput ${show(f => f.goodput)}  refused ${show(f => f.refused)}  drain ${show(f => f.drainMs)}  headroom ${show(f => f.headroom)}  over-limit ${show(f => f.overLimit)}`,
+        );
+    }
+}
+
+function printChecks(title: string, checks: readonly Check[]): void {
+    for (const { name, target, measured, isMet } of checks) {
+        const verdict = !isMet ? "" : isMet(median(measured)) ? "met" : "missed";
+        write(
+            `${title.padEnd(36)} ${name.padEnd(28)} ${target.padEnd(11)} ${formatSpread(measured).padEnd(26)} ${verdict}`,
+        );
+    }
+}
+
+async function runRounds(topology: Topology, spec: PolicyCase, options: BenchOptions): Promise<Rounds> {
+    const rounds: Rounds = {};
+    for (const [name, createPolicy] of Object.entries(policies)) {
+        rounds[name] = [];
+        for (let round = 0; round < options.rounds; round++) {
+            rounds[name].push(await runCase(topology, spec, options.seed + round, createPolicy));
+        }
+    }
+    return rounds;
+}
+
+async function runLinkRounds(options: BenchOptions): Promise<Check[]> {
+    const seeds = Array.from({ length: options.rounds }, (_, round) => options.seed + round);
+    const ratio: number[] = [];
+    const used: number[] = [];
+    for (const seed of seeds) {
+        const quiet = await runLinkCase(seed, 0, true);
+        const surge = await runLinkCase(seed, 12, true);
+        const unshaped = await runLinkCase(seed, 12, false);
+        write(
+            `  look-up p99 quiet ${format(quiet.lookupP99)} ms, surge ${format(surge.lookupP99)} ms, surge without shaper ${format(unshaped.lookupP99)} ms`,
+        );
+        ratio.push(surge.lookupP99 / quiet.lookupP99);
+        used.push(surge.used);
+    }
+    return [
+        { name: "look-up p99 / without surge", target: "<= 1.2", measured: ratio, isMet: atMost(1.2) },
+        { name: "link used", target: ">= 0.9", measured: used, isMet: atLeast(0.9) },
+    ];
+}
+
+export async function runPolicyBench(options: BenchOptions): Promise<void> {
+    const isChosen = (name: string) => options.only === undefined || name.includes(options.only);
+    const results: { title: string; checks: Check[] }[] = [];
+    for (const topology of topologies) {
+        for (const spec of cases) {
+            const title = `${topology.name}/${spec.name}`;
+            if (!isChosen(title)) {
+                continue;
+            }
+            write(title);
+            const rounds = await runRounds(topology, spec, options);
+            printFigures(rounds);
+            results.push({ title, checks: listChecks(spec.name, rounds) });
+        }
+    }
+    if (isChosen("khata/bulk-surge")) {
+        write("khata/bulk-surge");
+        results.push({ title: "khata/bulk-surge", checks: await runLinkRounds(options) });
+    }
+    if (isChosen("acquire-cost")) {
+        const micros = await measureAcquireCost();
+        const check = {
+            name: "acquire and release",
+            target: "<= 5 us",
+            measured: [micros],
+            isMet: atMost(5),
+        };
+        results.push({ title: "acquire-cost", checks: [check] });
+    }
+    write("");
+    write(
+        `${"case".padEnd(36)} ${"measure".padEnd(28)} ${"target".padEnd(11)} ${"measured".padEnd(26)} verdict`,
+    );
+    results.forEach(({ title, checks }) => printChecks(title, checks));
 }
--- /dev/null
+++ b/packages/bench/src/policy/link-case.ts
@@ -0,0 +1,103 @@
+/** A surge of bulk bodies on a link between regions, with and without the link shaper. */
+import { RequestClass, createManualClock, createRandom, createSilentLogger } from "@waxwingdale/core";
+import type { ManualClock, RpcHandler } from "@waxwingdale/core";
+import { createLinkShaper } from "@waxwingdale/limits";
+import type { LinkShaper } from "@waxwingdale/limits";
+import { build } from "hdr-histogram-js";
+import { createDelayedTransport, createFixedView } from "./broker-policy.js";
+import { drawExponential } from "./simulation.js";
+
+export interface LinkFigures {
+    lookupP99: number;
+    /** Share of the link's capacity that was used. */
+    used: number;
+}
+
+const megabitsPerSecond = 280;
+const bytesPerMs = (megabitsPerSecond * 1e6) / 8 / 1000;
+const oneWayMs = 20;
+const zoneDelayMs = 0.5;
+const lookupBytes = 2000;
+const lookupsPerSecond = 600;
+const partBytes = 65_536;
+const startMs = 5500;
+const measureMs = 10_000;
+const entries = ["entry-0", "entry-1", "entry-2"];
+
+/** A link that sends bytes in the order of their arrival. */
+function createWire(clock: ManualClock) {
+    let freeAt = 0;
+    let sent = 0;
+    return {
+        send: (bytes: number, onArrival: () => void) => {
+            freeAt = Math.max(freeAt, clock.now()) + bytes / bytesPerMs;
+            sent += bytes;
+            clock.setTimer(freeAt - clock.now() + oneWayMs, onArrival);
+        },
+        sent: () => sent,
+    };
+}
+
+function createShapers(clock: ManualClock): LinkShaper[] {
+    const methods = new Map(entries.map(id => [id, new Map<string, RpcHandler>()]));
+    return entries.map(id =>
+        createLinkShaper({
+            view: createFixedView(entries, id),
+            transport: createDelayedTransport({ clock }, zoneDelayMs, id, to => methods.get(to)!),
+            rpc: { addMethod: (name, handler) => void methods.get(id)!.set(name, handler) },
+            links: () => [{ to: "south", megabitsPerSecond, reservedShare: 0.1 }],
+            clock,
+            logger: createSilentLogger(),
+        }),
+    );
+}
+
+/** Measures look-ups over the link. `bulkSenders` senders of bulk run at each entry. */
+export async function runLinkCase(
+    seed: number,
+    bulkSenders: number,
+    isShaped: boolean,
+): Promise<LinkFigures> {
+    const clock = createManualClock();
+    const random = createRandom(seed);
+    const wire = createWire(clock);
+    const shapers = createShapers(clock);
+    const latencies = build({ highestTrackableValue: 120_000_000, numberOfSignificantValueDigits: 3 });
+    const take = (entry: number, requestClass: RequestClass, bytes: number) =>
+        isShaped ? shapers[entry]!.take("south", requestClass, bytes) : Promise.resolve();
+
+    const sendLookups = () => {
+        clock.setTimer(drawExponential(random, 1000 / lookupsPerSecond), () => {
+            sendLookups();
+            const at = clock.now();
+            void take(Math.floor(random() * entries.length), RequestClass.Lookup, lookupBytes).then(() =>
+                wire.send(lookupBytes, () => latencies.recordValue(Math.round((clock.now() - at) * 1000))),
+            );
+        });
+    };
+    /** Sends one part after the other; without a shaper the sender waits for each part's arrival. */
+    const sendBulk = async (entry: number) => {
+        for (;;) {
+            await take(entry, RequestClass.Bulk, partBytes);
+            if (isShaped) {
+                wire.send(partBytes, () => undefined);
+            } else {
+                await new Promise<void>(resolve => wire.send(partBytes, resolve));
+            }
+        }
+    };
+
+    await clock.advance(startMs);
+    sendLookups();
+    for (let sender = 0; sender < bulkSenders * entries.length; sender++) {
+        void sendBulk(sender % entries.length);
+    }
+    await clock.advance(1000);
+    latencies.reset();
+    const before = wire.sent();
+    await clock.advance(measureMs);
+    return {
+        lookupP99: latencies.getValueAtPercentile(99) / 1000,
+        used: (wire.sent() - before) / (bytesPerMs * measureMs),
+    };
+}
