feat(entry): links are shaped, and a list of backend servers from peers

Cause: an entry that starts while the store is down had no backend servers; readiness by a fixed time was too early when the manifest came later than the start; drains were read from the manifest in two places. Ruled out: asking an entry of another region, which keeps another list. Conclusion: readiness needs a known service and a confirmed slot.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -8,10 +8,13 @@
     MemberView,
     ObjectStore,
     PeerTransport,
+    Random,
     RpcRegistry,
 } from "@waxwingdale/core";
-import { listActiveDrains } from "./manifest-drains.js";
-import type { Manifest } from "@waxwingdale/manifest";
+import { isSiteDrained } from "@waxwingdale/manifest";
+import type { Manifest, SiteSpec } from "@waxwingdale/manifest";
+import { instanceSchema } from "@waxwingdale/store";
+import * as v from "valibot";
 import { DrainSource, createDrainMarks } from "./drain-marks.js";
 import { Health } from "./health-probe.js";
 import type { HealthProbe } from "./health-probe.js";
@@ -20,6 +23,8 @@
 const listIntervalMs = 2000;
 /** Time in milliseconds between two health probes of a server. */
 const probeIntervalMs = 1000;
+/** Timeout in milliseconds of a question for a peer's list. */
+const listTimeoutMs = 1000;
 /** Timeout in milliseconds of a drain notice to a peer. */
 const noticeTimeoutMs = 1000;
 
@@ -30,6 +35,7 @@
     transport: PeerTransport;
     rpc: RpcRegistry;
     clock: Clock;
+    random: Random;
     logger: Logger;
     manifest: () => Manifest | undefined;
     probe: HealthProbe;
@@ -53,6 +59,15 @@
     state(): unknown;
 }
 
+/** Result of `backends.list`: the instance list as a peer read it. */
+interface ListAnswer {
+    records: InstanceRecord[];
+    /** Age of the list in milliseconds; undefined when the peer has none. */
+    ageMs?: number;
+}
+
+const listAnswerSchema = v.object({ records: v.array(instanceSchema), ageMs: v.optional(v.number()) });
+
 interface DrainNotice {
     serverId: string;
 }
@@ -69,10 +84,9 @@
 
     const rebuild = () => {
         const manifest = options.manifest();
-        const drained = manifest && listActiveDrains(manifest, clock.wallTime());
         const next = records
             .filter(row => row.role === InstanceRole.BackendServer && row.region === region)
-            .flatMap(row => createServer(row, manifest, drained));
+            .flatMap(row => createServer(row, manifest));
         if (JSON.stringify(next) === JSON.stringify(servers)) {
             return;
         }
@@ -83,16 +97,13 @@
         }
     };
 
-    const createServer = (
-        row: InstanceRecord,
-        manifest: Manifest | undefined,
-        drained: ReturnType<typeof listActiveDrains> | undefined,
-    ): BackendServer[] => {
+    const createServer = (row: InstanceRecord, manifest: Manifest | undefined): BackendServer[] => {
         const spec = manifest?.services.find(service => service.name === row.service);
         if (spec === undefined) {
             return [];
         }
-        const isDrained = drained?.has(spec.name, row) ?? false;
+        const sites = manifest!.sites.filter(site => isSiteOf(site, row));
+        const isDrained = sites.some(site => isSiteDrained(manifest!, spec.name, site, clock.wallTime()));
         const draining = isDrained || row.state === InstanceState.Leaving || marks.isMarked(row.id);
         const { id, address, zone, site } = row;
         return [{ id, service: spec.name, address, region, zone, site, slots: spec.backend.slots, draining }];
@@ -127,10 +138,40 @@
             marks.keepOnly(new Set(records.map(row => row.id)));
         } catch (err) {
             logger.warn("instance-list-failed", { error: getErrorMessage(err) });
+            await askPeerForList();
         }
         rebuild();
     };
 
+    /** An entry that starts while the store is down gets the list from an entry of its region. */
+    const askPeerForList = async () => {
+        const selfId = options.view.self().id;
+        const peers = options.view
+            .liveInRegion(region)
+            .filter(({ id, status }) => id !== selfId && status === MemberStatus.Live);
+        const peer = peers[Math.floor(options.random() * peers.length)];
+        if (peer === undefined) {
+            return;
+        }
+        try {
+            const answer = await options.transport.call<ListAnswer>(
+                peer.peerAddress,
+                "backends.list",
+                {},
+                listTimeoutMs,
+            );
+            const parsed = v.parse(listAnswerSchema, answer);
+            const readAt = parsed.ageMs === undefined ? -Infinity : clock.now() - parsed.ageMs;
+            if (readAt > (listedAt ?? -Infinity)) {
+                records = parsed.records;
+                listedAt = readAt;
+                logger.info("instance-list-from-peer", { peer: peer.id, ageMs: Math.round(parsed.ageMs!) });
+            }
+        } catch (err) {
+            logger.debug("instance-list-peer-failed", { peer: peer.id, error: getErrorMessage(err) });
+        }
+    };
+
     const probeAll = async () => {
         const probed = servers.filter(server => options.isProbedHere(server.id));
         await Promise.all(probed.map(probeOne));
@@ -154,6 +195,11 @@
         }
     };
 
+    options.rpc.addMethod("backends.list", (): ListAnswer => ({
+        records,
+        ageMs: listedAt === undefined ? undefined : clock.now() - listedAt,
+    }));
+
     options.rpc.addMethod("backends.draining", params => {
         setDraining((params as DrainNotice).serverId, DrainSource.Peer);
         return {};
@@ -179,3 +225,10 @@
         state: () => ({ servers, marks: marks.state(), listAgeMs: listedAt && clock.now() - listedAt }),
     };
 }
+
+/** Without a site in the instance list, a server belongs to the sites of its availability zone. */
+function isSiteOf(site: SiteSpec, row: InstanceRecord): boolean {
+    return row.site === undefined
+        ? site.region === row.region && site.zone === row.zone
+        : site.name === row.site;
+}
--- a/packages/entry/src/compose-entry.ts
+++ b/packages/entry/src/compose-entry.ts
@@ -19,18 +19,9 @@
 import { createAcceptedConfig, createDocumentExchange, createReplicatedDocument } from "@waxwingdale/config";
 import type { AcceptedConfig, DocumentExchange, ReplicatedDocument } from "@waxwingdale/config";
 import { MemberStatus, createRpcClient, createRpcServer, pickOwner, rankOwners } from "@waxwingdale/core";
-import type {
-    Clock,
-    LinkShaper,
-    Logger,
-    Member,
-    ObjectStore,
-    Random,
-    RpcClient,
-    RpcServer,
-} from "@waxwingdale/core";
-import { createRetryBudget, createSlotBroker } from "@waxwingdale/limits";
-import type { RetryBudget, SlotBroker } from "@waxwingdale/limits";
+import type { Clock, Logger, Member, ObjectStore, Random, RpcClient, RpcServer } from "@waxwingdale/core";
+import { createLinkShaper, createRetryBudget, createSlotBroker } from "@waxwingdale/limits";
+import type { LinkShaper, RetryBudget, SlotBroker } from "@waxwingdale/limits";
 import { manifestSchema } from "@waxwingdale/manifest";
 import type { Manifest } from "@waxwingdale/manifest";
 import { createMembership } from "@waxwingdale/membership";
@@ -64,6 +55,8 @@
 import { createEntryRecordWriter } from "./entry-record.js";
 import type { EntryRecordWriter } from "./entry-record.js";
 import type { Settings } from "./settings.js";
+import { createSlotReadiness } from "./slot-readiness.js";
+import type { SlotReadiness } from "./slot-readiness.js";
 import { createToken, register, resolveToken } from "./tokens.js";
 import type { Resolve, Token } from "./tokens.js";
 
@@ -74,8 +67,6 @@
     self: Member;
     operatorAddress: string;
     clock: Clock;
-    /** Time of the clock at the start of the process. */
-    startedAt: number;
     random: Random;
     logger: Logger;
     store: ObjectStore;
@@ -94,6 +85,7 @@
     backends: createToken<BackendDirectory>("backends"),
     broker: createToken<SlotBroker>("broker"),
     links: createToken<LinkShaper>("links"),
+    slotReadiness: createToken<SlotReadiness>("slotReadiness"),
     claims: createToken<ManagedClaimService>("claims"),
     crashGuard: createToken<ManagedCrashGuard>("crashGuard"),
     steering: createToken<EntrySteering>("steering"),
@@ -216,7 +208,7 @@
 
 function composeLimits(add: Add): void {
     add(tokens.backends, get => {
-        const { settings, store, clock, logger, signal } = get(tokens.base);
+        const { settings, store, clock, random, logger, signal } = get(tokens.base);
         const membership = get(tokens.membership);
         const agent = new Agent({ connections: 1, connect: { timeout: 800 } });
         signal.addEventListener("abort", () => void agent.destroy(), { once: true });
@@ -227,6 +219,7 @@
             transport: get(tokens.rpcClient),
             rpc: get(tokens.rpcServer),
             clock,
+            random,
             logger,
             manifest: () => get(tokens.config).current()?.manifest,
             probe: createHealthProbe(() => agent),
@@ -251,7 +244,21 @@
         backends.onChange(() => broker.onServersChanged());
         return broker;
     });
-    add(tokens.links, () => ({ take: () => Promise.resolve() }));
+    add(tokens.links, get => {
+        const { settings, clock, logger } = get(tokens.base);
+        const listLinks = () => get(tokens.config).current()?.manifest.links ?? [];
+        return createLinkShaper({
+            view: get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            links: () => listLinks().filter(({ from }) => from === settings.region),
+            clock,
+            logger,
+        });
+    });
+    add(tokens.slotReadiness, get =>
+        createSlotReadiness(get(tokens.base).clock, get(tokens.broker), get(tokens.backends)),
+    );
     add(tokens.claims, get => {
         const { store, clock, random, logger, settings } = get(tokens.base);
         const manifest = () => get(tokens.config).current()?.manifest;
--- a/packages/entry/src/entry-state.ts
+++ b/packages/entry/src/entry-state.ts
@@ -1,17 +1,13 @@
 /** What an entry tells about itself: readiness, a short status and the dump of its whole state. */
 import { MemberStatus } from "@waxwingdale/core";
-import { defaultLimitsConfig } from "@waxwingdale/limits";
 import { tokens } from "./compose-entry.js";
 import type { Resolve } from "./tokens.js";
 
-/** A started entry uses no slot before this time in milliseconds, since another entry may still use it. */
-const slotWaitMs = defaultLimitsConfig.takeoverDelayMs + 500;
-
 /** Returns why the entry should not be used by callers, or undefined. */
 export function findNotReadyReason(resolve: Resolve): string | undefined {
     const config = resolve(tokens.config);
     const accepted = config.current();
-    const { settings, clock, startedAt } = resolve(tokens.base);
+    const { settings } = resolve(tokens.base);
     const { unsupported } = config.status();
     if (accepted === undefined) {
         return "no manifest is in force";
@@ -26,7 +22,7 @@
     if (resolve(tokens.backends).listAgeMs() === undefined) {
         return "the list of backend servers has not been read yet";
     }
-    if (clock.now() - startedAt < slotWaitMs) {
+    if (!resolve(tokens.slotReadiness).isReady()) {
         return "slots of backend servers are not confirmed yet";
     }
     return resolve(tokens.membership).self().status === MemberStatus.Live
@@ -70,6 +66,7 @@
         membership: resolve(tokens.membership).state(),
         backends: resolve(tokens.backends).state(),
         slots: resolve(tokens.broker).state(),
+        links: resolve(tokens.links).state(),
         claims: resolve(tokens.claims).state(),
         quarantine: resolve(tokens.crashGuard).state(),
         steering: {
--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -96,7 +96,6 @@
         self,
         operatorAddress: listeners.operators.address,
         clock,
-        startedAt: clock.now(),
         random: createRandom(seed),
         logger,
         store,
--- a/packages/entry/src/shut-down.ts
+++ b/packages/entry/src/shut-down.ts
@@ -38,6 +38,7 @@
     await clock.sleep(lastRecordMs);
     entry.stopTasks();
     resolve(tokens.claims).close();
+    resolve(tokens.links).close();
     resolve(tokens.crashGuard).close();
     resolve(tokens.lookups).close();
     await Promise.all([listeners.callers.close(), listeners.peers.close(), listeners.operators.close()]);
--- /dev/null
+++ b/packages/entry/src/slot-readiness.ts
@@ -0,0 +1,46 @@
+/** Whether a started entry has slots of the region's backend servers. Without them it would refuse what callers send. */
+import type { BackendDirectory } from "@waxwingdale/backends";
+import type { Clock } from "@waxwingdale/core";
+import type { SlotBroker } from "@waxwingdale/limits";
+
+/** Time in milliseconds with known servers after which an entry without own slots serves all the same, by borrowing. */
+const longestWaitMs = 10_000;
+
+export interface SlotReadiness {
+    /** Stays true once it was true: under load an entry may lend or use all of its slots. */
+    isReady(): boolean;
+}
+
+/**
+ * Creates the check of one entry. A region without backend servers is ready after the longest wait, since its requests
+ * go elsewhere; before that the manifest may not be known yet.
+ */
+export function createSlotReadiness(
+    clock: Clock,
+    broker: SlotBroker,
+    backends: BackendDirectory,
+): SlotReadiness {
+    let ready = false;
+    let serversKnownAt: number | undefined;
+    return {
+        isReady: () => {
+            if (ready || backends.listAgeMs() === undefined) {
+                return ready;
+            }
+            serversKnownAt ??= clock.now();
+            const services = new Set(
+                backends
+                    .servers()
+                    .filter(server => !server.draining)
+                    .map(server => server.service),
+            );
+            const withSlots = broker
+                .state()
+                .services.filter(({ held }) => held > 0)
+                .map(({ service }) => service);
+            const hasSlots = services.size > 0 && [...services].every(service => withSlots.includes(service));
+            ready = hasSlots || clock.now() - serversKnownAt > longestWaitMs;
+            return ready;
+        },
+    };
+}
--- a/packages/steering/src/drains.ts
+++ b/packages/manifest/src/drains.ts
@@ -1,5 +1,5 @@
 /** Drains that the manifest declares. */
-import type { DrainSpec, Manifest, SiteSpec } from "@waxwingdale/manifest";
+import type { DrainSpec, Manifest, SiteSpec } from "./types.js";
 
 /** Returns whether a drain is in force at a wall-clock time in milliseconds. */
 export function isDrainActive(drain: DrainSpec, wallTime: number): boolean {
--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./accepted-manifest.js";
 export * from "./check-manifest.js";
 export * from "./diff-manifests.js";
+export * from "./drains.js";
 export * from "./ipv4-block.js";
 export * from "./iso-time.js";
 export * from "./json-path.js";
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -1,6 +1,5 @@
 /** Steering of traffic between regions, and the look-up of entry instances for callers. */
 export * from "./direct-regions.js";
-export * from "./drains.js";
 export * from "./ipv4.js";
 export * from "./lookup-directory.js";
 export * from "./lookup-table.js";
--- a/packages/steering/src/regional-capacity.ts
+++ b/packages/steering/src/regional-capacity.ts
@@ -1,6 +1,6 @@
 /** Request rate that a region's backend servers of a service can carry. */
 import type { BackendSpec, Manifest, ServiceSpec } from "@waxwingdale/manifest";
-import { isSiteDrained } from "./drains.js";
+import { isSiteDrained } from "@waxwingdale/manifest";
 import { PlanLimit, maxReportAgeMs } from "./plan-types.js";
 import type { CapacityReport } from "./plan-types.js";
 
--- a/packages/steering/src/traffic-steering.ts
+++ b/packages/steering/src/traffic-steering.ts
@@ -10,7 +10,7 @@
 } from "@waxwingdale/core";
 import type { AcceptedManifest, Manifest, ShiftCapSpec } from "@waxwingdale/manifest";
 import { createSetHistory, directCapShare, findDeadRegions, findEmptiedRegions } from "./direct-regions.js";
-import { isSiteDrained } from "./drains.js";
+import { isSiteDrained } from "@waxwingdale/manifest";
 import { createFleetShare } from "./fleet-share.js";
 import { pairKey, rankTargets } from "./plan-state.js";
 import { findRoute, isNewerPlan, sumPlannedPair } from "./plan-types.js";
