fix(steering): shares after planned stops, forgotten dead regions, build memory

Cause: a region that planned stops shrink to half or less kept its small share of a cap for ever; a dead region counted as unknown once membership forgot its entries, and its callers were no longer metered; a build allocated its working memory in one piece and its slices of 2 ms left little room below 5 ms. Ruled out: a shorter memory of lost members, which would let an entry that is cut off take the whole cap. Members seen leaving do not count as lost instead. The new tests were seen to fail with each mechanism broken by hand: leaving members, lost half, hold time, forgotten regions, halves of an emptied region's cap, and flows into a region with old reports. Two entries of which one dies without leaving keep half of the cap unused until a second one starts.

--- a/packages/steering/src/direct-regions.ts
+++ b/packages/steering/src/direct-regions.ts
@@ -11,12 +11,20 @@
 /** Share of a cap that each side of a pair may use while callers go to the other region directly. */
 export const directCapShare = 0.5;
 
-/** Lists the regions whose entries are known and all dead. */
-export function findDeadRegions(view: MemberView, manifest: Manifest): Set<string> {
+/**
+ * Lists the regions whose entries are all dead. A region of which no entry is known any more stays dead if it was in
+ * `before`, since membership forgets dead entries after a time.
+ */
+export function findDeadRegions(
+    view: MemberView,
+    manifest: Manifest,
+    before: ReadonlySet<string> = new Set(),
+): Set<string> {
     const dead = new Set<string>();
     for (const { name } of manifest.regions) {
         const members = view.members().filter(member => member.region === name);
-        if (members.length > 0 && members.every(member => member.status === MemberStatus.Dead)) {
+        const isDead = members.every(member => member.status === MemberStatus.Dead);
+        if (isDead && (members.length > 0 || before.has(name))) {
             dead.add(name);
         }
     }
--- a/packages/steering/src/fleet-share.ts
+++ b/packages/steering/src/fleet-share.ts
@@ -6,7 +6,8 @@
  * changed for the hold time. A change lowers the share at once and raises it only after the hold time, and a started or
  * resumed entry has no share for the hold time. So while members learn of a change within the hold time less the
  * window of the meter, no entry uses a greater share while another still uses the one from before the change. An entry
- * that loses sight of half of its region keeps its small share, since it may be the one that is cut off. A partition
+ * that loses sight of half of its region keeps its small share, since it may be the one that is cut off; members that it
+ * saw leaving do not count as lost. A partition
  * inside a region can still let the larger part use the shares of the smaller one.
  */
 import { MemberStatus } from "@waxwingdale/core";
@@ -27,10 +28,15 @@
     let ids: string[] = [];
     let startedAt = clock.now();
     let changedAt = startedAt;
-    /** Member numbers that were true until a time. */
-    let past: { size: number; until: number }[] = [];
+    /** Members as they were until a time. */
+    let past: { ids: string[]; until: number }[] = [];
+    const leaving = new Set<string>();
 
-    const getDivisor = () => Math.max(1, ids.length, ...past.map(row => row.size));
+    const getDivisor = () => Math.max(1, ids.length, ...past.map(row => row.ids.length));
+    const hasLostHalf = (before: readonly string[]) => {
+        const lost = before.filter(id => !ids.includes(id) && !leaving.has(id));
+        return lost.length > 0 && lost.length * 2 >= before.length;
+    };
     const isStarting = () => clock.now() - startedAt < holdMs;
 
     return {
@@ -38,17 +44,22 @@
             const now = clock.now();
             const { region } = view.self();
             // Leaving entries still serve callers with cached look-ups, so they keep their share.
-            const current = view
+            const members = view
                 .members()
-                .filter(member => member.region === region && member.status !== MemberStatus.Dead)
-                .map(member => member.id)
-                .sort();
+                .filter(member => member.region === region && member.status !== MemberStatus.Dead);
+            const current = members.map(member => member.id).sort();
+            members
+                .filter(member => member.status === MemberStatus.Leaving)
+                .forEach(member => leaving.add(member.id));
             if (current.join("\n") !== ids.join("\n")) {
-                past.push({ size: ids.length, until: now });
+                past.push({ ids, until: now });
                 ids = current;
                 changedAt = now;
             }
-            past = past.filter(row => now - row.until < holdMs || ids.length * 2 <= row.size);
+            past = past.filter(row => now - row.until < holdMs || hasLostHalf(row.ids));
+            if (past.length === 0) {
+                [...leaving].filter(id => !ids.includes(id)).forEach(id => leaving.delete(id));
+            }
         },
         restart: () => {
             startedAt = clock.now();
--- a/packages/steering/src/lookup-table.ts
+++ b/packages/steering/src/lookup-table.ts
@@ -25,7 +25,10 @@
     set(block: string, region: string): void;
     /** Returns whether the block was there. */
     remove(block: string): boolean;
-    /** Makes many changes in slices of at most `sliceMs`, between which look-ups run. */
+    /**
+     * Makes many changes in slices of at most `sliceMs`, between which look-ups run.
+     * @default 1 for `sliceMs`
+     */
     applyInSlices(changes: Iterable<BlockChange>, clock: Clock, sliceMs?: number): Promise<void>;
     size(): number;
     memoryBytes(): number;
@@ -44,7 +47,10 @@
 const maxDepth = 16;
 /** Blocks that a build handles between two looks at the clock, at well below a microsecond each. */
 const stepsPerCheck = 64;
-const defaultSliceMs = 2;
+/** Blocks of a chunk of the build's working memory. */
+const chunkSlots = 1 << 16;
+/** Leaves room for garbage collection below a pause of 5 ms. */
+const defaultSliceMs = 1;
 
 /** Creates a table at once. */
 export function createLookupTable(blocks: readonly ClientBlockSpec[]): LookupTable {
@@ -316,10 +322,11 @@
     };
 
     const build = function* (blocks: readonly ClientBlockSpec[]): Generator<void> {
-        const bases = new Uint32Array(blocks.length);
-        const words = new Uint32Array(blocks.length);
+        // Base and word of each long block, in chunks: one array of this size would take milliseconds to allocate.
+        const chunks: Uint32Array[] = [];
         let long = 0;
-        for (const [i, { block, region }] of blocks.entries()) {
+        for (let i = 0; i < blocks.length; i++) {
+            const { block, region } = blocks[i]!;
             const { base, length } = parseBlock(block);
             const id = getRegionId(region);
             if (length <= maxShortLength) {
@@ -330,8 +337,12 @@
                 }
                 setShort(base, length, id);
             } else {
-                bases[long] = base;
-                words[long++] = packWord(length, id);
+                if (long % chunkSlots === 0) {
+                    chunks.push(new Uint32Array(chunkSlots * 2));
+                }
+                const at = (long++ % chunkSlots) * 2;
+                chunks.at(-1)![at] = base;
+                chunks.at(-1)![at + 1] = packWord(length, id);
                 capacities[base >>> 16]!++;
             }
             if (i % stepsPerCheck === 0) {
@@ -349,11 +360,13 @@
             }
         }
         for (let i = 0; i < long; i++) {
-            const bucket = bases[i]! >>> 16;
+            const chunk = chunks[Math.floor(i / chunkSlots)]!;
+            const [base, word] = [chunk[(i % chunkSlots) * 2]!, chunk[(i % chunkSlots) * 2 + 1]!];
+            const bucket = base >>> 16;
             const at = ((addresses[bucket]! & offsetMask) + lengths[bucket]!++) * 2;
             const page = pages[addresses[bucket]! >>> pageBits]!;
-            page[at] = bases[i]!;
-            page[at + 1] = words[i]!;
+            page[at] = base;
+            page[at + 1] = word;
             if (i % stepsPerCheck === 0) {
                 yield;
             }
--- a/packages/steering/src/traffic-steering.ts
+++ b/packages/steering/src/traffic-steering.ts
@@ -98,6 +98,7 @@
     let routes = new Map<string, PlanRoute>();
     let manifest: Manifest | undefined;
     let targets: string[] = [];
+    let deadRegions: ReadonlySet<string> = new Set();
     let lastTickAt = clock.now();
     const ownRegion = () => view.self().region;
 
@@ -184,7 +185,8 @@
         readManifest();
         share.update();
         if (manifest) {
-            dead.update(findDeadRegions(view, manifest));
+            deadRegions = findDeadRegions(view, manifest, deadRegions);
+            dead.update(deadRegions);
             emptied.update(findEmptiedRegions(plan, manifest));
         }
         const seconds = Math.min(elapsedMs / 1000, maxTickSeconds);
--- a/packages/steering/test/plan-traffic.test.ts
+++ b/packages/steering/test/plan-traffic.test.ts
@@ -111,6 +111,12 @@
         assert.ok(Math.abs(sum - route.offeredPerSecond) < epsilon, "conservation");
         assert.ok(route.homePerSecond >= 0 && route.unplacedPerSecond >= 0, "no negative rate");
         const { service, home } = route;
+        for (const shift of route.shifts.filter(({ region }) => findRoute(plan, service, region)!.held)) {
+            const before = findRoute(input.previous, service, home)?.shifts.find(
+                row => row.region === shift.region,
+            );
+            assert.ok(shift.perSecond <= (before?.perSecond ?? 0) + epsilon, "no increase on old reports");
+        }
         if (input.deadRegions.has(home)) {
             assert.equal(loadOf(plan, service, home), 0, "nothing goes to a dead region");
         } else if (!route.held) {
--- a/packages/steering/test/traffic-steering.test.ts
+++ b/packages/steering/test/traffic-steering.test.ts
@@ -310,6 +310,46 @@
     entry.stop.abort();
 });
 
+// Guards against a cap that stays partly unused after a planned stop of most entries.
+test("an entry takes over the shares of entries that it saw leaving", async () => {
+    const clock = createManualClock();
+    const entry = startEntry(clock, "a", ["b", "c", "d"]);
+    await clock.advance(6000);
+    const others = ["b", "c", "d"].map(id => createMember(id, "north", { status: MemberStatus.Leaving }));
+    entry.view.set([createMember("a", "north"), ...others]);
+    await clock.advance(6000);
+    assert.equal(entry.steering.applied()[0]!.maxPerSecond, cap / 4);
+    entry.view.set([createMember("a", "north")]);
+    await clock.advance(5200);
+    assert.equal(entry.steering.applied()[0]!.maxPerSecond, cap);
+    entry.stop.abort();
+});
+
+// Guards against a cap that the entries of an emptied region and those of the target use at the same time.
+test("both sides of an emptied region share its cap by halves, with a hold time at each change", async () => {
+    const clock = createManualClock();
+    const home = startEntry(clock, "a", []);
+    const target = startEntry(clock, "b", [], "central");
+    const getMax = () => {
+        const find = (entry: Entry) =>
+            entry.steering.applied().find(row => row.from === "north" && row.to === "central");
+        return [find(home)!.maxPerSecond, find(target)!.maxPerSecond];
+    };
+    const step = async (plan: PlanObject, ms: number) => {
+        [home, target].forEach(entry => entry.steering.applyPlan(plan));
+        await clock.advance(ms);
+        return getMax();
+    };
+    assert.deepEqual(await step(createPlan(1, [createRoute(20, 5)]), 6000), [cap, 0]);
+    assert.deepEqual(await step(createPlan(2, [createRoute(20, 0)]), 4800), [cap / 2, 0]);
+    await clock.advance(400);
+    assert.deepEqual(getMax(), [cap / 2, cap / 2]);
+    assert.deepEqual(await step(createPlan(3, [createRoute(20, 5)]), 4800), [cap / 2, 0]);
+    await clock.advance(400);
+    assert.deepEqual(getMax(), [cap, 0]);
+    [home, target].forEach(entry => entry.stop.abort());
+});
+
 // Guards against two entries that both take the request left over when the cap is divided.
 test("after a change of the view an entry takes no remainder of the cap for the hold time", async () => {
     const clock = createManualClock();
@@ -402,5 +442,9 @@
     const taken = reasons.filter(reason => reason === SteeringReason.Plan).length;
     assert.ok(taken > 0 && taken <= cap, `${taken}`);
     assert.equal(choose(entry, "central").reason, SteeringReason.Home);
+    // Membership forgets dead entries after a time.
+    entry.view.set([createMember("a", "central")]);
+    await clock.advance(200);
+    assert.notEqual(choose(entry, "north").reason, SteeringReason.Home);
     entry.stop.abort();
 });
