feat(bench): capacity of the look-up table, the directory and the planner

Cause: the capacity page needs measured slopes for client blocks, look-ups and planning. Ruled out: one script that prints as it goes; each measurement is a module that returns typed rows, so that others can be added to the list in index.ts.

--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -1,6 +1,29 @@
-/** Placeholder until the capacity benchmark is written. */
+/** Slopes behind the capacity page: what each part costs at growing sizes. */
 import type { BenchOptions } from "../bench-options.js";
+import { formatTable } from "./capacity-table.js";
+import type { CapacityTable } from "./capacity-table.js";
+import { measureLookupDirectory } from "./lookup-directory.js";
+import { measureLookupTable } from "./lookup-table.js";
+import { measurePlanner } from "./planner.js";
 
-export function runCapacityBench(_options: BenchOptions): Promise<void> {
-    return Promise.reject(new Error("the capacity benchmark is not written yet"));
+interface Measurement {
+    /** Name that `--only` selects by. */
+    name: string;
+    measure: (options: BenchOptions) => CapacityTable | Promise<CapacityTable>;
+}
+
+const measurements: Measurement[] = [
+    { name: "lookup-table", measure: measureLookupTable },
+    { name: "lookup-directory", measure: measureLookupDirectory },
+    { name: "planner", measure: measurePlanner },
+];
+
+/** Runs the measurements one after the other and prints a table of medians for each. */
+export async function runCapacityBench(options: BenchOptions): Promise<void> {
+    console.log(`seed ${options.seed}, ${options.rounds} rounds; median (least..greatest)\n`);
+    for (const { name, measure } of measurements) {
+        if (options.only === undefined || name.includes(options.only)) {
+            console.log(formatTable(await measure(options)));
+        }
+    }
 }
