fix(steering): an entry ignores a plan that takes its own region for dead

Cause: a planner cut off from a region takes it for dead and plans no home traffic. When the partition ends, that region's live entries received the plan and refused their callers with shift-cap-reached until the next plans. Ruled out: waiting in the planner before a region counts as dead, which delays the move in the case of a real death and does not help at the entries. Conclusion: membership of the entry itself decides whether its region is alive.

--- a/packages/steering/src/direct-regions.ts
+++ b/packages/steering/src/direct-regions.ts
@@ -5,8 +5,8 @@
 import { MemberStatus } from "@waxwingdale/core";
 import type { Clock, MemberView } from "@waxwingdale/core";
 import type { Manifest } from "@waxwingdale/manifest";
-import { sumPlannedPair } from "./plan-types.js";
-import type { Plan } from "./plan-types.js";
+import { isDeadRoute, sumPlannedPair } from "./plan-types.js";
+import type { Plan, PlanRoute } from "./plan-types.js";
 
 /** Share of a cap that each side of a pair may use while callers go to the other region directly. */
 export const directCapShare = 0.5;
@@ -39,9 +39,7 @@
     const emptied = new Set<string>();
     for (const { name } of manifest.regions) {
         const routes = plan?.routes.filter(route => route.home === name && route.offeredPerSecond > 0) ?? [];
-        const hasLeft =
-            routes.length > 0 &&
-            routes.every(route => route.homePerSecond === 0 && route.unplacedPerSecond === 0);
+        const hasLeft = routes.length > 0 && routes.every(isEmptyRoute);
         const fits = manifest.shiftCaps.every(
             cap =>
                 cap.from !== name ||
@@ -54,6 +52,11 @@
     return emptied;
 }
 
+function isEmptyRoute(route: PlanRoute): boolean {
+    // A region that the planner took for dead may be alive behind a partition; membership decides about dead regions.
+    return route.homePerSecond === 0 && route.unplacedPerSecond === 0 && !isDeadRoute(route);
+}
+
 /** Remembers since when each region is in a changing set. */
 export interface SetHistory {
     update(current: ReadonlySet<string>): void;
--- a/packages/steering/src/plan-types.ts
+++ b/packages/steering/src/plan-types.ts
@@ -130,6 +130,11 @@
     return plan?.routes.find(route => route.service === service && route.home === home);
 }
 
+/** Returns whether the planner took the route's home region for dead. */
+export function isDeadRoute(route: PlanRoute): boolean {
+    return route.shifts.some(shift => shift.reason === ShiftReason.DeadRegion);
+}
+
 /** Returns the rate that all services shift from one region to another. */
 export function sumPlannedPair(plan: Plan | undefined, from: string, to: string): number {
     let sum = 0;
--- a/packages/steering/src/traffic-steering.ts
+++ b/packages/steering/src/traffic-steering.ts
@@ -13,7 +13,7 @@
 import { isSiteDrained } from "./drains.js";
 import { createFleetShare } from "./fleet-share.js";
 import { pairKey, rankTargets } from "./plan-state.js";
-import { findRoute, isNewerPlan, sumPlannedPair } from "./plan-types.js";
+import { findRoute, isDeadRoute, isNewerPlan, sumPlannedPair } from "./plan-types.js";
 import type { PlanObject, PlanRoute } from "./plan-types.js";
 import { createRegionSelector } from "./region-selector.js";
 import type { RegionSelector } from "./region-selector.js";
@@ -280,9 +280,9 @@
                 return false;
             }
             plan = next;
-            routes = new Map(
-                next.routes.filter(route => route.home === ownRegion()).map(route => [route.service, route]),
-            );
+            // A plan that takes this region for dead was made behind a partition: this entry is alive to serve.
+            const own = next.routes.filter(route => route.home === ownRegion() && !isDeadRoute(route));
+            routes = new Map(own.map(route => [route.service, route]));
             for (const [key, selector] of selectors) {
                 const route = findRoute(next, key.split("\n")[0]!, ownRegion());
                 if (route) {
--- a/packages/steering/test/traffic-steering.test.ts
+++ b/packages/steering/test/traffic-steering.test.ts
@@ -409,6 +409,20 @@
     }
 });
 
+// Guards against a region that refuses its own callers because the planner lost sight of it in a partition.
+test("an entry does not follow a plan that takes its own region for dead", async () => {
+    const clock = createManualClock();
+    const entry = startEntry(clock, "a", []);
+    const route = createRoute(20, 0);
+    route.shifts.forEach(shift => (shift.reason = ShiftReason.DeadRegion));
+    entry.steering.applyPlan(createPlan(1, [route]));
+    await clock.advance(8000);
+    const reasons = new Set(Array.from({ length: 60 }, () => choose(entry).reason));
+    assert.deepEqual([...reasons], [SteeringReason.Home]);
+    assert.equal(entry.steering.applied()[0]!.maxPerSecond, cap);
+    entry.stop.abort();
+});
+
 // Guards against a request that fails for want of a local backend server although a neighbour could serve it.
 test("without a local backend server requests go to the nearest region that serves, within the cap", async () => {
     const clock = createManualClock();
