--- a/packages/steering/src/traffic-steering.ts
+++ b/packages/steering/src/traffic-steering.ts
@@ -13,7 +13,7 @@
 import { isSiteDrained } from "@waxwingdale/manifest";
 import { createFleetShare } from "./fleet-share.js";
 import { pairKey, rankTargets } from "./plan-state.js";
-import { findRoute, isNewerPlan, sumPlannedPair } from "./plan-types.js";
+import { findRoute, isDeadRoute, isNewerPlan, sumPlannedPair } from "./plan-types.js";
 import type { PlanObject, PlanRoute } from "./plan-types.js";
 import { createRegionSelector } from "./region-selector.js";
 import type { RegionSelector } from "./region-selector.js";
@@ -98,6 +98,7 @@
     let routes = new Map<string, PlanRoute>();
     let manifest: Manifest | undefined;
     let targets: string[] = [];
+    let deadRegions: ReadonlySet<string> = new Set();
     let lastTickAt = clock.now();
     const ownRegion = () => view.self().region;
 
@@ -184,7 +185,8 @@
         readManifest();
         share.update();
         if (manifest) {
-            dead.update(findDeadRegions(view, manifest));
+            deadRegions = findDeadRegions(view, manifest, deadRegions);
+            dead.update(deadRegions);
             emptied.update(findEmptiedRegions(plan, manifest));
         }
         const seconds = Math.min(elapsedMs / 1000, maxTickSeconds);
@@ -278,9 +280,9 @@
                 return false;
             }
             plan = next;
-            routes = new Map(
-                next.routes.filter(route => route.home === ownRegion()).map(route => [route.service, route]),
-            );
+            // A plan that takes this region for dead was made behind a partition: this entry is alive to serve.
+            const own = next.routes.filter(route => route.home === ownRegion() && !isDeadRoute(route));
+            routes = new Map(own.map(route => [route.service, route]));
             for (const [key, selector] of selectors) {
                 const route = findRoute(next, key.split("\n")[0]!, ownRegion());
                 if (route) {
