--- a/packages/claims/test/claim-service.test.ts
+++ b/packages/claims/test/claim-service.test.ts
@@ -142,7 +142,7 @@
         begin(fleet, "b", createRequest(fleet, "new", { deadlineAt: startedAt + 30_000 })),
         ClaimsUnavailableError,
     );
-    assert.ok(fleet.clock.now() - startedAt < 200);
+    assert.ok(fleet.clock.now() - startedAt < 200, "the refusal came late");
     assert.equal((await begin(fleet, "c", createRequest(fleet, "k"))).state, ClaimState.Finished);
 });
 
@@ -175,7 +175,7 @@
     fleet.store.inner.faults.down = false;
     // Before the deadline, so that only the entry's own notice can free the key.
     await fleet.clock.advance(2500);
-    assert.ok(fleet.store.committed.has(req.attemptId));
+    assert.ok(fleet.store.committed.has(req.attemptId), "the late write did not arrive");
     assert.equal((await begin(fleet, "a", createRequest(fleet, "k"))).state, ClaimState.Granted);
 });
 
@@ -205,6 +205,23 @@
     });
 });
 
+test("an attempt that ends while the owner asks about it is not released", async () => {
+    const fleet = startFleet(["a", "b"], { shards: 1 });
+    const owner = fleet.nodes.get(pickOwner("claims/0", ["a", "b"])!)!;
+    const entry = [...fleet.nodes.values()].find(node => node !== owner)!;
+    const req = createRequest(fleet, "k");
+    await begin(fleet, entry.id, req);
+    const answer = entry.methods.get("claims.attempt")!;
+    entry.methods.set("claims.attempt", async (query, from) => {
+        // The end is acknowledged between the owner's question and the entry's answer.
+        entry.service.finish(req, { kind: "unknown" });
+        await fleet.clock.sleep(300);
+        return answer(query, from);
+    });
+    owner.believe(entry.id, { incarnation: 2 });
+    assert.equal((await begin(fleet, owner.id, createRequest(fleet, "k"))).state, ClaimState.Unknown);
+});
+
 test("a lost answer of a write is resolved by the batch id, without a change of owner", async () => {
     const fleet = startFleet(["a", "b"], { shards: 1 });
     await begin(fleet, "a", createRequest(fleet, "warm-up"));
@@ -236,9 +253,9 @@
     const req = createRequest(fleet, "k");
     await begin(fleet, "a", req);
     const { service } = fleet.nodes.get("a")!;
-    assert.ok(service.isGrantUsable(req));
+    assert.equal(service.isGrantUsable(req), true);
     fleet.clock.jump(3000);
-    assert.ok(!service.isGrantUsable(req));
+    assert.equal(service.isGrantUsable(req), false);
 });
 
 test("two entries that both believe to own a shard do not fight in a hot loop", async () => {
@@ -258,14 +275,14 @@
                         granted.add(key);
                     }
                 })
-                .catch((err: unknown) => assert.ok(err instanceof ClaimsUnavailableError));
+                .catch((err: unknown) => assert.ok(err instanceof ClaimsUnavailableError, String(err)));
         }
         await fleet.clock.advance(100);
     }
     const head = await settle(fleet, fleet.store.get("claims/0"));
     const { epoch } = head!.value as { epoch: number };
     assert.ok(epoch < 20, `${epoch} changes of owner in 10 s`);
-    assert.ok(granted.size > 0);
+    assert.ok(granted.size > 0, "nobody was served");
 });
 
 test("writes of the fleet stay within the budget", async () => {
@@ -307,9 +324,9 @@
     await fleet.clock.advance(2000);
     const owner = pickOwner("claims/0", ["a", "b"])!;
     const other = owner === "a" ? "b" : "a";
-    assert.ok(fleet.nodes.get(owner)!.service.state().owned[0]!.archives >= 3);
+    assert.ok(fleet.nodes.get(owner)!.service.state().owned[0]!.archives >= 3, "too few archives");
     const head = await settle(fleet, fleet.store.get("claims/0"));
-    assert.ok(JSON.stringify(head!.value).length < 80_000);
+    assert.ok(JSON.stringify(head!.value).length < 80_000, "the head is too large");
     fleet.crash(owner);
     fleet.learnAll();
     const repeat = await begin(fleet, other, createRequest(fleet, "k0"));
