perf(limits): move a freed slot only to a request that waits 16 ms longer

Cause: a slot that moves to a peer is idle for a message's delay, which costs capacity when all slots are busy.

--- a/packages/bench/src/policy/broker-policy.ts
+++ b/packages/bench/src/policy/broker-policy.ts
@@ -8,7 +8,7 @@
 } from "@waxwingdale/core";
 import type { BackendServer, Member, MemberView, PeerTransport, RpcHandler } from "@waxwingdale/core";
 import { createSlotBroker } from "@waxwingdale/limits";
-import type { BrokerCounters, SlotBroker } from "@waxwingdale/limits";
+import type { BrokerCounters, LimitsConfig, SlotBroker } from "@waxwingdale/limits";
 import { Policy } from "./policy.js";
 import type { SimContext } from "./policy.js";
 import type { SimRequest, SimResult } from "./simulation.js";
@@ -66,7 +66,7 @@
     private readonly brokers: SlotBroker[];
     private readonly backends: BackendServer[];
 
-    constructor(ctx: SimContext) {
+    constructor(ctx: SimContext, cfg: Partial<LimitsConfig> = {}) {
         super(ctx);
         const ids = Array.from({ length: ctx.topology.entries }, (_, index) => `entry-${index}`);
         const methods = new Map(ids.map(id => [id, new Map<string, RpcHandler>()]));
@@ -89,6 +89,7 @@
                 // An own source, so the policy does not change what the load draws.
                 random: createRandom(1000 + index),
                 logger: createSilentLogger(),
+                cfg,
             }),
         );
     }
--- a/packages/limits/src/limits-config.ts
+++ b/packages/limits/src/limits-config.ts
@@ -50,8 +50,8 @@
     idleKeepMs: number;
     /**
      * A request of a peer must have waited longer than a request of the entry by this much to get a free slot
-     * first. Moving a slot leaves it idle for a message's delay.
-     * @default 4
+     * first. Moving a slot leaves it idle for a message's delay, so moves must be worth it.
+     * @default 16
      */
     localPreferenceMs: number;
     /**
@@ -98,7 +98,7 @@
     grantSlackMs: 2000,
     reclaimMarginMs: 500,
     idleKeepMs: 20,
-    localPreferenceMs: 4,
+    localPreferenceMs: 16,
     queueLength: 256,
     maxWaitShare: 0.5,
     lowerClassShare: 0.05,
