perf(limits): ask for parts of 16 KiB on a link

Cause: a look-up waits behind the parts of bulk bodies that several entries send at the same moment. The shaper paces parts but cannot split them.

Ruled out: a smaller share for bulk, which would leave the link idle.

--- a/packages/bench/src/policy/link-case.ts
+++ b/packages/bench/src/policy/link-case.ts
@@ -1,7 +1,7 @@
 /** A surge of bulk bodies on a link between regions, with and without the link shaper. */
 import { RequestClass, createManualClock, createRandom, createSilentLogger } from "@waxwingdale/core";
 import type { ManualClock, RpcHandler } from "@waxwingdale/core";
-import { createLinkShaper } from "@waxwingdale/limits";
+import { createLinkShaper, maxLinkPartBytes as partBytes } from "@waxwingdale/limits";
 import type { LinkShaper } from "@waxwingdale/limits";
 import { build } from "hdr-histogram-js";
 import { createDelayedTransport, createFixedView } from "./broker-policy.js";
@@ -19,7 +19,8 @@
 const zoneDelayMs = 0.5;
 const lookupBytes = 2000;
 const lookupsPerSecond = 600;
-const partBytes = 65_536;
+/** Data in flight of a sender that nothing paces. */
+const unshapedPartBytes = 65_536;
 const startMs = 5500;
 const measureMs = 10_000;
 const entries = ["entry-0", "entry-1", "entry-2"];
@@ -82,7 +83,7 @@
             if (isShaped) {
                 wire.send(partBytes, () => undefined);
             } else {
-                await new Promise<void>(resolve => wire.send(partBytes, resolve));
+                await new Promise<void>(resolve => wire.send(unshapedPartBytes, resolve));
             }
         }
     };
--- a/packages/limits/src/link-shaper.ts
+++ b/packages/limits/src/link-shaper.ts
@@ -97,6 +97,12 @@
     lent: { to: string; amount: number }[];
 }
 
+/**
+ * Largest part of a body that a sender should ask for at once. Parts of several entries meet on the link, and a
+ * look-up waits behind each of them.
+ */
+export const maxLinkPartBytes = 16_384;
+
 /** Converts megabits per second to bytes per millisecond. */
 const toBytesPerMs = (megabits: number) => (megabits * 1e6) / 8 / 1000;
 /** An entry keeps this many times its own demand when it lends. */
