perf(limits): refuse when the wait would take a quarter of the time left

Cause: at twice the capacity a look-up waited for half of its deadline before it ran, without any gain in goodput.

Writes still wait until just before their deadline (p50 1788 ms of 2000 ms), because the estimate does not know how few slots they get.

--- a/packages/limits/src/limits-config.ts
+++ b/packages/limits/src/limits-config.ts
@@ -61,7 +61,7 @@
     queueLength: number;
     /**
      * Part of the time left to the deadline that the estimated wait may take.
-     * @default 0.5
+     * @default 0.25
      */
     maxWaitShare: number;
     /**
@@ -100,7 +100,7 @@
     idleKeepMs: 20,
     localPreferenceMs: 16,
     queueLength: 256,
-    maxWaitShare: 0.5,
+    maxWaitShare: 0.25,
     lowerClassShare: 0.05,
     closeMinMs: 100,
     closeMaxMs: 5000,
