--- a/packages/limits/src/limits-config.ts
+++ b/packages/limits/src/limits-config.ts
@@ -50,8 +50,8 @@
     idleKeepMs: number;
     /**
      * A request of a peer must have waited longer than a request of the entry by this much to get a free slot
-     * first. Moving a slot leaves it idle for a message's delay.
-     * @default 4
+     * first. Moving a slot leaves it idle for a message's delay, so moves must be worth it.
+     * @default 16
      */
     localPreferenceMs: number;
     /**
@@ -61,7 +61,7 @@
     queueLength: number;
     /**
      * Part of the time left to the deadline that the estimated wait may take.
-     * @default 0.5
+     * @default 0.25
      */
     maxWaitShare: number;
     /**
@@ -98,9 +98,9 @@
     grantSlackMs: 2000,
     reclaimMarginMs: 500,
     idleKeepMs: 20,
-    localPreferenceMs: 4,
+    localPreferenceMs: 16,
     queueLength: 256,
-    maxWaitShare: 0.5,
+    maxWaitShare: 0.25,
     lowerClassShare: 0.05,
     closeMinMs: 100,
     closeMaxMs: 5000,
