fix(backends): a drain that ended is known at all entries; paced region drains

Cause: the entry that probes a server saw its drain end, its peers kept the mark for ever; servers of a drained region stopped at once while its traffic may leave only at the declared pace, which refused the rest. Ruled out: probing by every entry, which multiplies the probes by the entries. Conclusion: drain notices carry begin and end; a wholly drained region serves until the plan has moved its traffic.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -39,6 +39,11 @@
     logger: Logger;
     manifest: () => Manifest | undefined;
     probe: HealthProbe;
+    /**
+     * Whether the region still serves its callers although all of its sites of the service are drained: their traffic
+     * leaves at the declared pace, and would be refused if the servers stopped at once.
+     */
+    isStillNeeded: (service: string) => boolean;
     /** Whether this entry probes the server; entries of a region split the work. */
     isProbedHere: (serverId: string) => boolean;
 }
@@ -68,9 +73,9 @@
 
 const listAnswerSchema = v.object({ records: v.array(instanceSchema), ageMs: v.optional(v.number()) });
 
-interface DrainNotice {
-    serverId: string;
-}
+const drainNoticeSchema = v.object({ serverId: v.string(), draining: v.boolean() });
+/** Params of `backends.draining`: a drain that a peer has seen begin or end. */
+type DrainNotice = v.InferOutput<typeof drainNoticeSchema>;
 
 /** Creates the directory of one entry instance. */
 export function createBackendDirectory(options: BackendDirectoryOptions): BackendDirectory {
@@ -103,12 +108,19 @@
             return [];
         }
         const sites = manifest!.sites.filter(site => isSiteOf(site, row));
-        const isDrained = sites.some(site => isSiteDrained(manifest!, spec.name, site, clock.wallTime()));
+        const isDrained =
+            sites.some(site => isSiteDrained(manifest!, spec.name, site, clock.wallTime())) &&
+            !(isRegionDrained(manifest!, spec.name) && options.isStillNeeded(spec.name));
         const draining = isDrained || row.state === InstanceState.Leaving || marks.isMarked(row.id);
         const { id, address, zone, site } = row;
         return [{ id, service: spec.name, address, region, zone, site, slots: spec.backend.slots, draining }];
     };
 
+    const isRegionDrained = (manifest: Manifest, service: string) =>
+        manifest.sites
+            .filter(site => site.region === region)
+            .every(site => isSiteDrained(manifest, service, site, clock.wallTime()));
+
     const setDraining = (serverId: string, source: DrainSource): boolean => {
         if (!byId.has(serverId) || !marks.mark(serverId, source)) {
             return false;
@@ -118,8 +130,8 @@
         return true;
     };
 
-    const tellPeers = (serverId: string) => {
-        const notice: DrainNotice = { serverId };
+    const tellPeers = (serverId: string, draining: boolean) => {
+        const notice: DrainNotice = { serverId, draining };
         for (const peer of options.view.liveInRegion(region)) {
             if (peer.id !== options.view.self().id && peer.status === MemberStatus.Live) {
                 options.transport
@@ -180,11 +192,12 @@
     const probeOne = async (server: BackendServer) => {
         const health = await options.probe(server);
         if (health === Health.Draining && setDraining(server.id, DrainSource.Health)) {
-            tellPeers(server.id);
+            tellPeers(server.id, true);
         }
         if (health === Health.Ok && marks.deny(server.id)) {
             logger.info("backend-drain-ended", { server: server.id });
             rebuild();
+            tellPeers(server.id, false);
         }
     };
 
@@ -201,7 +214,13 @@
     }));
 
     options.rpc.addMethod("backends.draining", params => {
-        setDraining((params as DrainNotice).serverId, DrainSource.Peer);
+        const { serverId, draining } = v.parse(drainNoticeSchema, params);
+        if (draining) {
+            setDraining(serverId, DrainSource.Peer);
+        } else if (marks.remove(serverId)) {
+            logger.info("backend-drain-ended", { server: serverId });
+            rebuild();
+        }
         return {};
     });
 
@@ -210,7 +229,7 @@
         find: id => byId.get(id),
         noteDraining: serverId => {
             if (setDraining(serverId, DrainSource.ResponseHeader)) {
-                tellPeers(serverId);
+                tellPeers(serverId, true);
             }
         },
         onChange: listener => void listeners.push(listener),
--- a/packages/backends/src/drain-marks.ts
+++ b/packages/backends/src/drain-marks.ts
@@ -28,6 +28,8 @@
     mark(serverId: string, source: DrainSource): boolean;
     /** Health said that the server does not drain. Returns true when this removed the mark. */
     deny(serverId: string): boolean;
+    /** Removes the mark of a server whose drain another entry saw end. Returns true when there was one. */
+    remove(serverId: string): boolean;
     /** Forgets servers that are not in the list any more. */
     keepOnly(serverIds: ReadonlySet<string>): void;
     state(): Record<string, DrainMark>;
@@ -58,6 +60,7 @@
             }
             return marks.delete(serverId);
         },
+        remove: serverId => marks.delete(serverId),
         keepOnly: serverIds => {
             for (const id of marks.keys()) {
                 if (!serverIds.has(id)) {
--- a/packages/bench/src/capacity/claims.ts
+++ b/packages/bench/src/capacity/claims.ts
@@ -130,7 +130,14 @@
     options: ClaimsMeasurementOptions,
 ): ManagedClaimService {
     const self: Member = {
-        ...{ id: "entry-1", incarnation: 1, status: MemberStatus.Live, region: "north", zone: "north-1" },
+        ...{
+            id: "entry-1",
+            incarnation: 1,
+            session: 1,
+            status: MemberStatus.Live,
+            region: "north",
+            zone: "north-1",
+        },
         ...{ callerAddress: "127.0.0.1:1", peerAddress: "127.0.0.1:2", ready: true },
     };
     const view: MemberView = {
--- a/packages/bench/src/capacity/fleet.ts
+++ b/packages/bench/src/capacity/fleet.ts
@@ -103,6 +103,7 @@
         return {
             id: `entry-${String(i).padStart(4, "0")}`,
             incarnation: 1,
+            session: 1,
             status: MemberStatus.Live,
             region: region.name,
             zone: region.zones[0]!,
--- a/packages/carrier/src/request-context.ts
+++ b/packages/carrier/src/request-context.ts
@@ -1,13 +1,8 @@
 /** One request on its way through an entry. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { fingerprintRequest } from "@waxwingdale/claims";
 import type { RouteSpec } from "@waxwingdale/manifest";
-import {
-    Outcome,
-    deadlineHeader,
-    fingerprintRequest,
-    hashText,
-    idempotencyKeyHeader,
-} from "@waxwingdale/core";
+import { Outcome, deadlineHeader, hashText, idempotencyKeyHeader } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
 import { clientHeader, fingerprintHeader, fromRegionHeader, getHeader } from "./headers.js";
 import type { RequestBody } from "./request-body.js";
@@ -84,9 +79,9 @@
         fingerprintRequest({
             service: match.service.name,
             method,
-            path: match.path,
-            key,
-            bodyHead: body.head,
+            ...splitQuery(match.path),
+            idempotencyKey: key,
+            bodyPrefix: body.head,
         });
     return {
         id,
@@ -126,3 +121,10 @@
         maySend: () => true,
     };
 }
+
+function splitQuery(target: string): { path: string; query: string } {
+    const start = target.indexOf("?");
+    return start < 0
+        ? { path: target, query: "" }
+        : { path: target.slice(0, start), query: target.slice(start + 1) };
+}
--- a/packages/entry/src/bin/waxwingdale-entry.ts
+++ b/packages/entry/src/bin/waxwingdale-entry.ts
@@ -1,6 +1,4 @@
 /** Binary of the entry daemon. */
-// tsyringe checks for the polyfill when it is loaded, so this import is the first one.
-import "reflect-metadata";
 import { getErrorMessage } from "@waxwingdale/core";
 import sade from "sade";
 import { ListenError } from "../http-listener.js";
--- a/packages/entry/src/compose-entry.ts
+++ b/packages/entry/src/compose-entry.ts
@@ -1,4 +1,6 @@
 /** Composition of an entry: which part is built from which. */
+// tsyringe checks for the polyfill when it is loaded, so this import is the first one.
+import "reflect-metadata";
 import { createBackendDirectory, createHealthProbe } from "@waxwingdale/backends";
 import type { BackendDirectory } from "@waxwingdale/backends";
 import {
@@ -23,7 +25,7 @@
 import { createLinkShaper, createRetryBudget, createSlotBroker } from "@waxwingdale/limits";
 import type { LinkShaper, RetryBudget, SlotBroker } from "@waxwingdale/limits";
 import { manifestSchema } from "@waxwingdale/manifest";
-import type { Manifest } from "@waxwingdale/manifest";
+import type { AcceptedManifest, Manifest } from "@waxwingdale/manifest";
 import { createMembership } from "@waxwingdale/membership";
 import type { Membership } from "@waxwingdale/membership";
 import { createReportCollector, createReportMeter } from "@waxwingdale/reports";
@@ -34,6 +36,7 @@
     createPlanner,
     createTrafficSteering,
     findDeadRegions,
+    findRoute,
     parsePlan,
     planKey,
 } from "@waxwingdale/steering";
@@ -223,6 +226,13 @@
             logger,
             manifest: () => get(tokens.config).current()?.manifest,
             probe: createHealthProbe(() => agent),
+            isStillNeeded: service =>
+                isHomeStillServed(
+                    get(tokens.steering).currentPlan(),
+                    get(tokens.config).current(),
+                    service,
+                    settings.region,
+                ),
             isProbedHere: serverId => {
                 const ids = membership.liveInRegion(settings.region).map(member => member.id);
                 return pickOwner(serverId, ids) === settings.id;
@@ -287,6 +297,19 @@
     });
 }
 
+/** Whether callers of a drained region are still served at home, because their traffic leaves at the declared pace. */
+function isHomeStillServed(
+    plan: PlanObject | undefined,
+    accepted: AcceptedManifest | undefined,
+    service: string,
+    region: string,
+): boolean {
+    if (plan === undefined || accepted === undefined || plan.generation < accepted.generation) {
+        return true;
+    }
+    return (findRoute(plan, service, region)?.homePerSecond ?? 0) > 0;
+}
+
 function composeSteering(add: Add): void {
     add(tokens.steering, get => {
         const { clock, logger } = get(tokens.base);
@@ -351,6 +374,8 @@
     add(tokens.planner, get => {
         const { store, clock, logger } = get(tokens.base);
         const lease = get(tokens.lease);
+        // Membership forgets members that are dead for long; their region stays dead.
+        let deadRegions: ReadonlySet<string> = new Set();
         return createPlanner({
             store,
             lease: { isHeld: () => lease.isHeld(), epoch: () => lease.epoch() ?? 0 },
@@ -358,15 +383,17 @@
             logger,
             observe: () => {
                 const accepted = get(tokens.config).current();
+                if (accepted === undefined) {
+                    return undefined;
+                }
                 const collector = get(tokens.collector);
-                return (
-                    accepted && {
-                        accepted,
-                        demands: collector.demands(),
-                        capacities: collector.capacities(),
-                        deadRegions: findDeadRegions(get(tokens.membership), accepted.manifest),
-                    }
-                );
+                deadRegions = findDeadRegions(get(tokens.membership), accepted.manifest, deadRegions);
+                return {
+                    accepted,
+                    demands: collector.demands(),
+                    capacities: collector.capacities(),
+                    deadRegions,
+                };
             },
             onPlan: plan => get(tokens.plan).adopt(plan),
         });
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -11,6 +11,8 @@
     countLookup(): void;
     /** Adds a gauge whose value is read when the metrics are collected. */
     addGauge(name: string, help: string, read: () => number): void;
+    /** Adds a gauge with one label, whose values by label are read when the metrics are collected. */
+    addLabelledGauge(name: string, help: string, label: string, read: () => Record<string, number>): void;
 }
 
 /** Creates the metrics of one entry instance. */
@@ -65,5 +67,19 @@
                 },
             });
         },
+        addLabelledGauge: (name, help, label, read) => {
+            new Gauge({
+                name,
+                help,
+                labelNames: [label],
+                registers: [registry],
+                collect() {
+                    this.reset();
+                    for (const [value, count] of Object.entries(read())) {
+                        this.set({ [label]: value }, count);
+                    }
+                },
+            });
+        },
     };
 }
--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -13,6 +13,7 @@
 import { composeEntry, tokens } from "./compose-entry.js";
 import type { EntryBase } from "./compose-entry.js";
 import { createEntryDump, createEntryStatus, findNotReadyReason } from "./entry-state.js";
+import { addEntryGauges } from "./entry-gauges.js";
 import { EntryState } from "./entry-record.js";
 import { openHttpListener } from "./http-listener.js";
 import type { HttpListener } from "./http-listener.js";
@@ -135,6 +136,7 @@
         logger,
     });
 
+    addEntryGauges(resolve);
     joinGossip(resolve);
     runTasks(resolve, signal, logger);
     resolve(tokens.entryRecord).write(EntryState.Live);
--- /dev/null
+++ b/packages/entry/test/settings.test.ts
@@ -0,0 +1,46 @@
+import assert from "node:assert/strict";
+import { readFile } from "node:fs/promises";
+import { test } from "node:test";
+import { SettingsError, parseSettings, readFleetKey } from "@waxwingdale/entry";
+
+const example = new URL("../../../examples/entry.settings.jsonc", import.meta.url);
+const text = await readFile(example, "utf8");
+
+function findProblems(settings: string): readonly string[] {
+    try {
+        parseSettings(settings, "entry.jsonc");
+    } catch (err) {
+        assert.ok(err instanceof SettingsError);
+        return err.problems;
+    }
+    return [];
+}
+
+test("the example settings are valid", () => {
+    assert.equal(parseSettings(text, "entry.jsonc").id, "entry-north-1");
+});
+
+test("a missing zone is named with its fix", () => {
+    assert.deepEqual(findProblems(text.replace(/"zone":.*/, "")), ["entry.jsonc: zone: missing; add it"]);
+});
+
+test("an unknown key is an error and not a silent default", () => {
+    assert.match(findProblems(text.replace('"logLevel"', '"loglevel"'))[0]!, /loglevel: unknown key/);
+});
+
+test("a host name in place of an IP address is refused", () => {
+    assert.match(
+        findProblems(text.replace("10.1.255.10:7000", "store.example:7000"))[0]!,
+        /store: must be an IP address/,
+    );
+});
+
+test("a wrong comma is located", () => {
+    assert.match(findProblems(text.replace('"region":', ',"region":'))[0]!, /^entry\.jsonc:\d+:\d+: /);
+});
+
+test("a short fleet key is refused", async () => {
+    const settings = { ...parseSettings(text, "entry.jsonc"), fleetKeyFile: undefined };
+    await assert.rejects(readFleetKey(settings, "short"), /at least 16 characters/);
+    assert.equal(await readFleetKey(settings, "a key that is long enough"), "a key that is long enough");
+});
