feat(bench): cost of filling the look-up table by changes

Cause: a list of 1.7 million blocks as text does not fit a daemon of 256 MB, so the table may have to be filled as blocks arrive. Ruled out: the same figure for neighbouring blocks of 32 bits; filling is quadratic in the blocks of a bucket, and that run did not end within 400 s. Before/after: not measured before. Its pauses on a quiet machine without the block texts are not measured.

--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -3,7 +3,7 @@
 import { formatTable } from "./capacity-table.js";
 import type { CapacityTable } from "./capacity-table.js";
 import { measureLookupDirectory } from "./lookup-directory.js";
-import { measureLookupTable } from "./lookup-table.js";
+import { measureLookupTable, measureLookupTableFill } from "./lookup-table.js";
 import { measurePlanner } from "./planner.js";
 
 interface Measurement {
@@ -14,6 +14,7 @@
 
 const measurements: Measurement[] = [
     { name: "lookup-table", measure: measureLookupTable },
+    { name: "lookup-fill", measure: measureLookupTableFill },
     { name: "lookup-directory", measure: measureLookupDirectory },
     { name: "planner", measure: measurePlanner },
 ];
--- a/packages/bench/src/capacity/lookup-table.ts
+++ b/packages/bench/src/capacity/lookup-table.ts
@@ -35,6 +35,30 @@
     return { title: "Look-up table of client blocks, 57 sites", sizeName: "blocks", rows };
 }
 
+/** Measures a table that is filled by changes, so that its blocks need not be in memory as a list at the same time. */
+export async function measureLookupTableFill(options: BenchOptions): Promise<CapacityTable> {
+    const places = Array.from({ length: siteCount }, (_, i) => `site-${i}`);
+    const random = createRandom(options.seed);
+    const clock = createSystemClock();
+    const rows: CapacityRow[] = [];
+    for (const size of sizes) {
+        const blocks = createSpreadBlocks(size, places, random);
+        const figures: CapacityFigure[] = [
+            { name: "fill", unit: "ms", samples: [] },
+            { name: "longest pause", unit: "ms", samples: [] },
+            { name: "memory", unit: "MB", samples: [] },
+        ];
+        for (let round = 0; round < options.rounds; round++) {
+            const table = createLookupTable([]);
+            const { totalMs, longestPauseMs } = await measurePause(() => table.applyInSlices(blocks, clock));
+            const values = [totalMs, longestPauseMs, table.memoryBytes() / 1e6];
+            values.forEach((value, i) => figures[i]!.samples.push(value));
+        }
+        rows.push({ size: size.toLocaleString("en-US"), figures });
+    }
+    return { title: "Look-up table filled by changes", sizeName: "blocks", rows };
+}
+
 async function measureSize(
     size: string,
     blocks: readonly ClientBlockSpec[],
