feat(claims): bound the records of all shards of an entry

Cause: 16 MB for each shard adds up to 512 MB when one entry owns 32 shards, above the 256 MB that a daemon may use. Ruled out: dropping old records, which would let a key run twice. Conclusion: full memory refuses new keys and answers known ones.

--- a/packages/claims/src/claim-service.ts
+++ b/packages/claims/src/claim-service.ts
@@ -69,6 +69,11 @@
     clock: Clock;
     random: Random;
     logger: Logger;
+    /**
+     * Bytes of records that all owned shards may hold in memory; new keys are refused above it.
+     * @default 100_663_296 (96 MB)
+     */
+    maxOwnedBytes?: number;
 }
 
 export interface ClaimServiceState {
@@ -107,6 +112,7 @@
 /** Time after which bodies of queries about the same attempt are asked again. */
 const queryIntervalMs = 1000;
 const maxCachedQueries = 1000;
+const defaultMaxOwnedBytes = 96 * 1024 * 1024;
 const running: ClaimResult = { state: ClaimState.Running };
 
 export function createClaimService(options: ClaimServiceOptions): ManagedClaimService {
@@ -218,13 +224,21 @@
         return shards;
     };
 
+    const isMemoryFull = (): boolean => {
+        let bytes = 0;
+        for (const owner of owners.values()) {
+            bytes += owner.countBytes();
+        }
+        return bytes >= (options.maxOwnedBytes ?? defaultMaxOwnedBytes);
+    };
+
     const getOwner = (shard: number): ShardOwner => {
         let owner = owners.get(shard);
         if (owner === undefined) {
             const common = { shard, clock, random, logger, budget };
             const retentionMs = () => limits().retentionSeconds * 1000;
             const log = createShardLog({ ...common, store, self: () => view.self(), retentionMs });
-            owner = createShardOwner({ ...common, log, retentionMs });
+            owner = createShardOwner({ ...common, log, retentionMs, isMemoryFull });
             owners.set(shard, owner);
         }
         return owner;
--- a/packages/claims/src/shard-owner.ts
+++ b/packages/claims/src/shard-owner.ts
@@ -39,6 +39,8 @@
     logger: Logger;
     budget: WriteBudget;
     retentionMs: () => number;
+    /** Whether the shards of this entry together hold as many bytes as they may. */
+    isMemoryFull: () => boolean;
 }
 
 export interface ShardOwnerState {
@@ -59,6 +61,8 @@
     /** Resolves when the end of an attempt is in the store. */
     finish(msg: EndMessage): Promise<void>;
     find(keyHash: string): Promise<ClaimResult>;
+    /** Bytes of the records in memory. */
+    countBytes(): number;
     /** The current record of a key, without a look at the store. */
     peek(keyHash: string): ClaimRecord | undefined;
     /** Forgets the shard's records once its queue is empty: the view names another owner. */
@@ -293,8 +297,8 @@
         if (msg.expiresAt + clockSkewMs < clock.wallTime() || droppedAttempts.has(msg.attemptId)) {
             throw new ShardUnavailableError(false, `attempt ${msg.attemptId} has already ended`);
         }
-        if (held !== undefined && held.recordBytes > maxShardBytes) {
-            throw new ShardUnavailableError(false, `shard ${shard} holds more than ${maxShardBytes} bytes`);
+        if (options.isMemoryFull() || (held !== undefined && held.recordBytes > maxShardBytes)) {
+            throw new ShardUnavailableError(false, "the memory for claims is full; shorten retentionSeconds");
         }
     };
 
@@ -386,6 +390,7 @@
             }
             return enqueue(`find ${keyHash}`, undefined, changes => describe(getRecord(keyHash, changes)));
         },
+        countBytes: () => held?.recordBytes ?? 0,
         peek: keyHash => getRecord(keyHash),
         release: () => {
             isReleased = true;
--- a/packages/claims/test/claim-service.test.ts
+++ b/packages/claims/test/claim-service.test.ts
@@ -338,6 +338,17 @@
     assert.equal(left.length, 0, "archives past the retention are deleted");
 });
 
+test("with full memory new keys are refused and known ones are answered", async () => {
+    const fleet = createFleet(["a"], { maxOwnedBytes: 1 });
+    fleet.start("a");
+    const req = createRequest(fleet, "k");
+    await begin(fleet, "a", req);
+    await assert.rejects(begin(fleet, "a", createRequest(fleet, "new")), ClaimsUnavailableError);
+    fleet.nodes.get("a")!.service.finish(req, { kind: "ran", response });
+    await fleet.clock.advance(500);
+    assert.equal((await begin(fleet, "a", createRequest(fleet, "k"))).state, ClaimState.Finished);
+});
+
 test("entries keep the number of shards that the store fixes", async () => {
     const fleet = startFleet();
     const req = createRequest(fleet, "k");
--- a/packages/claims/test/claims-harness.ts
+++ b/packages/claims/test/claims-harness.ts
@@ -110,7 +110,10 @@
     maxDelayMs: number;
 }
 
-export function createFleet(ids: string[], options: { seed?: number; limits?: Partial<ClaimLimits> } = {}) {
+export function createFleet(
+    ids: string[],
+    options: { seed?: number; limits?: Partial<ClaimLimits>; maxOwnedBytes?: number } = {},
+) {
     const clock = createManualClock(1_000_000);
     const random = createRandom(options.seed ?? 1);
     const store = new RecordingStore(clock);
@@ -172,6 +175,7 @@
             clock: nodeClock,
             random: createRandom(incarnations.get(id)! * 31 + ids.indexOf(id)),
             logger: createSilentLogger(),
+            maxOwnedBytes: options.maxOwnedBytes,
         });
         nodes.set(id, node);
         return node;
