--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -2,6 +2,7 @@
 import type { BenchOptions } from "../bench-options.js";
 import { formatTable } from "./capacity-table.js";
 import type { CapacityTable } from "./capacity-table.js";
+import { measureClaimRates } from "./claims-table.js";
 import { measureLookupDirectory } from "./lookup-directory.js";
 import { measureLookupTable, measureLookupTableFill } from "./lookup-table.js";
 import { measurePlanner } from "./planner.js";
@@ -17,6 +18,7 @@
     { name: "lookup-fill", measure: measureLookupTableFill },
     { name: "lookup-directory", measure: measureLookupDirectory },
     { name: "planner", measure: measurePlanner },
+    { name: "claims", measure: measureClaimRates },
 ];
 
 /** Runs the measurements one after the other and prints a table of medians for each. */
--- a/packages/core/src/rpc-client.ts
+++ b/packages/core/src/rpc-client.ts
@@ -37,8 +37,8 @@
     id: string;
     fleetKey: string;
     /**
-     * Connections to each peer.
-     * @default 4
+     * Connections to each peer, opened on demand. A claim holds one for a round trip to another region and a commit.
+     * @default 32
      */
     connections?: number;
 }
@@ -52,7 +52,7 @@
 /** Creates the transport that peers call each other by. */
 export function createRpcClient(options: RpcClientOptions): RpcClient {
     const agent = new Agent({
-        connections: options.connections ?? 4,
+        connections: options.connections ?? 32,
         connect: { timeout: 1000 },
         pipelining: 1,
     });
