fix(limits): bound the open calls to a peer that does not answer

Cause: wants are sent without waiting for the answer to the last one, so a peer that hangs collected a call every 2 ms for the time limit of a call (500 ms).

The new test fails with the bound at 1000 calls. A second test covers load reports; it fails when a false report may stop a server altogether, and when reports are ignored.

--- a/packages/limits/src/want-sender.ts
+++ b/packages/limits/src/want-sender.ts
@@ -26,6 +26,8 @@
     close(): void;
 }
 
+/** Unanswered wants to a peer. A peer that hangs must not make calls pile up. */
+const maxOpenCalls = 16;
 /** Time for which a grant can refer to a want. */
 const rememberMs = 10_000;
 
@@ -33,6 +35,7 @@
     const { view, clock, cfg, counters } = options;
     /** Send times of the last wants, in order. */
     const sentTimes = new Map<number, number>();
+    const openCalls = new Map<string, number>();
     let seq = 0;
     let lastSentAt = -Infinity;
     let isScheduled = false;
@@ -44,6 +47,11 @@
         if (address === undefined) {
             return;
         }
+        const calls = openCalls.get(peer) ?? 0;
+        if (calls >= maxOpenCalls) {
+            return;
+        }
+        openCalls.set(peer, calls + 1);
         counters.wantsSent++;
         try {
             const { transport } = options;
@@ -56,6 +64,8 @@
             }
         } catch {
             // The next want carries everything that this one did.
+        } finally {
+            openCalls.set(peer, openCalls.get(peer)! - 1);
         }
     };
 
--- a/packages/limits/test/slot-broker.test.ts
+++ b/packages/limits/test/slot-broker.test.ts
@@ -254,3 +254,34 @@
     await clock.advance(500);
     assert.equal(countHeld("e0"), before);
 });
+
+// Guards against requests to a server that other users keep busy, and against a false report that stops all traffic.
+test("a report beyond the limit lowers what is sent to one request and raises nothing", async () => {
+    const { clock, acquire } = await setUp({ entries: 1, servers: 1 });
+    const first = await acquire("e0");
+    first.release(SlotResult.Completed, 9);
+    const started: Slot[] = [];
+    const start = () =>
+        acquire("e0", { deadlineAt: clock.now() + 5000 }).then(
+            slot => started.push(slot),
+            () => undefined,
+        );
+    [1, 2, 3, 4, 5].forEach(() => void start());
+    await clock.advance(500);
+    assert.equal(started.length, 1);
+    started[0]!.release(SlotResult.Completed, 0);
+    await clock.advance(500);
+    assert.equal(started.length, 4);
+});
+
+// Guards against calls that pile up in front of a peer that hangs.
+test("a peer that does not answer has few open calls", async () => {
+    const { clock, random, region } = await setUp();
+    region.pause("e1");
+    const before = region.entry("e0").broker.counters().wantsSent;
+    await offerLoad(region, clock, random, { ms: 400, perSecond: 3000, ids: ["e0"] });
+    const sent = region.entry("e0").broker.counters().wantsSent - before;
+    await clock.advance(100);
+    assert.ok(sent > 100, `${sent} wants`);
+    assert.ok(region.openCalls("e0", "e1").most <= 16, `${region.openCalls("e0", "e1").most} calls`);
+});
--- a/packages/limits/test/support/fake-region.ts
+++ b/packages/limits/test/support/fake-region.ts
@@ -65,6 +65,8 @@
     /** Counts a request on a server until the returned function is called. */
     occupy(slot: Slot): () => void;
     inFlight(serverId: string): number;
+    /** Unanswered wants from one entry to another one, and the most there have been. */
+    openCalls(from: string, to: string): { now: number; most: number };
     /** Most requests beyond the slots of any server since the last call. */
     takeLargestExcess(): number;
     /** Time at which a server last had more requests than slots. */
@@ -103,6 +105,7 @@
     const deferred = new Map<string, (() => void)[]>();
     const inFlight = new Map<string, number>();
     const totals = { completed: 0, refused: 0 };
+    const openCalls = new Map<string, { now: number; most: number }>();
     let largestExcess = 0;
     let lastExcessAt = -Infinity;
 
@@ -167,6 +170,13 @@
         }
     };
 
+    const countCalls = (from: string, to: string) => {
+        const key = `${from}>${to}`;
+        const open = openCalls.get(key) ?? { now: 0, most: 0 };
+        openCalls.set(key, open);
+        return open;
+    };
+
     const createTransport = (from: string): PeerTransport => ({
         call: (to, method, params, timeoutMs) =>
             new Promise((resolve, reject) => {
@@ -175,12 +185,24 @@
                     return;
                 }
                 const body = JSON.stringify(params);
+                const open = countCalls(from, to);
+                let weight = method === "slots.want" ? 1 : 0;
+                open.now += weight;
+                open.most = Math.max(open.most, open.now);
+                const done = () => {
+                    open.now -= weight;
+                    weight = 0;
+                };
                 clock.setTimer(timeoutMs, () => runAs(from, () => reject(new PeerTimeoutError("timeout"))));
+                clock.setTimer(timeoutMs, done);
                 transmit(from, to, () => {
                     const result = JSON.stringify(
                         entries.get(to)!.methods.get(method)!(JSON.parse(body), from),
                     );
-                    transmit(to, from, () => resolve(JSON.parse(result) as never));
+                    transmit(to, from, () => {
+                        done();
+                        resolve(JSON.parse(result) as never);
+                    });
                 });
             }),
     });
@@ -346,6 +368,7 @@
             return { waitedMs, server: slot.server.id };
         },
         occupy,
+        openCalls: countCalls,
         inFlight: id => inFlight.get(id) ?? 0,
         takeLargestExcess: () => {
             const value = largestExcess;
