fix(membership): one sync at a time for a joining entry, and a bound on rows for a joining zone

Cause: a new entry calls three seeds at once and read the same rows from each of them. A second mechanism that told a peer of its own suspicion before the call was redundant: the answer to the call corrects it already.

Every mechanism was broken by hand and the tests run: softened deaths, tie-break, pause check, isolation, calls to dead members, seed checks, replacement of an id, watch on leaving members, reused addresses, equal-view confirmation, suspicion of forgotten members, outbidding in a refutation, row checks, extension guard, join back-off and indirect probes each fail at least one test when broken. Two survived: the accusation before a call (now removed) and the row budget, for which the new test fails when the budget is lifted.

--- a/packages/membership/src/view-exchange.ts
+++ b/packages/membership/src/view-exchange.ts
@@ -55,6 +55,8 @@
     let nextSyncAt = 0;
     /** Until the first complete sync this entry lacks most rows, so it syncs in every exchange. */
     let isNew = true;
+    /** A new entry calls several seeds at once, and they would all send the same rows. */
+    let isSyncing = false;
 
     const takeRows = (first: Member[]): Member[] => {
         const due = budget.take(Math.min(limits.rowsPerExchange, first.length + rumors.size()), 1);
@@ -123,16 +125,6 @@
     const callSync = async (peerAddress: string, params: SyncMessage) =>
         receive(await call(peerAddress, "gossip.sync", params), RowOrigin.Sync);
 
-    /** A peer that others call suspect or dead must hear of it, since only it can refute. */
-    const findAccusation = (peerAddress: string) =>
-        table
-            .all()
-            .filter(
-                ({ peerAddress: address, status }) =>
-                    address === peerAddress &&
-                    (status === MemberStatus.Suspect || status === MemberStatus.Dead),
-            );
-
     const noteEqualViews = (message: ReceivedMessage) => {
         if (message.hash === table.viewHash()) {
             isNew = false;
@@ -142,7 +134,9 @@
 
     const isSyncDue = (reply: ReceivedMessage) => {
         const isQuiet = rumors.size() === 0 && reply.rows.length === 0;
-        return reply.hash !== table.viewHash() && (isNew || isQuiet || clock.now() >= nextSyncAt);
+        return (
+            !isSyncing && reply.hash !== table.viewHash() && (isNew || isQuiet || clock.now() >= nextSyncAt)
+        );
     };
 
     const sync = async (peerAddress: string, known: Member[]) => {
@@ -171,13 +165,14 @@
 
     return {
         exchange: async peerAddress => {
-            const sent = createMessage(takeRows(findAccusation(peerAddress)));
+            const sent = createMessage(takeRows([]));
             const { message, corrections } = receive(
                 await call(peerAddress, "gossip.exchange", sent),
                 RowOrigin.Exchange,
             );
             if (isSyncDue(message)) {
-                await sync(peerAddress, corrections);
+                isSyncing = true;
+                await sync(peerAddress, corrections).finally(() => (isSyncing = false));
             } else if (corrections.length > 0) {
                 const count = budget.take(Math.min(limits.rowsPerExchange, corrections.length), 1);
                 await callSync(peerAddress, createSync("", corrections.slice(0, count)));
--- a/packages/membership/test/merge.test.ts
+++ b/packages/membership/test/merge.test.ts
@@ -156,3 +156,16 @@
     assert.ok(sync.rows.length <= 64 && JSON.stringify(sync).length < 10_000);
     assert.equal(sync.complete, false);
 });
+
+// Guards against an entry that answers every member of a joining zone with its whole view.
+test("many syncs at once get few rows each from one entry", () => {
+    const { receive } = createOne();
+    const fleet = Array.from({ length: 420 }, (_, i) => makeMember(`entry-${i}`));
+    receive("gossip.exchange", makeMessage(fleet));
+    const counts = Array.from({ length: 60 }, () => {
+        const result = receive("gossip.sync", { ...makeMessage([]), buckets: "none" }) as SyncResult;
+        return result.rows.length;
+    });
+    assert.ok(counts.every(count => count >= 8 && count <= 64));
+    assert.ok(counts.reduce((sum, count) => sum + count, 0) <= 100 + 60 * 8);
+});
