--- a/packages/stand-ins/src/backend-server/start-backend-server.ts
+++ b/packages/stand-ins/src/backend-server/start-backend-server.ts
@@ -137,7 +137,10 @@
         res.once("close", () => cancelled.abort());
         // A request with an effect runs to its end although the connection is gone.
         const signal = req.method === "GET" ? cancelled.signal : undefined;
-        await clock.sleep(getWorkMs(req, url.searchParams), signal);
+        const workMs = getWorkMs(req, url.searchParams);
+        if (workMs > 0) {
+            await clock.sleep(workMs, signal);
+        }
         const bytes = Number(url.searchParams.get("bytes") ?? 0);
         const head = { ...createHeaders(), [nonceHeader]: String(req.headers[nonceHeader] ?? "") };
         if (bytes > 0) {
@@ -228,6 +231,7 @@
             draining,
             faults,
             now: clock.now(),
+            cpuSeconds: getCpuSeconds(),
             ...record.summary,
             keys: path === "/control/runs" ? record.keys() : undefined,
         };
@@ -278,6 +282,11 @@
     };
 }
 
+function getCpuSeconds(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1e6;
+}
+
 function waitForDrain(res: ServerResponse): Promise<void> {
     return new Promise(resolve => {
         const finish = () => {
--- a/packages/stand-ins/src/bin/stand-in-backend.ts
+++ b/packages/stand-ins/src/bin/stand-in-backend.ts
@@ -24,6 +24,8 @@
     port: number;
     "work-ms": number;
     "warm-up-ms": number;
+    slots: number;
+    "constant-work": boolean;
 }
 
 /** Longest time in milliseconds that a stopping server waits for its requests. */
@@ -39,7 +41,12 @@
         random: createRandom(hash32(flags.id)),
         host: flags.host,
         port: flags.port,
-        behaviour: { workMs: flags["work-ms"], warmUpMs: flags["warm-up-ms"] },
+        behaviour: {
+            workMs: flags["work-ms"],
+            warmUpMs: flags["warm-up-ms"],
+            slots: flags.slots,
+            randomWork: !flags["constant-work"],
+        },
         onDrain: draining => void list(draining ? InstanceState.Leaving : InstanceState.Live),
     });
 
@@ -100,5 +107,7 @@
     .option("--port", "Port; 0 picks a free one", 0)
     .option("--work-ms", "Mean service time in milliseconds", 10)
     .option("--warm-up-ms", "Time with cold caches after the start", 0)
+    .option("--slots", "Requests that run at once", 3)
+    .option("--constant-work", "Every request takes the mean service time", false)
     .action((flags: Flags) => run(flags))
     .parse(process.argv);
--- a/packages/stand-ins/src/launcher/launch-fleet.ts
+++ b/packages/stand-ins/src/launcher/launch-fleet.ts
@@ -23,6 +23,8 @@
      * @default 10
      */
     workMs?: number;
+    /** More flags of every backend server. */
+    backendFlags?: string[];
 }
 
 export interface FleetEntry {
@@ -105,7 +107,11 @@
                 site,
             ];
             const more = ["--store", storeAddress, "--work-ms", String(options.workMs ?? 10)];
-            const launched = await start(id, findBinary("stand-ins", "stand-in-backend"), [...args, ...more]);
+            const launched = await start(id, findBinary("stand-ins", "stand-in-backend"), [
+                ...args,
+                ...more,
+                ...(options.backendFlags ?? []),
+            ]);
             backends.push({ id, service, site, address: launched.fields.address!, process: launched });
         });
 
--- a/packages/stand-ins/src/launcher/run-checks.ts
+++ b/packages/stand-ins/src/launcher/run-checks.ts
@@ -7,6 +7,7 @@
     id: string;
     busy: number;
     now: number;
+    cpuSeconds: number;
     peakBusy: number;
     lastStartAt?: number;
     startsAfterDrain: number[];
