fix(carrier): a request that may have run is not said to be not run

An idempotent request whose first attempt was interrupted is retried. When the retry found no server, the caller was told "not-run", which was true of the retry only: the first server had read the request. The statement is now "unknown" with the reason of the interrupted attempt.

A property test found it in its first run (both servers answer garbage) and fails again with the mechanism taken out. The test drives the carrier against two raw TCP servers that reset, cut, delay, refuse, split or corrupt answers, send a second answer, or close after an answer, with parallel callers and unique nonces. It also fails when the phase "sent" is not recorded, when any 503 counts as not started, when a cut answer counts as complete, and with four requests pipelined on a connection.

A keep-alive connection that the server closes before it reads the request stays "unknown" once the request was written: the writer cannot tell it from a server that read the request and died.

--- a/packages/carrier/src/carrier.ts
+++ b/packages/carrier/src/carrier.ts
@@ -170,11 +170,16 @@
         const budget = options.retryBudget(ctx.service, ctx.route.name);
         const avoid = new Set<string>();
         budget.countRequest();
+        let unknown: AttemptResult | undefined;
         for (let attempt = 1; ; attempt++) {
             const upstream = chooseUpstream(ctx);
             const result = upstream === undefined ? shiftRefused : await upstream.send(ctx, avoid, capture);
             if (!mayRetry(ctx, result, attempt) || !budget.tryRetry()) {
-                return result;
+                // A later attempt that did not run says nothing about an earlier one that may have.
+                return result.kind === AttemptKind.NotRun ? (unknown ?? result) : result;
+            }
+            if (result.kind === AttemptKind.Unknown) {
+                unknown = result;
             }
             options.metrics.countRetry(ctx.service);
             logger.debug("request-retried", { request: ctx.id, attempt, reason: result.reason });
