feat(stand-ins): launcher runs from source, starts entries with more settings and kills its children at exit

Process-level tests import the launcher from its source, where the path of the bundled binaries differs from that in a bundle. Children are killed when the test process exits by itself. An answer header that hides a drain no longer hides it in health answers too, so each sign of a drain can be misleading by itself.

--- a/packages/stand-ins/src/backend-server/start-backend-server.ts
+++ b/packages/stand-ins/src/backend-server/start-backend-server.ts
@@ -71,10 +71,10 @@
         }
     };
 
-    const createHeaders = (): Record<string, string> => {
+    const createHeaders = (hidesDrain = faults.answersHideDrain): Record<string, string> => {
         const load = faults.reportedLoad ?? report.read(faults.reportLagMs);
         const headers: Record<string, string> = { [backendLoadHeader]: String(load) };
-        if (draining && !faults.answersHideDrain) {
+        if (draining && !hidesDrain) {
             headers[drainingHeader] = "1";
         }
         return headers;
@@ -205,11 +205,7 @@
     };
 
     const sendHealth = (res: ServerResponse) => {
-        const headers = createHeaders();
-        if (faults.healthHidesDrain) {
-            delete headers[drainingHeader];
-        }
-        res.writeHead(200, headers);
+        res.writeHead(200, createHeaders(faults.healthHidesDrain));
         res.end("ok");
     };
 
--- a/packages/stand-ins/src/launcher/child-process.ts
+++ b/packages/stand-ins/src/launcher/child-process.ts
@@ -16,9 +16,12 @@
 /** Time in milliseconds for a process to listen. */
 const startTimeoutMs = 20_000;
 
-/** Path of a bundled binary beside the launcher's own one. */
+/** URL of the folder `packages`, whether this module runs from its source or from a bundle. */
+const packagesUrl = import.meta.url.slice(0, import.meta.url.lastIndexOf("/stand-ins/") + 1);
+
+/** Path of the bundled binary of a package. */
 export function findBinary(pkg: string, name: string): string {
-    return fileURLToPath(new URL(`../../${pkg}/dist/${name}.js`, import.meta.url));
+    return fileURLToPath(new URL(`${pkg}/dist/${name}.js`, packagesUrl));
 }
 
 export interface LaunchOptions {
--- a/packages/stand-ins/src/launcher/launch-fleet.ts
+++ b/packages/stand-ins/src/launcher/launch-fleet.ts
@@ -50,7 +50,13 @@
     backends: FleetBackend[];
     /** Runs the operators' command line. */
     runCommand(args: string[]): Promise<{ code: number; stdout: string; stderr: string }>;
-    startEntry(region: string, zone: string, id: string): Promise<FleetEntry>;
+    /** Starts one more entry; `settings` go before the settings that entries get by default. */
+    startEntry(
+        region: string,
+        zone: string,
+        id: string,
+        settings?: Record<string, unknown>,
+    ): Promise<FleetEntry>;
     stop(): Promise<void>;
 }
 
@@ -80,10 +86,12 @@
         return launched;
     };
 
+    const killAll = () => processes.forEach(({ child }) => child.kill("SIGKILL"));
+    process.once("exit", killAll);
+
     const stop = async () => {
-        for (const { child } of processes) {
-            child.kill("SIGKILL");
-        }
+        killAll();
+        process.off("exit", killAll);
         await Promise.all(processes.map(({ exited }) => exited));
     };
 
@@ -109,7 +117,7 @@
             backends.push({ id, service, site, address: launched.fields.address!, process: launched });
         });
 
-        const startEntry = async (region: string, zone: string, id: string): Promise<FleetEntry> => {
+        const startEntry: Fleet["startEntry"] = async (region, zone, id, more = {}) => {
             const file = join(options.folder, `${id}.jsonc`);
             const any = "127.0.0.1:0";
             const settings = {
@@ -119,6 +127,7 @@
                 store: storeAddress,
                 listen: { callers: any, peers: any, operators: any },
                 maxConnectionsPerCaller: 4096,
+                ...more,
             };
             await writeFile(file, `// Settings of entry ${id}\n${JSON.stringify(settings, undefined, 4)}\n`);
             const launched = await start(id, findBinary("entry", "waxwingdale-entry"), ["--settings", file]);
