fix(backends): an entry that starts while the store is down takes a peer's instance list

Cause: the list of backend servers came from the store only, so an entry started from seeds during an outage had the manifest but stayed not ready with 'the list of backend servers has not been read yet'. Before: the process test 'an entry starts from seeds while the store is down' failed after 10 s of waiting. After: the late entry asks its peers, nearest first, by the method backends.list, until it has read a list. The age of the peer's list is kept, so reports don't look fresher than they are.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -22,6 +22,8 @@
 const probeIntervalMs = 1000;
 /** Timeout in milliseconds of a drain notice to a peer. */
 const noticeTimeoutMs = 1000;
+/** Timeout in milliseconds of a request for a peer's instance list. */
+const listTimeoutMs = 1000;
 
 export interface BackendDirectoryOptions {
     region: string;
@@ -53,6 +55,12 @@
     state(): unknown;
 }
 
+/** Instance list of a peer; without records when the peer has read none. */
+interface SharedList {
+    records?: InstanceRecord[];
+    ageMs: number;
+}
+
 interface DrainNotice {
     serverId: string;
 }
@@ -127,10 +135,47 @@
             marks.keepOnly(new Set(records.map(row => row.id)));
         } catch (err) {
             logger.warn("instance-list-failed", { error: getErrorMessage(err) });
+            if (listedAt === undefined) {
+                await readPeerList();
+            }
         }
         rebuild();
     };
 
+    /** An entry that starts while the store is down takes the list of a peer, nearest first. */
+    const readPeerList = async () => {
+        const self = options.view.self();
+        const near = options.view.liveInRegion(region);
+        const far = options.view.members().filter(({ status }) => status === MemberStatus.Live);
+        for (const peer of new Map([...near, ...far].map(member => [member.id, member])).values()) {
+            if (peer.id !== self.id && (await adoptList(peer.peerAddress))) {
+                logger.info("instance-list-from-peer", { peer: peer.id, instances: records.length });
+                return;
+            }
+        }
+    };
+
+    /** Returns whether the peer has a list. */
+    const adoptList = async (peerAddress: string): Promise<boolean> => {
+        try {
+            const list = await options.transport.call<SharedList>(
+                peerAddress,
+                "backends.list",
+                {},
+                listTimeoutMs,
+            );
+            if (list.records === undefined) {
+                return false;
+            }
+            records = list.records;
+            listedAt = clock.now() - list.ageMs;
+            return true;
+        } catch (err) {
+            logger.debug("peer-list-failed", { peer: peerAddress, error: getErrorMessage(err) });
+            return false;
+        }
+    };
+
     const probeAll = async () => {
         const probed = servers.filter(server => options.isProbedHere(server.id));
         await Promise.all(probed.map(probeOne));
@@ -159,6 +204,10 @@
         return {};
     });
 
+    options.rpc.addMethod("backends.list", (): SharedList =>
+        listedAt === undefined ? { ageMs: 0 } : { records, ageMs: clock.now() - listedAt },
+    );
+
     return {
         servers: () => servers,
         find: id => byId.get(id),
