--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -5,6 +5,7 @@
     Clock,
     InstanceRecord,
     Logger,
+    Member,
     MemberView,
     ObjectStore,
     PeerTransport,
@@ -155,12 +156,13 @@
         rebuild();
     };
 
-    /** An entry that starts while the store is down gets the list from an entry of its region. */
+    /** An entry that starts while the store is down gets the list from another entry, if possible of its region. */
     const askPeerForList = async () => {
-        const selfId = options.view.self().id;
-        const peers = options.view
-            .liveInRegion(region)
-            .filter(({ id, status }) => id !== selfId && status === MemberStatus.Live);
+        const isOther = ({ id, status }: Member) =>
+            id !== options.view.self().id && status === MemberStatus.Live;
+        const near = options.view.liveInRegion(region).filter(isOther);
+        // The list holds the servers of all regions, so an entry of another one can give it too.
+        const peers = near.length > 0 ? near : options.view.members().filter(isOther);
         const peer = peers[Math.floor(options.random() * peers.length)];
         if (peer === undefined) {
             return;
--- a/packages/bench/src/capacity/membership-node.ts
+++ b/packages/bench/src/capacity/membership-node.ts
@@ -146,6 +146,7 @@
     const self: Member = {
         id,
         incarnation,
+        session: incarnation,
         status: MemberStatus.Live,
         region,
         zone: `${region}-a`,
