fix(limits): let an entry that no peer ever answered gain its slots

Cause: the rows of entries that died earlier counted as former contact, so an entry that started alone took itself for isolated and had no slots for ever.

Contact now means an answer or a question of a peer. The same holds for links. The new test fails when known rows count as contact.

--- a/packages/limits/src/link-shares.ts
+++ b/packages/limits/src/link-shares.ts
@@ -49,7 +49,8 @@
     let startedAt = clock.now();
     let startNumber = 1;
     let isActive = false;
-    let hasSeenPeer = false;
+    /** A peer has answered or asked. Rows of members alone may be left over from entries that died long ago. */
+    let hasHadContact = false;
     let isIsolated = false;
 
     const sum = (leases: Map<string, Lease[]>, to: string) => {
@@ -102,9 +103,8 @@
             countMembers();
             const self = view.self().id;
             const isReachable = view.members().some(m => m.id !== self && m.status !== MemberStatus.Dead);
-            hasSeenPeer ||= isReachable;
             const wasIsolated = isIsolated;
-            isIsolated = hasSeenPeer && !isReachable;
+            isIsolated = hasHadContact && !isReachable;
             if (wasIsolated && !isIsolated) {
                 distrust();
             }
@@ -133,13 +133,16 @@
             borrowed.set(to, [...(borrowed.get(to) ?? []), { amount, until }]);
         },
         confirm: (peer, start) => {
+            hasHadContact = true;
             if (start === startNumber) {
                 confirmedBy.add(peer);
                 tryActivate();
             }
         },
-        hasMadeRoomFor: peer =>
-            members.has(peer) && [...lent.keys()].every(to => sum(lent, to) <= equalPart()),
+        hasMadeRoomFor: peer => {
+            hasHadContact = true;
+            return members.has(peer) && [...lent.keys()].every(to => sum(lent, to) <= equalPart());
+        },
         distrust,
         start: () => startNumber,
     };
--- a/packages/limits/src/slot-table.ts
+++ b/packages/limits/src/slot-table.ts
@@ -111,7 +111,8 @@
     let claimCounter = 0;
     let lastInputs = "";
     let lastIds: string[] = [];
-    let hasSeenPeer = false;
+    /** A peer has answered or asked. Rows of members alone may be left over from entries that died long ago. */
+    let hasHadContact = false;
     let wasIsolated = false;
     let isAbandoned = false;
     let incarnation = view.self().incarnation;
@@ -120,8 +121,7 @@
     const isIsolated = () => {
         const self = view.self().id;
         const reachable = view.members().some(m => m.id !== self && m.status !== MemberStatus.Dead);
-        hasSeenPeer ||= reachable;
-        return hasSeenPeer && !reachable;
+        return hasHadContact && !reachable;
     };
 
     const counts = (record: SlotRecord) =>
@@ -340,6 +340,7 @@
         ((record.isOwn && record.isConfirmed) || (record.loan !== undefined && record.loan.expiresAt > now));
 
     const applyAnswer = (claim: Claim, peer: string, answer: ClaimAnswer) => {
+        hasHadContact = true;
         const record = table.get(claim.key);
         if (!record?.isOwn || record.isConfirmed || record.claimId !== claim.claimId) {
             return;
@@ -379,6 +380,7 @@
                 .map(({ key, claimId }) => ({ key, claimId }));
         },
         answerClaim: (claim, peer) => {
+            hasHadContact = true;
             const record = table.get(claim.key);
             if (record) {
                 const others = (denied.get(claim.key) ?? []).filter(other => other.peer !== peer);
--- a/packages/limits/test/slot-broker.test.ts
+++ b/packages/limits/test/slot-broker.test.ts
@@ -285,3 +285,18 @@
     assert.ok(sent > 100, `${sent} wants`);
     assert.ok(region.openCalls("e0", "e1").most <= 16, `${region.openCalls("e0", "e1").most} calls`);
 });
+
+// Guards against a single entry without slots because of records of entries that died before it started.
+test("an entry that no peer ever answered gains all slots", async () => {
+    const clock = createManualClock();
+    const region = createFakeRegion({ clock, random: createRandom(1), faults: { loss: 1 } });
+    region.crash("e1");
+    region.crash("e2");
+    await clock.advance(4000);
+    region.setStatus("e0", "e1", MemberStatus.Dead);
+    region.setStatus("e0", "e2", MemberStatus.Dead);
+    await clock.advance(4900);
+    assert.ok(region.entry("e0").broker.state().services[0]!.held < 24);
+    await clock.advance(400);
+    assert.equal(region.entry("e0").broker.state().services[0]!.held, 24);
+});
