--- a/packages/stand-ins/test/fleet-fixture.ts
+++ b/packages/stand-ins/test/fleet-fixture.ts
@@ -72,6 +72,16 @@
                         idempotent: true,
                         timeoutMs: 30_000,
                     },
+                    {
+                        ...route,
+                        maxBodyBytes: 1_000_000,
+                        name: "store",
+                        methods: ["PUT"],
+                        path: "/files",
+                        class: "bulk",
+                        idempotent: true,
+                        timeoutMs: 30_000,
+                    },
                 ],
             },
         ],
@@ -150,6 +160,8 @@
 }
 
 export interface Answer {
+    /** Number of the caller's home region. */
+    home: number;
     outcome: Outcome;
     /** True when no connection could be made or it broke before an answer. */
     broken: boolean;
@@ -195,7 +207,7 @@
     const { path, key, home = 0 } = wanted;
     const headers = { ...wanted.headers, ...(key === undefined ? {} : { [idempotencyKeyHeader]: key }) };
     const sentAt = Date.now();
-    const failed = { broken: true, status: 0, requestId: "", retryAfter: "", body: "", sentAt };
+    const failed = { home, broken: true, status: 0, requestId: "", retryAfter: "", body: "", sentAt };
     try {
         const res = await request(`http://${entry.callers}/desk${path}`, {
             method: (wanted.method ?? "GET") as "GET",
@@ -205,6 +217,7 @@
         const body = await res.body.text();
         const read = (name: string) => String(res.headers[name] ?? "");
         return {
+            home,
             outcome: read(outcomeHeader) as Outcome,
             broken: false,
             status: res.statusCode,
@@ -232,3 +245,22 @@
     }
     return runs;
 }
+
+/** Sends requests at a constant rate, whatever the answers take. Resolves when every answer is in. */
+export async function sendAtRate(
+    entries: readonly FleetEntry[],
+    requestsPerSecond: number,
+    seconds: number,
+    create: (number: number) => Sending,
+): Promise<Answer[]> {
+    const startedAt = Date.now();
+    const answers: Promise<Answer>[] = [];
+    for (let i = 0; i < requestsPerSecond * seconds; i++) {
+        const due = startedAt + (i * 1000) / requestsPerSecond;
+        if (due > Date.now()) {
+            await sleep(due - Date.now());
+        }
+        answers.push(send(entries[i % entries.length]!, create(i)));
+    }
+    return Promise.all(answers);
+}
--- /dev/null
+++ b/packages/stand-ins/test/limits.process.test.ts
@@ -0,0 +1,52 @@
+/** Limits of backend servers under load. Each test guards against an overloaded server or a lost request. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Outcome } from "@waxwingdale/core";
+import type { Answer } from "./fleet-fixture.js";
+import { sendAtRate, useFleet } from "./fleet-fixture.js";
+
+const limit = { timeout: 40_000 };
+const servers = 4;
+const slots = 3;
+const workMs = 50;
+/** Requests per second that the slots of the region carry. */
+const capacity = (servers * slots * 1000) / workMs;
+const getFleet = useFleet({ regions: ["east"], entriesPerRegion: 3, servers, workMs });
+
+/** No server runs more than its slots, and none has to refuse for lack of slots. */
+async function assertWithinSlots(): Promise<void> {
+    for (const state of await getFleet().states()) {
+        const { id, peakBusy, refused } = state as typeof state & { refused: number };
+        assert.ok(peakBusy <= slots, `${id} ran ${peakBusy} requests at once`);
+        assert.equal(refused, 0, `${id} refused ${refused} requests`);
+    }
+}
+
+const count = (answers: Answer[]) => {
+    const counts: Record<string, number> = {};
+    answers.forEach(({ outcome, reason }) => {
+        const name = `${outcome}/${reason}`;
+        counts[name] = (counts[name] ?? 0) + 1;
+    });
+    return JSON.stringify(counts);
+};
+
+test("steady state: no server runs more than its slots or refuses", limit, async t => {
+    const { entries } = getFleet();
+    const answers = await sendAtRate(entries, capacity * 0.6, 5, i => ({ path: `/items/${i}` }));
+    t.diagnostic(count(answers));
+    const refused = answers.filter(({ outcome }) => outcome !== Outcome.Ran);
+    assert.deepEqual(refused.slice(0, 5), [], count(answers));
+    await assertWithinSlots();
+});
+
+test("load reports that lie change nothing about the slots", limit, async t => {
+    const fleet = getFleet();
+    for (const [i, backend] of fleet.backends.entries()) {
+        await fleet.control(backend, "faults", { reportedLoad: i % 2 === 0 ? 0 : slots });
+    }
+    const answers = await sendAtRate(fleet.entries, capacity * 2, 4, i => ({ path: `/items/${i}` }));
+    t.diagnostic(count(answers));
+    assert.ok(answers.some(({ outcome }) => outcome === Outcome.Ran));
+    await assertWithinSlots();
+});
