--- a/packages/entry/src/http-listener.ts
+++ b/packages/entry/src/http-listener.ts
@@ -25,7 +25,10 @@
 export interface HttpListener {
     /** Address and port that the listener got. */
     address: string;
-    /** Answers close their connections from now on, and idle connections are closed. */
+    /**
+     * Answers close their connections from now on. Idle connections stay open, since a request may be on its way: a
+     * caller that keeps a look-up answer uses them until the answer expires.
+     */
     startClosing(): void;
     /** Stops listening and closes all connections. */
     close(): Promise<void>;
@@ -67,7 +70,6 @@
         address: family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`,
         startClosing: () => {
             closing = true;
-            server.closeIdleConnections();
         },
         close: () =>
             new Promise(resolve => {
--- a/packages/stand-ins/src/load/caller.ts
+++ b/packages/stand-ins/src/load/caller.ts
@@ -61,7 +61,9 @@
     return new Agent({
         connections: 128,
         pipelining: 1,
-        connect: { timeout: 1000, localAddress },
+        connect: { timeout: 1000 },
+        // In the options of "connect", undici ignores the local address.
+        localAddress,
         headersTimeout: 0,
         bodyTimeout: 0,
     });
--- a/packages/stand-ins/test/fleet-fixture.ts
+++ b/packages/stand-ins/test/fleet-fixture.ts
@@ -194,7 +194,8 @@
     const localAddress = `127.${home + 1}.0.1`;
     const agent = new Agent({
         connections: 400,
-        connect: { timeout: 1000, localAddress },
+        connect: { timeout: 1000 },
+        localAddress,
         headersTimeout: 0,
         bodyTimeout: 0,
     });
@@ -248,7 +249,7 @@
 
 /** Sends requests at a constant rate, whatever the answers take. Resolves when every answer is in. */
 export async function sendAtRate(
-    entries: readonly FleetEntry[],
+    choose: (number: number) => FleetEntry,
     requestsPerSecond: number,
     seconds: number,
     create: (number: number) => Sending,
@@ -260,7 +261,7 @@
         if (due > Date.now()) {
             await sleep(due - Date.now());
         }
-        answers.push(send(entries[i % entries.length]!, create(i)));
+        answers.push(send(choose(i), create(i)));
     }
     return Promise.all(answers);
 }
--- a/packages/stand-ins/test/limits.process.test.ts
+++ b/packages/stand-ins/test/limits.process.test.ts
@@ -22,6 +22,11 @@
     }
 }
 
+const pick = (i: number) => {
+    const { entries } = getFleet();
+    return entries[i % entries.length]!;
+};
+
 const count = (answers: Answer[]) => {
     const counts: Record<string, number> = {};
     answers.forEach(({ outcome, reason }) => {
@@ -32,8 +37,7 @@
 };
 
 test("steady state: no server runs more than its slots or refuses", limit, async t => {
-    const { entries } = getFleet();
-    const answers = await sendAtRate(entries, capacity * 0.6, 5, i => ({ path: `/items/${i}` }));
+    const answers = await sendAtRate(pick, capacity * 0.6, 5, i => ({ path: `/items/${i}` }));
     t.diagnostic(count(answers));
     const refused = answers.filter(({ outcome }) => outcome !== Outcome.Ran);
     assert.deepEqual(refused.slice(0, 5), [], count(answers));
@@ -45,7 +49,7 @@
     for (const [i, backend] of fleet.backends.entries()) {
         await fleet.control(backend, "faults", { reportedLoad: i % 2 === 0 ? 0 : slots });
     }
-    const answers = await sendAtRate(fleet.entries, capacity * 2, 4, i => ({ path: `/items/${i}` }));
+    const answers = await sendAtRate(pick, capacity * 2, 4, i => ({ path: `/items/${i}` }));
     t.diagnostic(count(answers));
     assert.ok(answers.some(({ outcome }) => outcome === Outcome.Ran));
     await assertWithinSlots();
--- a/packages/stand-ins/test/overload.process.test.ts
+++ b/packages/stand-ins/test/overload.process.test.ts
@@ -22,6 +22,11 @@
     }
 }
 
+const pick = (i: number) => {
+    const { entries } = getFleet();
+    return entries[i % entries.length]!;
+};
+
 const count = (answers: Answer[]) => {
     const counts: Record<string, number> = {};
     answers.forEach(({ outcome, reason }) => {
@@ -34,11 +39,10 @@
     "three times the capacity: look-ups are answered in time or refused, and the slots stay in use",
     limit,
     async t => {
-        const { entries } = getFleet();
         const deadlineMs = 1000;
         const seconds = 11;
         const startedAt = Date.now();
-        const answers = await sendAtRate(entries, capacity * 3, seconds, i => ({
+        const answers = await sendAtRate(pick, capacity * 3, seconds, i => ({
             path: `/items/${i}`,
             headers: { [deadlineHeader]: String(deadlineMs) },
         }));
--- a/packages/stand-ins/test/region.process.test.ts
+++ b/packages/stand-ins/test/region.process.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { Outcome } from "@waxwingdale/core";
 import { askOperator, readBackendState } from "@waxwingdale/stand-ins";
+import type { FleetEntry } from "@waxwingdale/stand-ins";
 import { countKeys, fleetKey, sendAtRate, sleep, useFleet } from "./fleet-fixture.js";
 import type { Answer, Sending } from "./fleet-fixture.js";
 
@@ -42,20 +43,31 @@
     async t => {
         const fleet = getFleet();
         const left = fleet.entries.filter(({ region }) => region !== dead);
+        // Callers use the entries of their home region, as the look-up tells them; the dead region's callers use any.
+        const choose = (i: number, entries: FleetEntry[]) => {
+            const near = entries.filter(({ region }) => region === regions[i % 3]);
+            const usable = near.length > 0 ? near : entries;
+            return usable[Math.floor(i / 3) % usable.length]!;
+        };
         const create = (i: number): Sending => ({
             home: i % 3,
             ...(i % 5 === 0
                 ? { method: "POST", path: "/certs", key: `region-${i}` }
                 : { path: `/items/${i}` }),
         });
-        const load = sendAtRate(fleet.entries, 240, 3, create);
+        const load = sendAtRate(i => choose(i, fleet.entries), 240, 3, create);
         const killed = [...fleet.entries, ...fleet.backends].filter(({ id }) => id.includes(dead));
         await sleep(1500);
         killed.forEach(({ process }) => process.child.kill("SIGKILL"));
         const killedAt = Date.now();
         const first = await load;
         // Every caller looks up again within the life of a look-up answer, so the dead addresses get no more requests.
-        const later = await sendAtRate(left, 240, 15, i => create(i + 100_000));
+        const later = await sendAtRate(
+            i => choose(i, left),
+            240,
+            15,
+            i => create(i + 99_999),
+        );
         const runs = await countKeys({ ...fleet, states: () => readLeft() });
         for (const count of runs.values()) {
             assert.equal(count, 1);
