fix(entry): readiness after the takeover delay; answers of peers that are not JSON

Cause: with few servers a new entry owns no slot of some service, and waited 10 s before it served by borrowing; the process test of a start from seeds allows 10 s in all. A peer that answers no JSON threw a bare syntax error. Ruled out: lost hand-overs; with the store up the same entry had its slots within 1 s. Conclusion: after the takeover delay nothing more can be gained.

--- a/packages/core/src/rpc-client.ts
+++ b/packages/core/src/rpc-client.ts
@@ -93,7 +93,7 @@
                     status,
                 );
             }
-            const res = JSON.parse(text) as JSONRPCResponse;
+            const res = parseResponse(text, peerAddress, method);
             if (res.error) {
                 const cause = new JSONRPCErrorException(res.error.message, res.error.code);
                 throw new PeerRejectedError(`peer ${peerAddress} rejected ${method}`, res.error.code, {
@@ -105,3 +105,12 @@
         close: () => agent.destroy(),
     };
 }
+
+function parseResponse(text: string, peerAddress: string, method: string): JSONRPCResponse {
+    try {
+        return JSON.parse(text) as JSONRPCResponse;
+    } catch (err) {
+        const message = `peer ${peerAddress} answered ${method} with something that is not JSON`;
+        throw new PeerRejectedError(message, 200, { cause: err });
+    }
+}
--- a/packages/entry/src/slot-readiness.ts
+++ b/packages/entry/src/slot-readiness.ts
@@ -1,10 +1,14 @@
 /** Whether a started entry has slots of the region's backend servers. Without them it would refuse what callers send. */
 import type { BackendDirectory } from "@waxwingdale/backends";
 import type { Clock } from "@waxwingdale/core";
+import { defaultLimitsConfig } from "@waxwingdale/limits";
 import type { SlotBroker } from "@waxwingdale/limits";
 
-/** Time in milliseconds with known servers after which an entry without own slots serves all the same, by borrowing. */
-const longestWaitMs = 10_000;
+/**
+ * Time in milliseconds with known servers after which an entry without own slots serves all the same, by borrowing. After
+ * the takeover delay an entry has the slots that it can get; of a service with few servers that may be none.
+ */
+const longestWaitMs = defaultLimitsConfig.takeoverDelayMs + 1000;
 
 export interface SlotReadiness {
     /** Stays true once it was true: under load an entry may lend or use all of its slots. */
