perf(membership): syncs of whole buckets, at most 32 rows

Cause: an incomplete sync told the initiator nothing about which of its own rows the other side lacks, so its newer rows and stale live rows stayed until a complete sync came.

Now an answer holds whole buckets and names them, and the initiator sends back what is missing in these.

--- a/packages/membership/src/gossip-message.ts
+++ b/packages/membership/src/gossip-message.ts
@@ -40,10 +40,10 @@
 export interface SyncResult {
     v: number;
     from: MemberRow;
-    /** Indexes of the buckets that differ. */
+    /** Indexes of the differing buckets whose rows are all in `rows`. */
     differing: number[];
     rows: MemberRow[];
-    /** Whether `rows` holds all rows of the differing buckets. */
+    /** Whether `differing` holds all differing buckets. */
     complete: boolean;
 }
 
--- a/packages/membership/src/membership-limits.ts
+++ b/packages/membership/src/membership-limits.ts
@@ -50,7 +50,7 @@
     rowsPerExchange: number;
     /**
      * Rows in one answer to a sync. A new entry reads its view from several peers.
-     * @default 64
+     * @default 32
      */
     rowsPerSync: number;
     /**
@@ -77,7 +77,7 @@
     retryDeadMs: 5000,
     seedCheckMs: 60_000,
     rowsPerExchange: 16,
-    rowsPerSync: 64,
+    rowsPerSync: 32,
     rowsPerSecond: 12,
     rowBurst: 100,
 };
--- a/packages/membership/src/view-exchange.ts
+++ b/packages/membership/src/view-exchange.ts
@@ -145,11 +145,9 @@
         const knownBefore = table.all().length;
         const { message, corrections } = receive(reply, RowOrigin.Sync);
         const received = new Set(message.rows.map(({ id }) => id));
-        const missing = message.complete
-            ? listBuckets(message.differing).filter(({ id }) => !received.has(id))
-            : [];
+        const missing = listBuckets(message.differing).filter(({ id }) => !received.has(id));
         // Joining entries see each other's rows as differences all the time, so a complete sync may never come.
-        if (message.complete || table.all().length - knownBefore < message.rows.length / 2) {
+        if (message.complete || table.all().length - knownBefore < message.rows.length / 4) {
             isNew = false;
         }
         const better = [...known, ...corrections, ...missing];
@@ -159,6 +157,22 @@
         }
     };
 
+    /** Takes whole buckets, so that the other side can tell which of its rows are missing here. */
+    const selectBuckets = (hashes: string, count: number) => {
+        const all = hashes === "" ? [] : shuffle(compareBuckets(hashes, table.bucketHashes()), random);
+        const differing: number[] = [];
+        const rows: Member[] = [];
+        for (const bucket of all) {
+            const next = listBuckets([bucket]);
+            if (rows.length > 0 && rows.length + next.length > count) {
+                break;
+            }
+            differing.push(bucket);
+            rows.push(...next);
+        }
+        return { differing, rows, complete: differing.length === all.length };
+    };
+
     const listBuckets = (buckets: number[]) =>
         buckets
             .flatMap(bucket => table.inBucket(bucket))
@@ -188,17 +202,15 @@
         },
         handleSync: params => {
             const { message, corrections } = receive(params, RowOrigin.Sync);
-            const differing =
-                message.buckets === "" ? [] : compareBuckets(message.buckets, table.bucketHashes());
-            const rows = listBuckets(shuffle([...differing], random));
-            const wanted = Math.min(limits.rowsPerSync, corrections.length + rows.length);
+            const wanted = message.buckets === "" ? corrections.length : limits.rowsPerSync;
             const count = budget.take(wanted, minSyncRows);
+            const { differing, rows, complete } = selectBuckets(message.buckets, count);
             return {
                 v: gossipVersion,
                 from: encodeRow(view.self()),
                 differing,
-                rows: [...corrections, ...rows].slice(0, count).map(encodeRow),
-                complete: count >= corrections.length + rows.length,
+                rows: [...corrections.slice(0, count), ...rows].map(encodeRow),
+                complete,
             };
         },
         addExtension: (name, extension) => void extensions.set(name, extension),
