--- a/packages/bench/src/capacity/membership.ts
+++ b/packages/bench/src/capacity/membership.ts
@@ -189,10 +189,15 @@
     return meanY + slope * (x(designEntries) - meanX);
 }
 
-/** Bytes and state grow with the entries at most; the time of an epidemic grows with their logarithm. */
+/**
+ * Bytes and state grow with the entries at most; the time of an epidemic grows with their logarithm. A falling line is
+ * noise or a fixed cost of the process that more entries share, so no figure is less than the greatest measured one.
+ */
 function extrapolate(rows: MembershipRow[]): MembershipRow {
-    const byEntries = (read: (row: MembershipRow) => number) => extend(rows, read, n => n);
-    const byLogarithm = (read: (row: MembershipRow) => number) => extend(rows, read, Math.log2);
+    const extendUp = (read: (row: MembershipRow) => number, x: (n: number) => number) =>
+        Math.max(extend(rows, read, x), ...rows.map(read));
+    const byEntries = (read: (row: MembershipRow) => number) => extendUp(read, n => n);
+    const byLogarithm = (read: (row: MembershipRow) => number) => extendUp(read, Math.log2);
     return {
         entries: designEntries,
         extrapolated: true,
