perf(entry): carried requests do not pass the router

The router extends each request and response with its own properties and matches its pages before it falls through to the carrier. The path now decides: /v1/, /health and /ready go to the router, everything else to the carrier.

Two entries of one fleet, one with each build, in turn for 400 ms each, 20 pairs: median processor time for a carried GET at saturation 146 us before and 109 us after, median ratio of the pairs 0.78 (quartiles 0.61 to 0.87). The same trial with the old build on both sides gives 0.99 (0.93 to 1.10).

--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -1,4 +1,5 @@
 /** Interface for callers: look-ups, outcomes of idempotency keys, and the requests themselves. */
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { App } from "@tinyhttp/app";
 import type { Request, Response } from "@tinyhttp/app";
 import type { Carrier } from "@waxwingdale/carrier";
@@ -23,8 +24,30 @@
     [ClaimState.Absent]: Outcome.NotRun,
 };
 
+export interface CallerApp {
+    handler(req: IncomingMessage, res: ServerResponse): void;
+}
+
+/** Starts of the paths of the system's own pages. */
+const ownPages = ["/v1/", "/health", "/ready"];
+
 /** Creates the application behind the callers' listener. */
-export function createCallerApp(options: CallerListenerOptions): App {
+export function createCallerApp(options: CallerListenerOptions): CallerApp {
+    const router = createRouter(options);
+    return {
+        handler: (req, res) => {
+            const url = req.url ?? "/";
+            // Most requests are carried, and the router would only find that it has no page for them.
+            if (ownPages.some(start => url.startsWith(start))) {
+                void router.handler(req as Request, res as Response);
+            } else {
+                void options.carrier.handleCaller(req, res);
+            }
+        },
+    };
+}
+
+function createRouter(options: CallerListenerOptions): App {
     const app = new App({
         settings: { xPoweredBy: false },
         noMatchHandler: (req, res) => void options.carrier.handleCaller(req, res),
--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -127,7 +127,7 @@
         status: createEntryStatus(resolve),
         dump: createEntryDump(resolve),
     });
-    handlers.callers = (req, res) => void callerApp.handler(req as never, res as never);
+    handlers.callers = (req, res) => callerApp.handler(req, res);
     handlers.operators = (req, res) => void operatorApp.handler(req as never, res as never);
     handlers.peers = createPeerHandler({
         fleetKey,
