perf(entry): look-ups do not pass the router

Look-ups are answered before the router, which stays for the other pages and for look-ups of other forms. The query is read by URLSearchParams.

Tests of the callers' application fail when the pages are not routed, when the router does not fall through to the carrier for names such as /healthcare, and when the query is cut wrongly.

--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -28,8 +28,9 @@
     handler(req: IncomingMessage, res: ServerResponse): void;
 }
 
-/** Starts of the paths of the system's own pages. */
+/** Starts of the paths of the system's own pages. Look-ups skip the router, since they are the most frequent. */
 const ownPages = ["/v1/", "/health", "/ready"];
+const lookupStart = "/v1/lookup?";
 
 /** Creates the application behind the callers' listener. */
 export function createCallerApp(options: CallerListenerOptions): CallerApp {
@@ -38,7 +39,9 @@
         handler: (req, res) => {
             const url = req.url ?? "/";
             // Most requests are carried, and the router would only find that it has no page for them.
-            if (ownPages.some(start => url.startsWith(start))) {
+            if (req.method === "GET" && url.startsWith(lookupStart)) {
+                answerLookup(options, req, res);
+            } else if (ownPages.some(start => url.startsWith(start))) {
                 void router.handler(req as Request, res as Response);
             } else {
                 void options.carrier.handleCaller(req, res);
@@ -59,14 +62,19 @@
     return app;
 }
 
-function answerLookup({ directory, countLookup }: CallerListenerOptions, req: Request, res: Response): void {
+function answerLookup(
+    { directory, countLookup }: CallerListenerOptions,
+    req: IncomingMessage,
+    res: ServerResponse,
+): void {
     countLookup();
-    const service = getParam(req.query.service);
+    const query = parseQuery(req.url ?? "");
+    const service = query.get("service") ?? undefined;
     if (service === undefined) {
         sendJson(res, 400, { message: "the query needs a service, such as /v1/lookup?service=register" });
         return;
     }
-    const client = getParam(req.query.client) ?? req.socket.remoteAddress?.replace(/^::ffff:/, "");
+    const client = query.get("client") ?? req.socket.remoteAddress?.replace(/^::ffff:/, "");
     const found = directory.lookup(service, client);
     if (found === undefined) {
         sendJson(res, 404, { message: `no service ${service} in the manifest` });
@@ -100,12 +108,13 @@
     sendJson(res, reason === undefined ? 200 : 503, { ready: reason === undefined, reason });
 }
 
-export function sendJson(res: Response, status: number, value: unknown): void {
+export function sendJson(res: ServerResponse, status: number, value: unknown): void {
     const body = JSON.stringify(value);
     res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
     res.end(body);
 }
 
-function getParam(value: string | string[] | undefined): string | undefined {
-    return Array.isArray(value) ? value[0] : value;
+function parseQuery(url: string): URLSearchParams {
+    const mark = url.indexOf("?");
+    return new URLSearchParams(mark < 0 ? "" : url.slice(mark));
 }
