fix(steering): callers of another region go home until its loss is known

Cause: an entry served callers of another region as its own while that region was not known to be dead, outside the cap. When a region dies, its callers try the next address at once, so for 2 to 4 s all of its traffic arrived unmetered. Ruled out: a part of the cap reserved for such callers, which the region's own entries could never use. The unit test fails without the change and passes with it. Conclusion: the cap holds from the first second; callers of a lost region are refused as not run, with Retry-After, until membership knows of the loss.

--- a/packages/carrier/src/attempt.ts
+++ b/packages/carrier/src/attempt.ts
@@ -72,7 +72,11 @@
             capture?.write(chunk);
             return pace === undefined
                 ? writeChunk(res, chunk)
-                : pace(chunk.length).then(() => writeChunk(res, chunk));
+                : pace(chunk.length).then(
+                      () => writeChunk(res, chunk),
+                      // The wait fails only when the caller has left; nobody reads the rest.
+                      () => undefined,
+                  );
         },
     };
 }
--- a/packages/carrier/src/backend-upstream.ts
+++ b/packages/carrier/src/backend-upstream.ts
@@ -14,6 +14,7 @@
 import { DispatchPhase, dispatchRequest, expiredBeforeSending } from "./dispatch-request.js";
 import type { DispatchResult } from "./dispatch-request.js";
 import { createRequestHeaders, getHeader } from "./headers.js";
+import { waitForLink } from "./link-pace.js";
 import { RequestBodyError } from "./request-body.js";
 import type { RequestContext } from "./request-context.js";
 
@@ -155,7 +156,7 @@
     if (fromRegion === undefined || fromRegion === options.region) {
         return undefined;
     }
-    return (bytes: number) => options.links.take(fromRegion, ctx.route.class, bytes, ctx.callerLeft);
+    return (bytes: number) => waitForLink(options.links, ctx, fromRegion, bytes);
 }
 
 export function isNotStarted(status: number, headers: DispatchResult["headers"]): boolean {
--- a/packages/carrier/src/peer-upstream.ts
+++ b/packages/carrier/src/peer-upstream.ts
@@ -14,11 +14,15 @@
     fromRegionHeader,
     getHeader,
 } from "./headers.js";
+import { waitForLink } from "./link-pace.js";
 import type { RequestContext } from "./request-context.js";
 
 /** Connections to one entry of another region. A connection carries one request at a time. */
 const connectionsPerPeer = 32;
 
+/** Time in seconds after which membership knows of a lost region, or it answers again. */
+const regionRetryAfterSeconds = 2;
+
 const reasons = new Set<string>(Object.values(ReasonCode));
 
 export class PeerUpstream extends Upstream {
@@ -40,6 +44,7 @@
                 kind: AttemptKind.NotRun,
                 reason: ReasonCode.RegionUnreachable,
                 message: `no entry of region ${this.region} is live`,
+                retryAfterSeconds: regionRetryAfterSeconds,
                 worthRetry: true,
             };
         }
@@ -116,7 +121,7 @@
         const chunks = Buffer.isBuffer(body) ? [body] : body;
         return (async function* () {
             for await (const chunk of chunks) {
-                await links.take(region, ctx.route.class, chunk.length, ctx.callerLeft);
+                await waitForLink(links, ctx, region, chunk.length);
                 yield chunk;
             }
         })();
@@ -129,6 +134,7 @@
                 kind: AttemptKind.NotRun,
                 reason,
                 message: `no connection to entry ${peer.id}`,
+                retryAfterSeconds: regionRetryAfterSeconds,
                 worthRetry: !result.aborted,
             };
         }
--- a/packages/steering/src/traffic-steering.ts
+++ b/packages/steering/src/traffic-steering.ts
@@ -207,6 +207,24 @@
         return isOpen === true && view.liveInRegion(region).some(member => member.ready);
     };
 
+    /**
+     * Chooses for a caller of another region. While that region is not known to be lost, its own entries may use the whole
+     * cap, so the request goes home; without an entry there to take it, it is refused until the loss is known. Returns
+     * undefined for a region that has no entries at all, whose callers count as those of this region.
+     */
+    const chooseForForeignCaller = (home: string): SteeringDecision | undefined => {
+        const region = ownRegion();
+        if (dead.wasIn(home, 0) || emptied.hasBeenIn(home, holdMs)) {
+            const reason = takeShift(home, region) ? SteeringReason.Plan : SteeringReason.ShiftCap;
+            return { region, reason };
+        }
+        if (view.liveInRegion(home).some(member => member.ready)) {
+            return { region: home, reason: SteeringReason.Home };
+        }
+        const isKnown = view.members().some(member => member.region === home);
+        return isKnown ? { region, reason: SteeringReason.ShiftCap } : undefined;
+    };
+
     /** Chooses another region for a service that has no backend server at home. */
     const chooseFallback = (service: string): SteeringDecision => {
         const region = ownRegion();
@@ -261,10 +279,11 @@
                 tick();
             }
             const region = ownRegion();
-            const isForeign = home !== undefined && home !== region && plan !== undefined;
-            if (isForeign && (dead.wasIn(home, 0) || emptied.hasBeenIn(home, holdMs))) {
-                const reason = takeShift(home, region) ? SteeringReason.Plan : SteeringReason.ShiftCap;
-                return { region, reason };
+            if (home !== undefined && home !== region && plan !== undefined) {
+                const decision = chooseForForeignCaller(home);
+                if (decision !== undefined) {
+                    return decision;
+                }
             }
             if ((unavailableUntil.get(service) ?? -Infinity) > clock.now()) {
                 return chooseFallback(service);
--- a/packages/steering/test/traffic-steering.test.ts
+++ b/packages/steering/test/traffic-steering.test.ts
@@ -462,3 +462,18 @@
     assert.notEqual(choose(entry, "north").reason, SteeringReason.Home);
     entry.stop.abort();
 });
+
+// Guards against unmetered traffic in the seconds in which a region is lost and membership does not know it yet.
+test("callers of another live region go home, and are refused while their region does not answer", async () => {
+    const clock = createManualClock();
+    const entry = startEntry(clock, "a", [], "central");
+    await clock.advance(6000);
+    const home = createMember("n1", "north");
+    entry.view.set([createMember("a", "central"), home]);
+    entry.steering.applyPlan(createPlan(1, [createRoute(40, 0)]));
+    const near = choose(entry, "north");
+    assert.deepEqual([near.region, near.reason], ["north", SteeringReason.Home], "the region is live");
+    entry.view.set([createMember("a", "central"), { ...home, ready: false }]);
+    assert.equal(choose(entry, "north").reason, SteeringReason.ShiftCap, "no entry of the region is ready");
+    entry.stop.abort();
+});
