feat(trace): recorded traces of entries, and their replay against stated rules

Decisions could so far only be judged from logs and dumps, one entry at a time. An entry now records on request (PUT /trace) what it decides as versioned JSON lines: requests, planner inputs with the stored plan, applied plans, manifests, members and drains. `waxwingdale trace check` replays the traces of several entries. The recorder is a ring bounded by bytes; callers ask isOn() before they build an event, so an entry that does not record does no work for it.

Key hashes are taken where a claim begins, since the record of a request has no key; they are keyed by the fleet key, because an unkeyed hash of a short key can be reversed by trial. A plan event names its manifest by generation instead of repeating it.

Command names may now have two words; the test of the help texts takes the name from the same function as the parser and is otherwise unchanged.

--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -28,8 +28,10 @@
 export function parseArguments(argv: readonly string[], commands: readonly CommandSpec[]): Arguments {
     const { values, positionals } = splitStrictly(argv);
     const { help = false, version = false, ...options } = values;
-    const [command, ...args] = positionals;
-    const spec = commands.find(({ usage }) => usage.split(" ")[0] === command);
+    const spec = findCommand(positionals, commands);
+    const words = spec === undefined ? 1 : getCommandWords(spec).length;
+    const command = positionals.length > 0 ? positionals.slice(0, words).join(" ") : undefined;
+    const args = positionals.slice(words);
     if (command !== undefined && spec === undefined) {
         throw createUsageError(`unknown command "${command}"`, "--help");
     }
@@ -42,6 +44,15 @@
     return { command, args, options: options, help, version };
 }
 
+/** Returns the words of a command's name: those before its arguments. */
+export function getCommandWords({ usage }: CommandSpec): string[] {
+    return usage.split(/ (?=[<[])/)[0]!.split(" ");
+}
+
+function findCommand(words: readonly string[], commands: readonly CommandSpec[]): CommandSpec | undefined {
+    return commands.find(spec => getCommandWords(spec).every((word, i) => words[i] === word));
+}
+
 function splitStrictly(argv: readonly string[]) {
     try {
         return parseArgs({
@@ -56,13 +67,16 @@
 }
 
 function checkCommand(spec: CommandSpec, args: readonly string[], options: readonly OptionName[]): void {
-    const [name, ...placeholders] = spec.usage.split(" ");
+    const words = getCommandWords(spec);
+    const name = words.join(" ");
+    const placeholders = spec.usage.split(" ").slice(words.length);
+    const takesMore = placeholders.at(-1)?.endsWith("...>") === true;
     const required = placeholders.filter(text => text.startsWith("<"));
     const missing = required[args.length];
     if (missing !== undefined) {
         throw createUsageError(`${name} needs ${missing}`, `${name} --help`);
     }
-    if (args.length > placeholders.length) {
+    if (args.length > placeholders.length && !takesMore) {
         throw createUsageError(`${name} takes no "${args[placeholders.length]}"`, `${name} --help`);
     }
     const allowed = [...globalOptions, ...(spec.options ?? [])];
--- a/packages/cli/src/ask-entry.ts
+++ b/packages/cli/src/ask-entry.ts
@@ -12,10 +12,11 @@
 
 /** Creates a reader whose connections are not kept, since a command asks each entry once or twice. */
 export function createAskEntry(timeoutMs = answerTimeoutMs): AskEntry {
-    return async (address, path, key) => {
+    return async (address, path, key, method = "GET") => {
         const agent = new Agent({ pipelining: 0, maxResponseSize: maxAnswerBytes });
         try {
             const res = await request(`http://${address}${path}`, {
+                method,
                 headers: key === undefined ? {} : { authorization: `Bearer ${key}` },
                 signal: AbortSignal.timeout(timeoutMs),
                 dispatcher: agent,
--- a/packages/cli/src/bin/waxwingdale.ts
+++ b/packages/cli/src/bin/waxwingdale.ts
@@ -1,6 +1,6 @@
 /** Binary of the operators' command line. */
 import { randomUUID } from "node:crypto";
-import { readFile } from "node:fs/promises";
+import { readFile, writeFile } from "node:fs/promises";
 import { createSystemClock } from "@waxwingdale/core";
 import { createAskEntry } from "../ask-entry.js";
 import { connectStore } from "../connect-store.js";
@@ -19,6 +19,7 @@
     env: process.env,
     clock,
     readFile: path => readFile(path, "utf8"),
+    writeFile: (path, text) => writeFile(path, text),
     print: text => void process.stdout.write(`${text}\n`),
     printError: text => void process.stderr.write(`${text}\n`),
     connectStore: address => connectStore(address, clock),
--- a/packages/cli/src/command-context.ts
+++ b/packages/cli/src/command-context.ts
@@ -16,15 +16,22 @@
 }
 
 /**
- * Reads a page of an entry. `key` is the fleet key, if the listener needs one.
+ * Reads a page of an entry, or with the method PUT starts what the page stands for. `key` is the fleet key, if the
+ * listener needs one.
  * @throws CommandError when the entry does not answer
  */
-export type AskEntry = (address: string, path: string, key: string | undefined) => Promise<EntryAnswer>;
+export type AskEntry = (
+    address: string,
+    path: string,
+    key: string | undefined,
+    method?: "GET" | "PUT",
+) => Promise<EntryAnswer>;
 
 export interface Surroundings {
     env: Record<string, string | undefined>;
     clock: Clock;
     readFile: (path: string) => Promise<string>;
+    writeFile: (path: string, text: string) => Promise<void>;
     /** Writes one text to standard output. */
     print: (text: string) => void;
     /** Writes one text to standard error. */
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -12,6 +12,7 @@
 import { schemaCommand } from "./schema.js";
 import { showCommand } from "./show.js";
 import { statusCommand } from "./status.js";
+import { traceCheckCommand, traceFetchCommand, traceStartCommand } from "./trace.js";
 
 export const commands: readonly CommandSpec[] = [
     checkCommand,
@@ -25,5 +26,8 @@
     explainCommand,
     outcomeCommand,
     metricsCommand,
+    traceStartCommand,
+    traceFetchCommand,
+    traceCheckCommand,
     schemaCommand,
 ];
--- a/packages/cli/src/entry-page.ts
+++ b/packages/cli/src/entry-page.ts
@@ -15,8 +15,9 @@
     ctx: CommandContext,
     target: EntryTarget,
     path: string,
+    method: "GET" | "PUT" = "GET",
 ): Promise<EntryAnswer> {
-    const answer = await ctx.askEntry(target.address, path, await ctx.readFleetKey());
+    const answer = await ctx.askEntry(target.address, path, await ctx.readFleetKey(), method);
     if (answer.status === unauthorized || answer.status === forbidden) {
         throw new CommandError(
             ExitCode.Refused,
@@ -32,7 +33,20 @@
  * @throws CommandError
  */
 export async function readPage(ctx: CommandContext, target: EntryTarget, path: string): Promise<unknown> {
-    const answer = await askOperators(ctx, target, path);
+    return parseBody(await askOk(ctx, target, path));
+}
+
+/**
+ * Asks the operator listener for something that it must not refuse.
+ * @throws CommandError
+ */
+export async function askOk(
+    ctx: CommandContext,
+    target: EntryTarget,
+    path: string,
+    method: "GET" | "PUT" = "GET",
+): Promise<EntryAnswer> {
+    const answer = await askOperators(ctx, target, path, method);
     if (answer.status !== 200) {
         throw new CommandError(
             ExitCode.Refused,
@@ -40,7 +54,7 @@
             "check that the address is the operator listener of an entry of this release",
         );
     }
-    return parseBody(answer);
+    return answer;
 }
 
 /** Returns the body as JSON, or as text when it is something else. */
--- a/packages/cli/src/exit-code.ts
+++ b/packages/cli/src/exit-code.ts
@@ -1,7 +1,7 @@
 /** Exit codes of the command line. They are documented in docs/guide/command-line.md. */
 export enum ExitCode {
     Ok = 0,
-    /** The manifest has errors. */
+    /** The manifest has errors, or a trace breaks a rule. */
     ManifestErrors = 1,
     /** The command, an argument, an option or a file name is wrong. */
     Usage = 2,
--- a/packages/cli/src/options.ts
+++ b/packages/cli/src/options.ts
@@ -34,6 +34,8 @@
         describe: "Compare with a file; default: the manifest in force",
     },
     manifest: { type: "boolean", describe: "Print the manifest in force as JSON, ready to edit" },
+    seconds: { type: "string", value: "count", describe: "Length of the recording; default: 60" },
+    out: { type: "string", value: "file", describe: "Write the trace to a file; default: standard output" },
 } satisfies Record<string, OptionSpec>;
 
 export type OptionName = keyof typeof optionSpecs;
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -32,7 +32,7 @@
         });
         const meta = [help && "--help", version && "--version"].filter(flag => flag !== false);
         const placeholders = meta.length > 0 ? [] : args.map(() => "-");
-        const words = [process.execPath, programName, ...(command === undefined ? [] : [command])];
+        const words = [process.execPath, programName, ...(command === undefined ? [] : command.split(" "))];
         // The arguments are checked already; sade gets placeholders, since it reads some texts as options.
         const parsed = program.parse([...words, ...meta, "--", ...placeholders], { lazy: true });
         await (parsed?.handler(...parsed.args) as Promise<void> | undefined);
--- a/packages/cli/test/fake-surroundings.ts
+++ b/packages/cli/test/fake-surroundings.ts
@@ -28,14 +28,15 @@
             }
             return files[path];
         },
+        writeFile: async (path, text) => void (files[path] = text),
         print: text => void (state.out += `${text}\n`),
         printError: text => void (state.err += `${text}\n`),
         connectStore: () => {
             state.openStores++;
             return { store, close: async () => void state.openStores-- };
         },
-        askEntry: async (address, path) => {
-            asked.push(`${address}${path}`);
+        askEntry: async (address, path, _key, method = "GET") => {
+            asked.push(method === "GET" ? `${address}${path}` : `${method} ${address}${path}`);
             const page = pages[`${address}${path}`];
             if (page === undefined) {
                 throw new CommandError(ExitCode.Unreachable, `the entry at ${address} does not answer`, "x");
--- a/packages/cli/test/run-cli.test.ts
+++ b/packages/cli/test/run-cli.test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import fc from "fast-check";
+import { getCommandWords } from "../src/arguments.js";
 import { createAskEntry } from "../src/ask-entry.js";
 import { CommandError } from "../src/command-error.js";
 import { commands } from "../src/commands/index.js";
@@ -44,8 +45,9 @@
 test("each command has help that names its options", async t => {
     const log = t.mock.method(console, "log", () => undefined);
     const { run } = createFake();
-    for (const { usage, options = [] } of commands) {
-        assert.equal(await run(usage.split(" ")[0]!, "--help"), ExitCode.Ok);
+    for (const spec of commands) {
+        const { usage, options = [] } = spec;
+        assert.equal(await run(...getCommandWords(spec), "--help"), ExitCode.Ok);
         const help = String(log.mock.calls.at(-1)?.arguments[0]);
         for (const text of [usage, ...[...globalOptions, ...options].map(name => `--${name} `)]) {
             assert.ok(help.includes(text), `${usage}: ${text}`);
--- a/packages/entry/src/compose-entry.ts
+++ b/packages/entry/src/compose-entry.ts
@@ -49,6 +49,8 @@
 } from "@waxwingdale/steering";
 import { createLease } from "@waxwingdale/store";
 import type { Lease } from "@waxwingdale/store";
+import { createTraceRecorder } from "@waxwingdale/trace";
+import type { TraceRecorder } from "@waxwingdale/trace";
 import { container } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
 import { Agent } from "undici";
@@ -62,6 +64,8 @@
 import type { SlotReadiness } from "./slot-readiness.js";
 import { createToken, register, resolveToken } from "./tokens.js";
 import type { Resolve, Token } from "./tokens.js";
+import { createTraceTap } from "./trace-tap.js";
+import type { TraceTap } from "./trace-tap.js";
 
 /** What is known before any part is built. */
 export interface EntryBase {
@@ -102,6 +106,8 @@
     metrics: createToken<EntryMetrics>("metrics"),
     entryRecord: createToken<EntryRecordWriter>("entryRecord"),
     carrier: createToken<Carrier>("carrier"),
+    trace: createToken<TraceRecorder>("trace"),
+    traceTap: createToken<TraceTap>("traceTap"),
 };
 
 /** Entries of the store's region that compete for the planner lease. More would only add calls to the store. */
@@ -121,6 +127,7 @@
     composeConfig(add);
     composeLimits(add);
     composeSteering(add);
+    composeTrace(add);
     composeCarrier(add);
     return scope;
 }
@@ -319,7 +326,11 @@
             logger,
             accepted: () => get(tokens.config).current(),
         });
-        get(tokens.plan).onChange(plan => void steering.applyPlan(plan));
+        get(tokens.plan).onChange(plan => {
+            if (steering.applyPlan(plan)) {
+                get(tokens.traceTap).noteApplied(plan);
+            }
+        });
         return steering;
     });
     add(tokens.lookups, get => {
@@ -395,6 +406,7 @@
                     deadRegions,
                 };
             },
+            onObservation: (input, plan) => get(tokens.traceTap).notePlan(input, plan),
             onPlan: plan => get(tokens.plan).adopt(plan),
         });
     });
@@ -414,6 +426,19 @@
     return rankOwners("lease/planner", ids).slice(0, plannerCandidates).includes(self.id);
 }
 
+function composeTrace(add: Add): void {
+    add(tokens.trace, get => {
+        const { settings, clock, signal } = get(tokens.base);
+        const recorder = createTraceRecorder({ entry: settings.id, region: settings.region, clock });
+        signal.addEventListener("abort", () => recorder.close(), { once: true });
+        return recorder;
+    });
+    add(tokens.traceTap, get => {
+        const { settings, clock, fleetKey } = get(tokens.base);
+        return createTraceTap({ recorder: get(tokens.trace), entry: settings.id, clock, fleetKey });
+    });
+}
+
 function composeCarrier(add: Add): void {
     add(tokens.pools, get => createConnectionPools(() => get(tokens.base).clock.now()));
     add(tokens.records, get => createRequestRecords(get(tokens.base).settings.requestRecords));
@@ -422,6 +447,7 @@
         const { settings, clock, logger, fleetKey } = get(tokens.base);
         const config = get(tokens.config);
         const meter = get(tokens.meter);
+        const trace = get(tokens.traceTap);
         return createCarrier({
             id: settings.id,
             region: settings.region,
@@ -430,7 +456,7 @@
             fleetKey,
             view: get(tokens.membership),
             slots: get(tokens.broker),
-            claims: get(tokens.claims),
+            claims: get(tokens.traceTap).watchClaims(get(tokens.claims)),
             crashGuard: get(tokens.crashGuard),
             links: get(tokens.links),
             steering: get(tokens.steering),
@@ -442,7 +468,10 @@
             maxOutcomeBytes: () => config.current()?.manifest.claims.maxOutcomeBytes ?? 0,
             findHome: client => get(tokens.lookups).findHome(client) ?? settings.region,
             noteDraining: serverId => get(tokens.backends).noteDraining(serverId),
-            onFinished: record => noteFinished(meter, record, settings.region),
+            onFinished: record => {
+                noteFinished(meter, record, settings.region);
+                trace.noteRequest(record);
+            },
         });
     });
 }
--- a/packages/entry/src/operator-listener.ts
+++ b/packages/entry/src/operator-listener.ts
@@ -1,9 +1,13 @@
 /** Interface for operators: status, state dump, explanations, metrics. */
+import { Readable } from "node:stream";
+import { pipeline } from "node:stream/promises";
 import { App } from "@tinyhttp/app";
 import type { Request, Response } from "@tinyhttp/app";
 import type { RequestRecords } from "@waxwingdale/carrier";
-import { isFleetKey } from "@waxwingdale/core";
+import { getErrorMessage, isFleetKey } from "@waxwingdale/core";
 import type { Logger, LookupDirectory } from "@waxwingdale/core";
+import { maxTraceSeconds } from "@waxwingdale/trace";
+import type { TraceRecorder } from "@waxwingdale/trace";
 import type { Registry } from "prom-client";
 import { sendJson } from "./caller-listener.js";
 
@@ -14,6 +18,7 @@
     directory: LookupDirectory;
     services: () => string[];
     registry: Registry;
+    trace: TraceRecorder;
     notReady: () => string | undefined;
     status: () => unknown;
     /** State of every part of the process, by name. */
@@ -22,6 +27,10 @@
 
 /** Records of one client's address that an explanation gives. */
 const explainedRecords = 20;
+/** Length of a recording when the query names none. */
+const defaultTraceSeconds = 60;
+/** Bytes of a trace that are written at once, so that other requests get their turn in between. */
+const traceChunkBytes = 64 * 1024;
 
 /** Creates the application behind the operators' listener. */
 export function createOperatorApp(options: OperatorListenerOptions): App {
@@ -56,9 +65,44 @@
         res.writeHead(200, { "content-type": options.registry.contentType });
         res.end(text);
     });
+    app.put("/trace", (req, res) => answerTraceStart(options, req, res));
+    app.get("/trace", (_req, res) => void sendTrace(options, res));
     return app;
 }
 
+function answerTraceStart({ trace, logger }: OperatorListenerOptions, req: Request, res: Response): void {
+    const seconds = Number(req.query.seconds ?? defaultTraceSeconds);
+    if (!Number.isInteger(seconds) || seconds < 1 || seconds > maxTraceSeconds) {
+        sendJson(res, 400, { message: `seconds must be a whole number from 1 to ${maxTraceSeconds}` });
+        return;
+    }
+    trace.start(seconds);
+    logger.info("trace-started", { seconds });
+    sendJson(res, 200, { seconds });
+}
+
+/** Streams the trace at the pace of its reader. */
+async function sendTrace({ trace, logger }: OperatorListenerOptions, res: Response): Promise<void> {
+    res.writeHead(200, { "content-type": "application/jsonl" });
+    try {
+        await pipeline(Readable.from(joinLines(trace.lines())), res);
+    } catch (err) {
+        logger.debug("trace-cut-off", { error: getErrorMessage(err) });
+    }
+}
+
+function* joinLines(lines: readonly string[]): Generator<string> {
+    let chunk = "";
+    for (const line of lines) {
+        chunk += `${line}\n`;
+        if (chunk.length >= traceChunkBytes) {
+            yield chunk;
+            chunk = "";
+        }
+    }
+    yield chunk;
+}
+
 /** Explains one request by its record, or a client's address by its look-up answers and latest requests. */
 function answerExplain(options: OperatorListenerOptions, req: Request, res: Response): void {
     const id = req.query.request as string | undefined;
--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -23,6 +23,7 @@
 import type { Settings } from "./settings.js";
 import { resolveToken } from "./tokens.js";
 import type { Token } from "./tokens.js";
+import { followForTrace } from "./trace-followers.js";
 
 export interface EntryListeners {
     callers: HttpListener;
@@ -123,6 +124,7 @@
                 .current()
                 ?.manifest.services.map(service => service.name) ?? [],
         registry: resolve(tokens.metrics).registry,
+        trace: resolve(tokens.trace),
         notReady,
         status: createEntryStatus(resolve),
         dump: createEntryDump(resolve),
@@ -137,6 +139,7 @@
     });
 
     addEntryGauges(resolve);
+    followForTrace(resolve);
     joinGossip(resolve);
     runTasks(resolve, signal, logger);
     resolve(tokens.entryRecord).write(EntryState.Live);
--- /dev/null
+++ b/packages/entry/src/trace-followers.ts
@@ -0,0 +1,85 @@
+/** Follows the manifest, the members and the drains of an entry for its trace. */
+import type { BackendServer } from "@waxwingdale/core";
+import { DrainSource } from "@waxwingdale/backends";
+import { isSiteDrained } from "@waxwingdale/manifest";
+import { tokens } from "./compose-entry.js";
+import type { Resolve } from "./tokens.js";
+
+/** Connects the listeners. Each start of a recording first records the state at that moment. */
+export function followForTrace(resolve: Resolve): void {
+    const recorder = resolve(tokens.trace);
+    const tap = resolve(tokens.traceTap);
+    const config = resolve(tokens.config);
+    const membership = resolve(tokens.membership);
+    const backends = resolve(tokens.backends);
+    let members = new Map<string, string>();
+    let draining = new Set<string>();
+
+    const noteMembers = () => {
+        const next = new Map<string, string>();
+        for (const member of membership.members()) {
+            const state = `${member.status} ${member.ready}`;
+            next.set(member.id, state);
+            if (members.get(member.id) !== state) {
+                tap.noteMember(member);
+            }
+        }
+        members = next;
+    };
+
+    const noteDrains = () => {
+        const next = new Set<string>();
+        for (const server of backends.servers()) {
+            if (server.draining) {
+                next.add(server.id);
+            }
+            if (server.draining !== draining.has(server.id)) {
+                tap.noteDrain(server.id, findDrainSource(resolve, server), server.draining);
+            }
+        }
+        draining = next;
+    };
+
+    config.onChange(accepted => tap.noteManifest(accepted));
+    membership.onChange(() => {
+        if (recorder.isOn()) {
+            noteMembers();
+        }
+    });
+    backends.onChange(() => {
+        if (recorder.isOn()) {
+            noteDrains();
+        }
+    });
+    recorder.onStart(() => {
+        members = new Map();
+        draining = new Set();
+        const accepted = config.current();
+        const plan = resolve(tokens.steering).currentPlan();
+        if (accepted !== undefined) {
+            tap.noteManifest(accepted);
+        }
+        if (plan !== undefined) {
+            tap.noteApplied(plan);
+        }
+        noteMembers();
+        noteDrains();
+    });
+}
+
+/** Returns what drains a server: a mark, the manifest, or its row in the instance list. */
+function findDrainSource(resolve: Resolve, server: BackendServer): string {
+    const { marks } = resolve(tokens.backends).state() as {
+        marks: Record<string, { source: DrainSource } | undefined>;
+    };
+    const mark = marks[server.id];
+    if (mark !== undefined) {
+        return mark.source;
+    }
+    const wallTime = resolve(tokens.base).clock.wallTime();
+    const manifest = resolve(tokens.config).current()?.manifest;
+    const isDeclared = manifest?.sites.some(
+        site => site.name === server.site && isSiteDrained(manifest, server.service, site, wallTime),
+    );
+    return isDeclared === true ? DrainSource.Manifest : DrainSource.InstanceList;
+}
--- /dev/null
+++ b/packages/entry/src/trace-tap.ts
@@ -0,0 +1,132 @@
+/** Turns what the parts of an entry report into trace events. Does nothing while the recorder is off. */
+import { createHmac } from "node:crypto";
+import type { RequestRecord } from "@waxwingdale/carrier";
+import { ReasonCode } from "@waxwingdale/core";
+import type { ClaimService, Clock, Member } from "@waxwingdale/core";
+import type { AcceptedManifest } from "@waxwingdale/manifest";
+import type { PlanInput, PlanObject } from "@waxwingdale/steering";
+import type { TraceRecorder } from "@waxwingdale/trace";
+
+export interface TraceTapOptions {
+    recorder: TraceRecorder;
+    entry: string;
+    clock: Clock;
+    /** Keys the hashes of idempotency keys, so that a trace does not give short keys away. */
+    fleetKey: string;
+}
+
+export interface TraceTap {
+    noteRequest(record: RequestRecord): void;
+    notePlan(input: PlanInput, plan: PlanObject): void;
+    noteApplied(plan: PlanObject): void;
+    noteManifest(accepted: AcceptedManifest): void;
+    noteMember(member: Member): void;
+    noteDrain(server: string, source: string, draining: boolean): void;
+    /** Returns the service with a note of the keys that run under a claim. */
+    watchClaims(claims: ClaimService): ClaimService;
+}
+
+/** Digits of a key hash in a trace: 64 bits. */
+const keyHashLength = 16;
+
+export function createTraceTap({ recorder, entry, clock, fleetKey }: TraceTapOptions): TraceTap {
+    /** Key hashes of the claimed requests in flight, by request id. */
+    const keyHashes = new Map<string, string>();
+    recorder.onStart(() => keyHashes.clear());
+    const common = () => ({ entry, time: clock.wallTime() });
+
+    const noteKey = (requestId: string, service: string, key: string) => {
+        const hash = createHmac("sha256", fleetKey).update(`${service}\n${key}`).digest("hex");
+        keyHashes.set(requestId, hash.slice(0, keyHashLength));
+    };
+
+    return {
+        noteRequest: record => {
+            if (!recorder.isOn()) {
+                return;
+            }
+            recorder.record(toRequestEvent(entry, record, keyHashes.get(record.id)));
+            keyHashes.delete(record.id);
+        },
+        notePlan: (input, plan) => {
+            if (recorder.isOn()) {
+                const { demands, capacities, previous, wallTime, secondsSincePrevious } = input;
+                recorder.record({
+                    type: "plan",
+                    ...common(),
+                    input: {
+                        demands: [...demands],
+                        capacities: [...capacities],
+                        deadRegions: [...input.deadRegions],
+                        previous: previous as PlanObject | undefined,
+                        wallTime,
+                        secondsSincePrevious,
+                    },
+                    plan,
+                });
+            }
+        },
+        noteApplied: ({ epoch, step }) => {
+            if (recorder.isOn()) {
+                recorder.record({ type: "applied", ...common(), epoch, step });
+            }
+        },
+        noteManifest: ({ generation, manifest }) => {
+            if (recorder.isOn()) {
+                recorder.record({ type: "manifest", ...common(), generation, manifest });
+            }
+        },
+        noteMember: ({ id, region, status, ready }) => {
+            if (recorder.isOn()) {
+                recorder.record({ type: "member", ...common(), id, region, status, ready });
+            }
+        },
+        noteDrain: (server, source, draining) => {
+            if (recorder.isOn()) {
+                recorder.record({ type: "drain", ...common(), server, source, draining });
+            }
+        },
+        watchClaims: claims => ({
+            begin: req => {
+                if (recorder.isOn()) {
+                    noteKey(req.attemptId, req.service, req.key);
+                }
+                return claims.begin(req);
+            },
+            isGrantUsable: req => claims.isGrantUsable(req),
+            finish: (req, end) => claims.finish(req, end),
+            find: (service, key) => claims.find(service, key),
+        }),
+    };
+}
+
+function toRequestEvent(entry: string, record: RequestRecord, keyHash: string | undefined) {
+    return {
+        type: "request" as const,
+        entry,
+        time: Date.parse(record.startedAt),
+        id: record.id,
+        service: record.service,
+        route: record.route,
+        requestClass: record.requestClass,
+        home: record.home,
+        region: record.region,
+        regionReason: record.regionReason,
+        attempts: record.attempts.map(({ target, region, waitedMs, result }) => ({
+            target,
+            region,
+            waitedMs: roundMs(waitedMs),
+            result,
+        })),
+        outcome: record.outcome,
+        reason: record.reason,
+        keyHash,
+        replayed: record.reason === ReasonCode.Replayed,
+        ms: roundMs(record.totalMs),
+    };
+}
+
+/** Microseconds are enough, and full floating-point numbers double the size of a line. */
+function roundMs(ms: number): number {
+    return Math.round(ms * 1000) / 1000;
+}
--- a/packages/steering/src/parse-plan.ts
+++ b/packages/steering/src/parse-plan.ts
@@ -6,7 +6,8 @@
 const rate = v.pipe(v.number(), v.minValue(0));
 const position = v.pipe(v.number(), v.integer(), v.minValue(0));
 
-const planSchema = v.object({
+/** Schema of a stored plan. */
+export const planSchema = v.object({
     epoch: position,
     step: position,
     generation: position,
--- a/packages/steering/src/planner.ts
+++ b/packages/steering/src/planner.ts
@@ -5,7 +5,7 @@
 import { parsePlan } from "./parse-plan.js";
 import { planTraffic } from "./plan-traffic.js";
 import { isSamePlan, planKey } from "./plan-types.js";
-import type { CapacityReport, DemandReport, PlanObject } from "./plan-types.js";
+import type { CapacityReport, DemandReport, PlanInput, PlanObject } from "./plan-types.js";
 
 /** The lease that makes one entry the planner. */
 export interface PlannerLease {
@@ -31,6 +31,8 @@
     observe(): PlannerObservation | undefined;
     /** Called with each plan that this planner has stored. */
     onPlan?(plan: PlanObject): void;
+    /** Called with each plan that this planner has stored and the whole input that it was computed from. */
+    onObservation?(input: PlanInput, plan: PlanObject): void;
     /**
      * Time in milliseconds between steps.
      * @default 1000
@@ -103,7 +105,7 @@
             return;
         }
         const { accepted, demands, capacities, deadRegions } = observation;
-        const { routes } = planTraffic({
+        const input: PlanInput = {
             manifest: accepted.manifest,
             demands,
             capacities,
@@ -111,7 +113,8 @@
             previous,
             wallTime: clock.wallTime(),
             secondsSincePrevious: (clock.now() - knownAt) / 1000,
-        });
+        };
+        const { routes } = planTraffic(input);
         const plan = { epoch, step: (previous?.step ?? 0) + 1, generation: accepted.generation, routes };
         // A new holder always writes once: its version then makes the write of a paused former holder fail.
         const isUnchanged =
@@ -122,6 +125,7 @@
             return;
         }
         if (await writePlan(plan, version)) {
+            options.onObservation?.(input, plan);
             options.onPlan?.(plan);
         }
     };
--- /dev/null
+++ b/packages/trace/src/trace-lines.ts
@@ -0,0 +1,14 @@
+/** Selection of lines by the type of their event. */
+import type { TraceLine } from "./parse-trace.js";
+import type { TraceEvent } from "./trace-event.js";
+
+/** Lines of one type of event. */
+export type LinesOf<Type extends TraceEvent["type"]> = TraceLine<Extract<TraceEvent, { type: Type }>>[];
+
+/** Returns the lines of one type, in their order. */
+export function pickLines<Type extends TraceEvent["type"]>(
+    lines: readonly TraceLine[],
+    type: Type,
+): LinesOf<Type> {
+    return lines.filter(({ event }) => event.type === type) as LinesOf<Type>;
+}
