test(trace): two recorded runs and an altered copy for each rule

Checking one file twice reported a generation that went back, so order is now checked for each recording.

--- a/packages/cli/test/commands.test.ts
+++ b/packages/cli/test/commands.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
 import { test } from "node:test";
 import { readManifest } from "@waxwingdale/manifest";
 import { ExitCode } from "../src/exit-code.js";
@@ -178,3 +179,32 @@
     fake.pages[`${operators}/ready`] = {};
     assert.equal(await fake.run("health"), ExitCode.Ok);
 });
+
+// Guards against a trace check that ends with code 0 although a rule is broken.
+test("a trace is started, fetched into a file and checked", async () => {
+    const { run, pages, asked, files, state } = createFake();
+    const folder = new URL("../../trace/test/traces/", import.meta.url);
+    const text = readFileSync(new URL("site-drain.entry-north-1.jsonl", folder), "utf8");
+    pages[`${operators}/trace?seconds=5`] = { text: '{"seconds":5}' };
+    pages[`${operators}/trace`] = { text };
+    assert.equal(await run("trace", "start", operators, "--seconds", "5"), ExitCode.Ok);
+    assert.equal(asked.at(-1), `PUT ${operators}/trace?seconds=5`);
+    assert.equal(await run("trace", "fetch", operators, "--out", "a.jsonl"), ExitCode.Ok);
+    assert.equal(files["a.jsonl"], text);
+    assert.equal(await run("trace", "fetch", operators), ExitCode.Ok);
+    assert.equal(state.out, text);
+    assert.equal(await run("trace", "check", "a.jsonl", "a.jsonl"), ExitCode.Ok);
+    files["b.jsonl"] = text.replace('"generation":2,"manifest"', '"generation":1,"manifest"');
+    assert.equal(await run("trace", "check", "a.jsonl", "b.jsonl"), ExitCode.ManifestErrors);
+    assert.match(state.out, /^generation-order .*b\.jsonl:\d+$/m);
+});
+
+test("wrong arguments of the trace commands end with code 2", async () => {
+    const { run, files, state } = createFake();
+    files["c.jsonl"] = "{}";
+    const lines = ["trace", "trace stop x", "trace check", "trace check none", "trace check c.jsonl"];
+    for (const line of [...lines, `trace start ${operators} --seconds 0`, `trace fetch ${operators} x`]) {
+        assert.equal(await run(...line.split(" ")), ExitCode.Usage, line);
+        assert.match(state.err, /^fix: /m);
+    }
+});
--- a/packages/steering/test/planner.test.ts
+++ b/packages/steering/test/planner.test.ts
@@ -4,7 +4,7 @@
 import { createManualClock, createSilentLogger } from "@waxwingdale/core";
 import type { ManualClock } from "@waxwingdale/core";
 import { MemoryObjectStore } from "@waxwingdale/store";
-import { createPlanner, createTrafficSteering, planKey } from "@waxwingdale/steering";
+import { createPlanner, createTrafficSteering, planKey, planTraffic } from "@waxwingdale/steering";
 import type { PlanObject, PlannerLease } from "@waxwingdale/steering";
 import { createInput, createMember, createView } from "./fixtures.js";
 
@@ -33,6 +33,8 @@
     signal: AbortSignal,
 ) {
     const stored: PlanObject[] = [];
+    /** Plans that the observed inputs give, with the positions of the stored ones. */
+    const observed: PlanObject[] = [];
     const input = createInput();
     const accepted = { generation: 1, pushId: "p", formatVersion: 1, manifest: input.manifest };
     const planner = createPlanner({
@@ -42,9 +44,10 @@
         logger: createSilentLogger(),
         observe: () => ({ ...input, accepted }),
         onPlan: plan => stored.push(plan),
+        onObservation: (seen, plan) => observed.push({ ...plan, ...planTraffic(seen) }),
     });
     void planner.run(signal);
-    return { input, stored, planner };
+    return { input, stored, observed, planner };
 }
 
 async function readPlan(store: MemoryObjectStore): Promise<PlanObject> {
@@ -141,6 +144,21 @@
     assert.equal(store.counters.writes, 1);
 });
 
+// Guards against a trace whose input is not the one that the stored plan was computed from.
+test("each stored plan is observed with the input that gives it", async () => {
+    const clock = createManualClock();
+    const store = new MemoryObjectStore(clock);
+    const stop = new AbortController();
+    const { input, stored, observed } = startPlanner(clock, store, createLease(true, 1), stop.signal);
+    for (let i = 0; i < 5; i++) {
+        input.demands[0]!.offeredPerSecond = 600 + 50 * i;
+        await clock.advance(1000);
+    }
+    stop.abort();
+    assert.ok(stored.length > 3, `${stored.length} plans`);
+    assert.deepEqual(observed, stored);
+});
+
 // Guards against a stopped planner after a lost answer, and against the same step being written twice.
 test("a lost answer is resolved by reading the plan back", async () => {
     const clock = createManualClock();
--- a/packages/trace/src/check-plans.ts
+++ b/packages/trace/src/check-plans.ts
@@ -15,10 +15,7 @@
 /** Rates below this are rounding errors. */
 const minRate = 1e-6;
 
-export function checkPlans(
-    merged: readonly TraceLine[],
-    inFileOrder: readonly TraceLine[],
-): TraceViolation[] {
+export function checkPlans(merged: readonly TraceLine[]): TraceViolation[] {
     const manifests = new Map(
         pickLines(merged, "manifest").map(({ event }) => [event.generation, event.manifest]),
     );
@@ -26,7 +23,6 @@
     return [
         ...plans.flatMap(line => checkPlan(line, manifests.get(line.event.plan.generation))),
         ...checkPositions(plans),
-        ...checkApplied(pickLines(inFileOrder, "applied")),
     ];
 }
 
@@ -123,12 +119,12 @@
     });
 }
 
-function checkApplied(lines: LinesOf<"applied">): TraceViolation[] {
-    const last = new Map<string, LinesOf<"applied">[number]>();
-    return lines.flatMap(line => {
-        const before = last.get(line.file);
-        last.set(line.file, line);
-        const toPlan = ({ event }: LinesOf<"applied">[number]) => ({ ...event, generation: 0, routes: [] });
+/** Checks that one recording applies its plans in their order. */
+export function checkApplied(recording: readonly TraceLine[]): TraceViolation[] {
+    const lines = pickLines(recording, "applied");
+    const toPlan = ({ event }: (typeof lines)[number]) => ({ ...event, generation: 0, routes: [] });
+    return lines.flatMap((line, i) => {
+        const before = lines[i - 1];
         if (before === undefined || isNewerPlan(toPlan(line), toPlan(before))) {
             return [];
         }
--- a/packages/trace/src/check-trace.ts
+++ b/packages/trace/src/check-trace.ts
@@ -1,24 +1,26 @@
 /** Replay of traces: checks the recorded decisions of any number of entries against the rules they must keep. */
 import { checkCaps } from "./check-caps.js";
-import { checkPlans } from "./check-plans.js";
+import { checkApplied, checkPlans } from "./check-plans.js";
 import { checkRequests } from "./check-requests.js";
 import type { TraceLine } from "./parse-trace.js";
-import { pickLines } from "./trace-lines.js";
-import type { LinesOf } from "./trace-lines.js";
+import { pickLines, splitRecordings } from "./trace-lines.js";
 import { TraceRule, createViolation } from "./violation.js";
 import type { TraceViolation } from "./violation.js";
 
 /**
- * Checks the lines of one or more traces, which it merges by time. The lines of one file must be in the order of the
- * file.
+ * Checks the lines of one or more traces, which it merges by time. The lines of each file must be together and in
+ * the order of the file.
  */
 export function checkTrace(lines: readonly TraceLine[]): TraceViolation[] {
     const merged = dropRepeatedRequests(lines).sort((a, b) => a.event.time - b.event.time);
     return [
         ...checkRequests(merged),
         ...checkCaps(merged),
-        ...checkPlans(merged, lines),
-        ...checkGenerations(lines),
+        ...checkPlans(merged),
+        ...splitRecordings(lines).flatMap(recording => [
+            ...checkApplied(recording),
+            ...checkGenerations(recording),
+        ]),
     ];
 }
 
@@ -36,12 +38,11 @@
     });
 }
 
-/** A file holds the life of one process at most, in the order in which the process saw its events. */
-function checkGenerations(lines: readonly TraceLine[]): TraceViolation[] {
-    const last = new Map<string, LinesOf<"manifest">[number]>();
-    return pickLines(lines, "manifest").flatMap(line => {
-        const before = last.get(line.file);
-        last.set(line.file, line);
+/** A recording holds events of one process in the order in which the process saw them. */
+function checkGenerations(recording: readonly TraceLine[]): TraceViolation[] {
+    const lines = pickLines(recording, "manifest");
+    return lines.flatMap((line, i) => {
+        const before = lines[i - 1];
         if (before === undefined || line.event.generation > before.event.generation) {
             return [];
         }
--- a/packages/trace/src/trace-lines.ts
+++ b/packages/trace/src/trace-lines.ts
@@ -12,3 +12,15 @@
 ): LinesOf<Type> {
     return lines.filter(({ event }) => event.type === type) as LinesOf<Type>;
 }
+
+/** Splits lines into recordings, each of which starts with its head. */
+export function splitRecordings(lines: readonly TraceLine[]): TraceLine[][] {
+    const recordings: TraceLine[][] = [];
+    for (const line of lines) {
+        if (line.event.type === "trace" || recordings.length === 0) {
+            recordings.push([]);
+        }
+        recordings.at(-1)!.push(line);
+    }
+    return recordings;
+}
--- /dev/null
+++ b/packages/trace/test/trace-recorder.test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createManualClock } from "@waxwingdale/core";
+import { TraceFormatError, createTraceRecorder, parseTrace } from "@waxwingdale/trace";
+import type { TraceEvent } from "@waxwingdale/trace";
+import fc from "fast-check";
+
+function createRecorder(capacityBytes?: number) {
+    const clock = createManualClock(1000);
+    const recorder = createTraceRecorder({ entry: "north-1", region: "north", clock, capacityBytes });
+    return { clock, recorder };
+}
+
+function createDrain(server: string): TraceEvent {
+    return { type: "drain", entry: "north-1", time: 1000, server, source: "manifest", draining: true };
+}
+
+// Guards against a recording that was forgotten and goes on for ever.
+test("a recorder is off before its start and after its time", async () => {
+    const { clock, recorder } = createRecorder();
+    recorder.record(createDrain("a"));
+    recorder.start(2);
+    recorder.record(createDrain("b"));
+    await clock.advance(1999);
+    assert.ok(recorder.isOn(), "on until the end of its time");
+    await clock.advance(1);
+    recorder.record(createDrain("c"));
+    const servers = parseTrace(recorder.lines().join("\n"), "x").flatMap(({ event }) =>
+        event.type === "drain" ? [event.server] : [],
+    );
+    assert.deepEqual([recorder.isOn(), servers], [false, ["b"]]);
+});
+
+// Guards against an entry that runs out of memory, and against events that vanish without a count.
+test("the ring keeps the newest events within its bytes and counts the others", () => {
+    fc.assert(
+        fc.property(
+            fc.array(fc.string({ unit: "binary", maxLength: 60 }), { maxLength: 80 }),
+            fc.integer({ min: 1, max: 3000 }),
+            (servers, capacityBytes) => {
+                const { recorder } = createRecorder(capacityBytes);
+                recorder.start(60);
+                servers.forEach(server => recorder.record(createDrain(server)));
+                const [head, ...events] = parseTrace(recorder.lines().join("\n"), "x");
+                const kept = events.map(({ event }) => (event.type === "drain" ? event.server : ""));
+                assert.deepEqual(kept, servers.slice(servers.length - kept.length));
+                assert.equal(kept.length + recorder.dropped(), servers.length);
+                assert.equal(head!.event.type === "trace" && head!.event.dropped, recorder.dropped());
+                const bytes = recorder
+                    .lines()
+                    .slice(1)
+                    .reduce((sum, line) => sum + Buffer.byteLength(line) + 1, 0);
+                assert.ok(bytes <= capacityBytes, `${bytes} bytes of ${capacityBytes}`);
+            },
+        ),
+        { seed: 1 },
+    );
+});
+
+// Guards against a file of another release that is half understood, and against a crash on any other file.
+test("a file that is no trace of this version is refused with its line", () => {
+    const { recorder } = createRecorder();
+    recorder.start(60);
+    const [head] = recorder.lines();
+    const cases: [string, RegExp][] = [
+        [head!.replace('"version":1', '"version":2'), /^x:1: the trace has version 2/],
+        [`${head}\nnull`, /^x:2: /],
+        [`${head}\n{"type":"drain"}`, /^x:2: entry/],
+        [`${head}\n{`, /^x:2: the line is not JSON/],
+        ["", /the first line is not the head/],
+    ];
+    for (const [text, message] of cases) {
+        assert.throws(
+            () => parseTrace(text, "x"),
+            err => err instanceof TraceFormatError && message.test(err.message),
+            text,
+        );
+    }
+});
