--- a/packages/entry/src/entry-state.ts
+++ b/packages/entry/src/entry-state.ts
@@ -26,7 +26,7 @@
     if (resolve(tokens.backends).listAgeMs() === undefined) {
         return "the list of backend servers has not been read yet";
     }
-    if (clock.now() - startedAt < slotWaitMs) {
+    if (clock.now() - startedAt < slotWaitMs || !hasUsableSlots(resolve)) {
         return "slots of backend servers are not confirmed yet";
     }
     return resolve(tokens.membership).self().status === MemberStatus.Live
@@ -34,6 +34,17 @@
         : "the entry is stopping";
 }
 
+/**
+ * Whether a slot that the entry owns may be used. The delay of a gained slot counts from the time at which the entry
+ * learned of its server, which is after the start of the process. An entry that owns no slot borrows from its peers.
+ */
+function hasUsableSlots(resolve: Resolve): boolean {
+    const own = resolve(tokens.broker)
+        .state()
+        .slots.filter(({ isOwn }) => isOwn);
+    return own.length === 0 || own.some(({ isConfirmed }) => isConfirmed);
+}
+
 /** Returns a function that gives the short status. */
 export function createEntryStatus(resolve: Resolve): () => unknown {
     return () => {
--- a/packages/stand-ins/test/fleet-fixture.ts
+++ b/packages/stand-ins/test/fleet-fixture.ts
@@ -236,6 +236,12 @@
     }
 }
 
+/** Resolves when every entry has answered a request, so its slots are in use. */
+export async function warmUp(fleet: TestFleet): Promise<void> {
+    const answers = await Promise.all(fleet.entries.map(entry => send(entry, { path: "/items/first" })));
+    answers.forEach(({ outcome, requestId }) => assert.equal(outcome, Outcome.Ran, requestId));
+}
+
 /** Counts the runs of each key over all backend servers. */
 export async function countKeys(fleet: TestFleet): Promise<Map<string, number>> {
     const runs = new Map<string, number>();
--- a/packages/stand-ins/test/limits.process.test.ts
+++ b/packages/stand-ins/test/limits.process.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { Outcome } from "@waxwingdale/core";
 import type { Answer } from "./fleet-fixture.js";
-import { sendAtRate, useFleet } from "./fleet-fixture.js";
+import { sendAtRate, useFleet, warmUp } from "./fleet-fixture.js";
 
 const limit = { timeout: 40_000 };
 const servers = 4;
@@ -37,6 +37,7 @@
 };
 
 test("steady state: no server runs more than its slots or refuses", limit, async t => {
+    await warmUp(getFleet());
     const answers = await sendAtRate(pick, capacity * 0.6, 5, i => ({ path: `/items/${i}` }));
     t.diagnostic(count(answers));
     const refused = answers.filter(({ outcome }) => outcome !== Outcome.Ran);
--- a/packages/stand-ins/test/overload.process.test.ts
+++ b/packages/stand-ins/test/overload.process.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { Outcome, deadlineHeader } from "@waxwingdale/core";
 import type { Answer } from "./fleet-fixture.js";
-import { sendAtRate, useFleet } from "./fleet-fixture.js";
+import { sendAtRate, useFleet, warmUp } from "./fleet-fixture.js";
 
 const limit = { timeout: 40_000 };
 const servers = 4;
@@ -39,6 +39,7 @@
     "three times the capacity: look-ups are answered in time or refused, and the slots stay in use",
     limit,
     async t => {
+        await warmUp(getFleet());
         const deadlineMs = 1000;
         const seconds = 11;
         const startedAt = Date.now();
