--- a/packages/entry/src/slot-readiness.ts
+++ b/packages/entry/src/slot-readiness.ts
@@ -38,10 +38,10 @@
                     .filter(server => !server.draining)
                     .map(server => server.service),
             );
-            const withSlots = broker
-                .state()
-                .services.filter(({ held }) => held > 0)
-                .map(({ service }) => service);
+            const confirmed = broker.state().slots.filter(({ isOwn, isConfirmed }) => isOwn && isConfirmed);
+            const withSlots = confirmed.map(
+                ({ key }) => backends.find(key.slice(0, key.lastIndexOf("/")))?.service,
+            );
             const hasSlots = services.size > 0 && [...services].every(service => withSlots.includes(service));
             ready = hasSlots || clock.now() - serversKnownAt > longestWaitMs;
             return ready;
