feat(bench): reports and membership in the capacity tables

Cause: the capacity page needs the traffic at the planner and the gossip of an entry beside the other slopes. Ruled out: several rounds of the membership, whose windows take minutes.

--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -5,7 +5,9 @@
 import { measureClaimRates } from "./claims-table.js";
 import { measureLookupDirectory } from "./lookup-directory.js";
 import { measureLookupTable, measureLookupTableFill } from "./lookup-table.js";
+import { measureMembershipSizes } from "./membership-table.js";
 import { measurePlanner } from "./planner.js";
+import { measureReports } from "./reports.js";
 
 interface Measurement {
     /** Name that `--only` selects by. */
@@ -19,6 +21,8 @@
     { name: "lookup-directory", measure: measureLookupDirectory },
     { name: "planner", measure: measurePlanner },
     { name: "claims", measure: measureClaimRates },
+    { name: "reports", measure: measureReports },
+    { name: "membership", measure: measureMembershipSizes },
 ];
 
 /** Runs the measurements one after the other and prints a table of medians for each. */
