perf(reports): two entries of a region report its capacities

Cause: every entry sent the capacities of its region, although all of a region know the same ones. Ruled out: longer intervals, since the planner moves nothing on reports older than 5 s and one may be lost.

--- a/packages/entry/src/compose-entry.ts
+++ b/packages/entry/src/compose-entry.ts
@@ -378,7 +378,7 @@
             rpc: get(tokens.rpcServer),
             clock,
             logger,
-            ownReport: () => get(tokens.meter).report(),
+            ownReport: capacities => get(tokens.meter).report(capacities),
             isCollecting: () => get(tokens.lease).isHeld(),
         });
     });
--- a/packages/entry/src/entry-state.ts
+++ b/packages/entry/src/entry-state.ts
@@ -74,7 +74,7 @@
             applied: resolve(tokens.steering).applied(),
         },
         lease: { isHeld: resolve(tokens.lease).isHeld(), epoch: resolve(tokens.lease).epoch() },
-        report: resolve(tokens.meter).report(),
+        report: resolve(tokens.meter).report(true),
         connectionPools: resolve(tokens.pools).size(),
         requests: resolve(tokens.records).latest(50),
         memory: process.memoryUsage(),
--- a/packages/reports/src/entry-report.ts
+++ b/packages/reports/src/entry-report.ts
@@ -30,6 +30,12 @@
     listAgeMs: amount,
 });
 
+/** Params of `steering.report`. */
+export const reportRequestSchema = v.object({
+    /** Whether the capacities are wanted; all entries of a region would give the same ones. */
+    capacities: v.boolean(),
+});
+
 /** Report of one entry. */
 export type EntryReport = v.InferOutput<typeof entryReportSchema>;
 
--- a/packages/reports/src/report-collector.ts
+++ b/packages/reports/src/report-collector.ts
@@ -1,8 +1,8 @@
 /** Collects the reports of all live entries at the entry that plans. One task for each peer, while this entry plans. */
-import { MemberStatus, getErrorMessage } from "@waxwingdale/core";
+import { MemberStatus, getErrorMessage, rankOwners } from "@waxwingdale/core";
 import type { Clock, Logger, Member, MemberView, PeerTransport, RpcRegistry } from "@waxwingdale/core";
 import * as v from "valibot";
-import { entryReportSchema, reportMethod } from "./entry-report.js";
+import { entryReportSchema, reportMethod, reportRequestSchema } from "./entry-report.js";
 import type { EntryReport } from "./entry-report.js";
 
 export interface ReportCollectorOptions {
@@ -11,7 +11,7 @@
     rpc: RpcRegistry;
     clock: Clock;
     logger: Logger;
-    ownReport: () => EntryReport;
+    ownReport: (capacities: boolean) => EntryReport;
     /** Whether this entry plans at the moment; otherwise it collects nothing. */
     isCollecting: () => boolean;
 }
@@ -50,6 +50,8 @@
 /** Time in milliseconds between two rounds. */
 const intervalMs = 1000;
 const callTimeoutMs = 800;
+/** Entries of each region that report its capacities. */
+const capacityReporters = 2;
 /** Age in milliseconds after which the report of an entry that is not live any more is dropped. */
 const dropAfterMs = 10_000;
 
@@ -58,14 +60,26 @@
     const { view, clock, logger } = options;
     const reports = new Map<string, TimedReport>();
 
-    options.rpc.addMethod(reportMethod, () => options.ownReport());
+    options.rpc.addMethod(reportMethod, params =>
+        options.ownReport(v.parse(reportRequestSchema, params).capacities),
+    );
 
-    const ask = async (peer: Member) => {
+    /** Two entries of each region give its capacities, so that the loss of one leaves no gap. */
+    const findCapacityReporters = (members: readonly Member[]): Set<string> => {
+        const regions = [...new Set(members.map(member => member.region))];
+        const chosen = regions.flatMap(region => {
+            const ids = members.filter(member => member.region === region).map(member => member.id);
+            return rankOwners(region, ids).slice(0, capacityReporters);
+        });
+        return new Set(chosen);
+    };
+
+    const ask = async (peer: Member, capacities: boolean) => {
         try {
             const answer = await options.transport.call<unknown>(
                 peer.peerAddress,
                 reportMethod,
-                {},
+                { capacities },
                 callTimeoutMs,
             );
             reports.set(peer.id, { report: v.parse(entryReportSchema, answer), receivedAt: clock.now() });
@@ -76,9 +90,10 @@
 
     const collect = async () => {
         const self = view.self().id;
-        reports.set(self, { report: options.ownReport(), receivedAt: clock.now() });
+        reports.set(self, { report: options.ownReport(true), receivedAt: clock.now() });
         const peers = view.members().filter(({ id, status }) => id !== self && status !== MemberStatus.Dead);
-        await Promise.all(peers.map(ask));
+        const reporters = findCapacityReporters(peers);
+        await Promise.all(peers.map(peer => ask(peer, reporters.has(peer.id))));
         for (const [id, { receivedAt }] of reports) {
             const isLive = view.find(id) !== undefined && view.find(id)!.status !== MemberStatus.Dead;
             if (!isLive && clock.now() - receivedAt > dropAfterMs) {
--- a/packages/reports/src/report-meter.ts
+++ b/packages/reports/src/report-meter.ts
@@ -24,7 +24,8 @@
 export interface ReportMeter {
     noteRequest(req: FinishedRequest): void;
     noteServiceTime(service: string, ms: number): void;
-    report(): EntryReport;
+    /** @param capacities whether the capacities of the region are part of the report */
+    report(capacities: boolean): EntryReport;
 }
 
 interface DemandWindows {
@@ -84,23 +85,25 @@
                         site: site.name,
                         warmServers: live.length - cold,
                         coldServers: cold,
-                        meanServiceMs: serviceMs.get(service.name) ?? 0,
+                        meanServiceMs: round(serviceMs.get(service.name) ?? 0),
                     };
                 }),
         );
     };
 
     const reportDemands = (): EntryReport["demands"] =>
-        [...demands.values()].map(({ service, home, requests, requestBytes, responseBytes }) => {
-            const count = Math.max(1, requests.total());
-            return {
-                service,
-                home,
-                offeredPerSecond: requests.perSecond(),
-                requestBytes: requestBytes.total() / count,
-                responseBytes: responseBytes.total() / count,
-            };
-        });
+        [...demands.values()]
+            .filter(({ requests }) => requests.total() > 0)
+            .map(({ service, home, requests, requestBytes, responseBytes }) => {
+                const count = Math.max(1, requests.total());
+                return {
+                    service,
+                    home,
+                    offeredPerSecond: round(requests.perSecond()),
+                    requestBytes: round(requestBytes.total() / count),
+                    responseBytes: round(responseBytes.total() / count),
+                };
+            });
 
     return {
         noteRequest: ({ service, home, requestBytes, responseBytes }) => {
@@ -113,15 +116,20 @@
             const mean = serviceMs.get(service) ?? ms;
             serviceMs.set(service, mean + smoothing * (ms - mean));
         },
-        report: () => {
+        report: capacities => {
             const manifest = options.manifest();
             return {
                 entry: options.entry,
                 region: options.region,
                 demands: reportDemands(),
-                capacities: manifest === undefined ? [] : reportCapacities(manifest),
+                capacities: manifest === undefined || !capacities ? [] : reportCapacities(manifest),
                 listAgeMs: options.listAgeMs() ?? 0,
             };
         },
     };
 }
+
+/** More digits than a measurement has would only make reports longer. */
+function round(value: number): number {
+    return Number(value.toPrecision(4));
+}
