test(trace): a recorded run in which not-run was told wrongly

Cause: the carrier sends an idempotent request again after a lost connection and answers with the result of the last attempt alone, so a refusal of the second attempt hides the first one. The excerpt (head and the 11 requests) shows that the rule finds the fault in a trace that the product recorded; the carrier itself is not changed here.

--- a/packages/trace/test/replay.test.ts
+++ b/packages/trace/test/replay.test.ts
@@ -80,6 +80,17 @@
     assert.deepEqual(new Set(reasons), new Set([`south ${ShiftReason.DeadRegion}`]));
 });
 
+// Excerpt of a run at 900 requests per second in which servers were killed. A request of an idempotent route lost its
+// connection, was sent again, was refused as overloaded, and its caller was told not-run.
+test("a recorded run in which not-run was told wrongly is found", () => {
+    const lines = readRun("backend-kill");
+    const violations = checkTrace(lines);
+    assert.deepEqual(countBy(violations.map(row => row.rule)), {
+        [TraceRule.OutcomeNotRun]: pick(lines, "request").length,
+    });
+    assert.ok(violations.length > 0, "the excerpt has requests");
+});
+
 // (a) Guards against a caller that sends a request again which has run.
 test("an answer not-run after an attempt that may have run is found", () => {
     const lines = readRun("region-kill");
