perf(carrier): no AbortSignal for requests that need none

The leave of a caller was told by an AbortController for each request, with listeners that are added and removed at each attempt. A small signal of the carrier takes its place; an AbortSignal is made only for waits on a link. SlotRequest.signal of packages/core accepts any object with the three members that the broker uses, so an AbortSignal still fits.

The test of a download whose caller leaves passed with the listeners of the signal taken out, since the rest was read and dropped fast enough. It now requires that the attempt was broken off, and fails with them taken out.

--- a/packages/carrier/src/backend-upstream.ts
+++ b/packages/carrier/src/backend-upstream.ts
@@ -155,7 +155,8 @@
     if (fromRegion === undefined || fromRegion === options.region) {
         return undefined;
     }
-    return (bytes: number) => options.links.take(fromRegion, ctx.route.class, bytes, ctx.callerLeft);
+    return (bytes: number) =>
+        options.links.take(fromRegion, ctx.route.class, bytes, ctx.callerLeft.toSignal());
 }
 
 export function isNotStarted(status: number, headers: DispatchResult["headers"]): boolean {
--- a/packages/carrier/src/carrier.ts
+++ b/packages/carrier/src/carrier.ts
@@ -12,6 +12,7 @@
 import { AttemptKind } from "./attempt.js";
 import type { AttemptResult, ResponseCapture, Upstream } from "./attempt.js";
 import { BackendUpstream } from "./backend-upstream.js";
+import { createCallerLeft } from "./caller-left.js";
 import type { CarrierOptions } from "./carrier-options.js";
 import { runClaimed, sendRecorded } from "./claimed-request.js";
 import { getHeader } from "./headers.js";
@@ -119,7 +120,7 @@
             const message = `route ${match.route.name} needs an ${idempotencyKeyHeader} header of 1 to ${maxKeyLength} characters`;
             return createOwnAnswer(Outcome.NotRun, ReasonCode.MissingIdempotencyKey, message);
         }
-        const callerLeft = new AbortController();
+        const callerLeft = createCallerLeft();
         res.once("close", () => {
             if (!res.writableFinished) {
                 callerLeft.abort();
@@ -129,7 +130,6 @@
         try {
             const limits = { maxBytes: match.route.maxBodyBytes, timeoutMs: deadlineAt - startedAt };
             const body = await readRequestBody(req, limits);
-            const signal = callerLeft.signal;
             return createRequestContext({
                 id,
                 origin,
@@ -139,7 +139,7 @@
                 body,
                 startedAt,
                 deadlineAt,
-                callerLeft: signal,
+                callerLeft,
                 clock,
                 region: options.region,
                 home: options.findHome(getClientAddress(req)),
--- a/packages/carrier/src/peer-upstream.ts
+++ b/packages/carrier/src/peer-upstream.ts
@@ -116,7 +116,7 @@
         const chunks = Buffer.isBuffer(body) ? [body] : body;
         return (async function* () {
             for await (const chunk of chunks) {
-                await links.take(region, ctx.route.class, chunk.length, ctx.callerLeft);
+                await links.take(region, ctx.route.class, chunk.length, ctx.callerLeft.toSignal());
                 yield chunk;
             }
         })();
--- a/packages/carrier/src/request-context.ts
+++ b/packages/carrier/src/request-context.ts
@@ -9,6 +9,7 @@
     idempotencyKeyHeader,
 } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
+import type { CallerLeft } from "./caller-left.js";
 import { clientHeader, fingerprintHeader, fromRegionHeader, getHeader } from "./headers.js";
 import type { RequestBody } from "./request-body.js";
 import type { RequestRecord } from "./request-record.js";
@@ -36,7 +37,7 @@
     startedAt: number;
     deadlineAt: number;
     /** Aborts when the caller closes the connection before the answer is complete. */
-    callerLeft: AbortSignal;
+    callerLeft: CallerLeft;
     body: RequestBody;
     fingerprint: string;
     requestHash: string;
@@ -66,7 +67,7 @@
     body: RequestBody;
     startedAt: number;
     deadlineAt: number;
-    callerLeft: AbortSignal;
+    callerLeft: CallerLeft;
     clock: Clock;
     region: string;
     home: string;
--- a/packages/carrier/test/carrier.test.ts
+++ b/packages/carrier/test/carrier.test.ts
@@ -99,6 +99,8 @@
         await new Promise(resolve => setTimeout(resolve, 20));
     }
     assert.equal(fixture.backends[0]!.busy(), 0);
+    // A download that only ran on without its caller would have completed.
+    assert.deepEqual(fixture.slotResults, [SlotResult.Broken]);
 });
 
 test("a write whose caller leaves runs to its end and its outcome is recorded", async t => {
--- a/packages/core/src/slot-source.ts
+++ b/packages/core/src/slot-source.ts
@@ -25,6 +25,13 @@
     release(result: SlotResult, busySlots?: number): void;
 }
 
+/** Tells that nobody waits for a request any more. An AbortSignal is one. */
+export interface LeaveSignal {
+    readonly aborted: boolean;
+    addEventListener(type: "abort", listener: () => void, options?: { once?: boolean }): void;
+    removeEventListener(type: "abort", listener: () => void): void;
+}
+
 export interface SlotRequest {
     service: string;
     requestClass: RequestClass;
@@ -34,7 +41,7 @@
     suspect: boolean;
     /** Ids of servers that have already refused this request. */
     avoid: ReadonlySet<string>;
-    signal?: AbortSignal;
+    signal?: LeaveSignal;
 }
 
 /** The request was refused before anything was sent: it did not run. */
