--- a/packages/carrier/src/request-context.ts
+++ b/packages/carrier/src/request-context.ts
@@ -4,6 +4,7 @@
 import type { RouteSpec } from "@waxwingdale/manifest";
 import { Outcome, deadlineHeader, hashText, idempotencyKeyHeader } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
+import type { CallerLeft } from "./caller-left.js";
 import { clientHeader, fingerprintHeader, fromRegionHeader, getHeader } from "./headers.js";
 import type { RequestBody } from "./request-body.js";
 import type { RequestRecord } from "./request-record.js";
@@ -31,7 +32,7 @@
     startedAt: number;
     deadlineAt: number;
     /** Aborts when the caller closes the connection before the answer is complete. */
-    callerLeft: AbortSignal;
+    callerLeft: CallerLeft;
     body: RequestBody;
     fingerprint: string;
     requestHash: string;
@@ -61,7 +62,7 @@
     body: RequestBody;
     startedAt: number;
     deadlineAt: number;
-    callerLeft: AbortSignal;
+    callerLeft: CallerLeft;
     clock: Clock;
     region: string;
     home: string;
