fix(bench): the half load comes after a warm-up of its own

Run alone, the case took its rate from a cold entry: 212 requests/s, where a run after the saturated case found 6,804.

--- a/packages/bench/src/carry/cases.ts
+++ b/packages/bench/src/carry/cases.ts
@@ -108,6 +108,8 @@
 const halfLoad: CarryCase = {
     name: "half-load",
     warmUp: async ctx => {
+        // A cold entry carries so little that its half would be no load at all.
+        await saturated.warmUp(ctx);
         const carried = await measureEntry(ctx, { ...saturating, path: carriedPath });
         halfRate = carried.requestsPerSecond / 2;
         const job = { connections: pacedConnections, durationMs: warmUpMs, rate: halfRate };
