fix(carrier): an entry no longer stands still on a paced answer

Cause: after a pause the HTTP parser reports an empty chunk. The sink of an answer that crosses a link answered it with a promise, which paused the parser again, so the process turned in a loop of microtasks: no timer, no gossip, no other request, and memory growing to 3.6 GB. It was seen once callers had home regions, since only then answers cross links. Ruled out: a lost grant of the link shaper; a debugger attached to a standing process showed the parser's resume calling the sink for ever. Conclusion: an empty chunk is never given to a sink.

--- a/packages/carrier/src/dispatch-request.ts
+++ b/packages/carrier/src/dispatch-request.ts
@@ -111,7 +111,8 @@
                 sink = options.onHead(status, headers);
             },
             onResponseData: (started, chunk) => {
-                const wait = settled ? undefined : sink?.write(chunk);
+                // The parser reports an empty chunk after each pause. A pause for it would repeat without end.
+                const wait = settled || chunk.length === 0 ? undefined : sink?.write(chunk);
                 if (wait !== undefined) {
                     started.pause();
                     void wait.then(() => started.resume());
