fix(entry): servers are known as soon as the manifest is, and readiness counts from then

Cause: the directory read the manifest only with the next instance list, up to 2 s later, while the wait for slots already counted. An entry then called itself ready before a slot could be used. Ruled out: a longer wait, which would delay every start. Conclusion: a new manifest reaches the directory at once, drains included.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -56,6 +56,8 @@
     /** A response header said that the server drains: no new request from now on, here and at the region's peers. */
     noteDraining(serverId: string): void;
     onChange(listener: () => void): void;
+    /** Reads the manifest again at once; a drain or a new service does not wait for the next list. */
+    onManifestChanged(): void;
     /** Keeps the directory current until the signal aborts. */
     run(signal: AbortSignal): Promise<void>;
     /** Instances of entries from the latest list, for joining the fleet. */
@@ -235,6 +237,7 @@
             }
         },
         onChange: listener => void listeners.push(listener),
+        onManifestChanged: rebuild,
         run: async signal => {
             await Promise.all([
                 repeat(listIntervalMs, signal, readList),
--- a/packages/entry/src/compose-entry.ts
+++ b/packages/entry/src/compose-entry.ts
@@ -259,6 +259,7 @@
             logger,
         });
         backends.onChange(() => broker.onServersChanged());
+        get(tokens.config).onChange(() => backends.onManifestChanged());
         return broker;
     });
     add(tokens.links, get => {
--- a/packages/entry/src/slot-readiness.ts
+++ b/packages/entry/src/slot-readiness.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Creates the check of one entry. A region without backend servers is ready after the longest wait, since its requests
- * go elsewhere; before that the manifest may not be known yet.
+ * Creates the check of one entry. A region without backend servers is ready after twice the longest wait, since its
+ * requests go elsewhere.
  */
 export function createSlotReadiness(
     clock: Clock,
@@ -25,25 +25,30 @@
     backends: BackendDirectory,
 ): SlotReadiness {
     let ready = false;
+    let askedAt: number | undefined;
     let serversKnownAt: number | undefined;
     return {
         isReady: () => {
             if (ready || backends.listAgeMs() === undefined) {
                 return ready;
             }
-            serversKnownAt ??= clock.now();
+            askedAt ??= clock.now();
             const services = new Set(
                 backends
                     .servers()
                     .filter(server => !server.draining)
                     .map(server => server.service),
             );
+            if (services.size > 0) {
+                serversKnownAt ??= clock.now();
+            }
             const confirmed = broker.state().slots.filter(({ isOwn, isConfirmed }) => isOwn && isConfirmed);
             const withSlots = confirmed.map(
                 ({ key }) => backends.find(key.slice(0, key.lastIndexOf("/")))?.service,
             );
             const hasSlots = services.size > 0 && [...services].every(service => withSlots.includes(service));
-            ready = hasSlots || clock.now() - serversKnownAt > longestWaitMs;
+            const startedAt = serversKnownAt ?? askedAt + longestWaitMs;
+            ready = hasSlots || clock.now() - startedAt > longestWaitMs;
             return ready;
         },
     };
