fix(stand-ins): binaries are found from the bundle of any package

Cause: the folder was found by the name of the stand-ins' own package, which is not in the path of the benchmarks' bundle, so the carry benchmark stopped at once. Ruled out: passing the folder as an option to every caller.

--- a/packages/stand-ins/src/launcher/child-process.ts
+++ b/packages/stand-ins/src/launcher/child-process.ts
@@ -16,8 +16,8 @@
 /** Time in milliseconds for a process to listen. */
 const startTimeoutMs = 20_000;
 
-/** URL of the folder `packages`, whether this module runs from its source or from a bundle. */
-const packagesUrl = import.meta.url.slice(0, import.meta.url.lastIndexOf("/stand-ins/") + 1);
+/** URL of the folder `packages`, whether this module runs from its source or from the bundle of any package. */
+const packagesUrl = import.meta.url.slice(0, import.meta.url.lastIndexOf("/packages/") + "/packages/".length);
 
 /** Path of the bundled binary of a package. */
 export function findBinary(pkg: string, name: string): string {
