--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { TestContext } from "node:test";
 import { Health, createBackendDirectory } from "@waxwingdale/backends";
 import type { BackendDirectory } from "@waxwingdale/backends";
 import {
@@ -91,12 +92,18 @@
     return fleet;
 }
 
-const isDraining = (directory: BackendDirectory | undefined) => directory!.find("s1")!.draining;
-
-test("a response header stops new requests at once, here and at the peer, while list and health lie", async t => {
+/** Starts the fleet, which has read its first list after 100 ms. */
+async function setUp(t: TestContext): Promise<Fleet> {
     const fleet = startFleet();
     t.after(fleet.stop);
     await fleet.clock.advance(100);
+    return fleet;
+}
+
+const isDraining = (directory: BackendDirectory | undefined) => directory!.find("s1")!.draining;
+
+test("a response header stops new requests at once, here and at the peer, while list and health lie", async t => {
+    const fleet = await setUp(t);
     fleet.directories[0]!.noteDraining("s1");
     assert.ok(isDraining(fleet.directories[0]));
     await fleet.clock.advance(1);
@@ -106,27 +113,21 @@
 });
 
 test("a health answer that says draining reaches the peer that does not probe", async t => {
-    const fleet = startFleet();
-    t.after(fleet.stop);
-    await fleet.clock.advance(100);
+    const fleet = await setUp(t);
     fleet.health.value = Health.Draining;
     await fleet.clock.advance(1500);
     assert.ok(fleet.directories.every(isDraining));
 });
 
 test("a mark goes after health has denied the drain for the hold time", async t => {
-    const fleet = startFleet();
-    t.after(fleet.stop);
-    await fleet.clock.advance(100);
+    const fleet = await setUp(t);
     fleet.directories[0]!.noteDraining("s1");
     await fleet.clock.advance(33_000);
     assert.equal(isDraining(fleet.directories[0]), false);
 });
 
 test("a mark ends at every entry of the region, not only at the one that probes", async t => {
-    const fleet = startFleet();
-    t.after(fleet.stop);
-    await fleet.clock.advance(100);
+    const fleet = await setUp(t);
     fleet.directories[0]!.noteDraining("s1");
     await fleet.clock.advance(40_000);
     assert.equal(isDraining(fleet.directories[1]), false);
@@ -147,18 +148,14 @@
 });
 
 test("an outage of the store keeps the list", async t => {
-    const fleet = startFleet();
-    t.after(fleet.stop);
-    await fleet.clock.advance(100);
+    const fleet = await setUp(t);
     fleet.store.faults.down = true;
     await fleet.clock.advance(60_000);
     assert.equal(fleet.directories[0]!.servers().length, 1);
 });
 
 test("an entry that starts while the store is down gets the list from its peer", async t => {
-    const fleet = startFleet();
-    t.after(fleet.stop);
-    await fleet.clock.advance(100);
+    const fleet = await setUp(t);
     const { directories, store } = fleet;
     store.faults.down = true;
     const late = startFleetMember(fleet);
--- a/packages/reports/src/report-collector.ts
+++ b/packages/reports/src/report-collector.ts
@@ -1,6 +1,7 @@
 /** Collects the reports of all live entries at the entry that plans. One task for each peer, while this entry plans. */
 import { MemberStatus, getErrorMessage, rankOwners } from "@waxwingdale/core";
 import type { Clock, Logger, Member, MemberView, PeerTransport, RpcRegistry } from "@waxwingdale/core";
+import type { CapacityReport, DemandReport } from "@waxwingdale/steering";
 import * as v from "valibot";
 import { entryReportSchema, reportMethod, reportRequestSchema } from "./entry-report.js";
 import type { EntryReport } from "./entry-report.js";
@@ -16,28 +17,9 @@
     isCollecting: () => boolean;
 }
 
-/** Load that callers of one home region offer to one service, summed over all entries. */
-export interface CollectedDemand {
-    service: string;
-    home: string;
-    offeredPerSecond: number;
-    requestBytes: number;
-    responseBytes: number;
-    ageMs: number;
-}
-
-export interface CollectedCapacity {
-    service: string;
-    site: string;
-    warmServers: number;
-    coldServers: number;
-    meanServiceMs: number;
-    ageMs: number;
-}
-
 export interface ReportCollector {
-    demands(): CollectedDemand[];
-    capacities(): CollectedCapacity[];
+    demands(): DemandReport[];
+    capacities(): CapacityReport[];
     /** Collects until the signal aborts. */
     run(signal: AbortSignal): Promise<void>;
 }
@@ -121,8 +103,8 @@
 }
 
 /** The sum is as old as the oldest report in it. */
-function sumDemands(reports: TimedReport[], getAge: (report: TimedReport) => number): CollectedDemand[] {
-    const sums = new Map<string, CollectedDemand>();
+function sumDemands(reports: TimedReport[], getAge: (report: TimedReport) => number): DemandReport[] {
+    const sums = new Map<string, DemandReport>();
     for (const timed of reports) {
         for (const demand of timed.report.demands) {
             const key = `${demand.service}\n${demand.home}`;
@@ -146,11 +128,8 @@
 }
 
 /** All entries of a region see the same servers, so the newest report of a site counts. */
-function pickCapacities(
-    reports: TimedReport[],
-    getAge: (report: TimedReport) => number,
-): CollectedCapacity[] {
-    const newest = new Map<string, CollectedCapacity>();
+function pickCapacities(reports: TimedReport[], getAge: (report: TimedReport) => number): CapacityReport[] {
+    const newest = new Map<string, CapacityReport>();
     for (const timed of reports) {
         for (const capacity of timed.report.capacities) {
             const key = `${capacity.service}\n${capacity.site}`;
