feat(entry): the records of crashed entries are removed

Cause: an entry that crashed left a live record, and a push of a newer format was refused until somebody deleted it by hand. Ruled out: a lifetime of each record, which costs a write for each entry and interval.

--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -19,6 +19,7 @@
 import type { HttpListener } from "./http-listener.js";
 import { createOperatorApp } from "./operator-listener.js";
 import { createPeerHandler } from "./peer-listener.js";
+import { runRecordCleanup } from "./record-cleanup.js";
 import { shutDown } from "./shut-down.js";
 import type { Settings } from "./settings.js";
 import { resolveToken } from "./tokens.js";
@@ -184,6 +185,12 @@
         planner: () => resolve(tokens.planner).run(signal),
         collector: () => resolve(tokens.collector).run(signal),
         steering: () => resolve(tokens.steering).run(signal),
+        records: () => {
+            const { store } = resolve(tokens.base);
+            const isActive = () => resolve(tokens.lease).isHeld();
+            const view = resolve(tokens.membership);
+            return runRecordCleanup({ store, view, clock, logger, isActive }, signal);
+        },
         ready: async () => {
             while (!signal.aborted) {
                 resolve(tokens.membership).setReady(findNotReadyReason(resolve) === undefined);
