refactor(entry): one module for each part of the composition

Cause: the composition had grown to 525 lines in one file. Ruled out: a container module for each package, since parts of several packages need each other.

--- /dev/null
+++ b/packages/entry/src/compose-carrier.ts
@@ -0,0 +1,117 @@
+/** The carrier of requests, its records, metrics and traces. */
+import {
+    createCarrier,
+    createConnectionPools,
+    createRequestRecords,
+    createRouteTable,
+} from "@waxwingdale/carrier";
+import type { RequestRecord, RouteTable } from "@waxwingdale/carrier";
+import type { AcceptedConfig } from "@waxwingdale/config";
+import { createRetryBudget } from "@waxwingdale/limits";
+import type { RetryBudget } from "@waxwingdale/limits";
+import type { ReportMeter } from "@waxwingdale/reports";
+import { createTraceRecorder } from "@waxwingdale/trace";
+import { createEntryMetrics } from "./entry-metrics.js";
+import { createTraceTap } from "./trace-tap.js";
+import { tokens } from "./entry-tokens.js";
+import type { AddPart } from "./entry-tokens.js";
+
+/** Retry budget of routes that are not idempotent. They are sent again only when they certainly did not run. */
+const notRunRetryShare = 0.1;
+
+/** Registers the recorder of traces. */
+export function composeTrace(add: AddPart): void {
+    add(tokens.trace, get => {
+        const { settings, clock, signal } = get(tokens.base);
+        const recorder = createTraceRecorder({ entry: settings.id, region: settings.region, clock });
+        signal.addEventListener("abort", () => recorder.close(), { once: true });
+        return recorder;
+    });
+    add(tokens.traceTap, get => {
+        const { settings, clock, fleetKey } = get(tokens.base);
+        return createTraceTap({ recorder: get(tokens.trace), entry: settings.id, clock, fleetKey });
+    });
+}
+
+/** Registers the carrier and what it writes to. */
+export function composeCarrier(add: AddPart): void {
+    add(tokens.pools, get => createConnectionPools(() => get(tokens.base).clock.now()));
+    add(tokens.records, get => createRequestRecords(get(tokens.base).settings.requestRecords));
+    add(tokens.metrics, () => createEntryMetrics());
+    add(tokens.carrier, get => {
+        const { settings, clock, logger, fleetKey } = get(tokens.base);
+        const config = get(tokens.config);
+        const meter = get(tokens.meter);
+        const trace = get(tokens.traceTap);
+        return createCarrier({
+            id: settings.id,
+            region: settings.region,
+            clock,
+            logger,
+            fleetKey,
+            view: get(tokens.membership),
+            slots: get(tokens.broker),
+            claims: get(tokens.traceTap).watchClaims(get(tokens.claims)),
+            crashGuard: get(tokens.crashGuard),
+            links: get(tokens.links),
+            steering: get(tokens.steering),
+            pools: get(tokens.pools),
+            records: get(tokens.records),
+            metrics: get(tokens.metrics),
+            routes: createRoutesOfManifest(config),
+            retryBudget: createBudgets(config),
+            maxOutcomeBytes: () => config.current()?.manifest.claims.maxOutcomeBytes ?? 0,
+            findHome: client => get(tokens.lookups).findHome(client) ?? settings.region,
+            noteDraining: serverId => get(tokens.backends).noteDraining(serverId),
+            onFinished: record => {
+                noteFinished(meter, record, settings.region);
+                trace.noteRequest(record);
+            },
+        });
+    });
+}
+
+function noteFinished(meter: ReportMeter, record: RequestRecord, region: string): void {
+    meter.noteRequest(record);
+    const last = record.attempts.at(-1);
+    if (last?.region === region && last.result === "ran") {
+        meter.noteServiceTime(record.service, last.ms);
+    }
+}
+
+/** Returns the routes of the manifest in force; the table is built once for each generation. */
+function createRoutesOfManifest(config: AcceptedConfig): () => RouteTable | undefined {
+    let generation = 0;
+    let table: RouteTable | undefined;
+    return () => {
+        const accepted = config.current();
+        if (accepted !== undefined && accepted.generation !== generation) {
+            generation = accepted.generation;
+            table = createRouteTable(accepted.manifest.services);
+        }
+        return table;
+    };
+}
+
+/** Returns the retry budget of a route; a new share in the manifest starts a new budget. */
+function createBudgets(config: AcceptedConfig): (service: string, route: string) => RetryBudget {
+    let generation = 0;
+    let budgets = new Map<string, RetryBudget>();
+    return (service, route) => {
+        const accepted = config.current();
+        if (accepted !== undefined && accepted.generation !== generation) {
+            generation = accepted.generation;
+            budgets = new Map();
+        }
+        const key = `${service}/${route}`;
+        let budget = budgets.get(key);
+        if (budget === undefined) {
+            const spec = accepted?.manifest.services
+                .find(({ name }) => name === service)
+                ?.routes.find(({ name }) => name === route);
+            budget = createRetryBudget(spec?.idempotent === true ? spec.retryBudget : notRunRetryShare);
+            budgets.set(key, budget);
+        }
+        return budget;
+    };
+}
--- /dev/null
+++ b/packages/entry/src/compose-limits.ts
@@ -0,0 +1,119 @@
+/** Backend servers, slots, links, claims and the guard against requests that crash servers. */
+import { createBackendDirectory, createHealthProbe } from "@waxwingdale/backends";
+import { createClaimService, createCrashGuard } from "@waxwingdale/claims";
+import { pickOwner } from "@waxwingdale/core";
+import { createLinkShaper, createSlotBroker } from "@waxwingdale/limits";
+import type { AcceptedManifest } from "@waxwingdale/manifest";
+import { findRoute } from "@waxwingdale/steering";
+import type { PlanObject } from "@waxwingdale/steering";
+import { Agent } from "undici";
+import { createSlotReadiness } from "./slot-readiness.js";
+import { tokens } from "./entry-tokens.js";
+import type { AddPart } from "./entry-tokens.js";
+
+/** Claim limits before the first manifest. No claim is made without a manifest. */
+const initialClaimLimits = { shards: 1, maxWritesPerSecond: 1, retentionSeconds: 3600, maxOutcomeBytes: 0 };
+const initialCrashLimits = { crashLimit: 2, quarantineSeconds: 600 };
+
+/** Registers what bounds the requests that are sent. */
+export function composeLimits(add: AddPart): void {
+    add(tokens.backends, get => {
+        const { settings, store, clock, random, logger, signal } = get(tokens.base);
+        const membership = get(tokens.membership);
+        const agent = new Agent({ connections: 1, connect: { timeout: 800 } });
+        signal.addEventListener("abort", () => void agent.destroy(), { once: true });
+        return createBackendDirectory({
+            region: settings.region,
+            store,
+            view: membership,
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            clock,
+            random,
+            logger,
+            manifest: () => get(tokens.config).current()?.manifest,
+            probe: createHealthProbe(() => agent),
+            isStillNeeded: service =>
+                isHomeStillServed(
+                    get(tokens.steering).currentPlan(),
+                    get(tokens.config).current(),
+                    service,
+                    settings.region,
+                ),
+            isProbedHere: serverId => {
+                const ids = membership.liveInRegion(settings.region).map(member => member.id);
+                return pickOwner(serverId, ids) === settings.id;
+            },
+        });
+    });
+    add(tokens.broker, get => {
+        const { clock, random, logger } = get(tokens.base);
+        const backends = get(tokens.backends);
+        const broker = createSlotBroker({
+            view: get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            servers: () => backends.servers(),
+            clock,
+            random,
+            logger,
+        });
+        backends.onChange(() => broker.onServersChanged());
+        get(tokens.config).onChange(() => backends.onManifestChanged());
+        return broker;
+    });
+    add(tokens.links, get => {
+        const { settings, clock, logger } = get(tokens.base);
+        const listLinks = () => get(tokens.config).current()?.manifest.links ?? [];
+        return createLinkShaper({
+            view: get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            links: () => listLinks().filter(({ from }) => from === settings.region),
+            clock,
+            logger,
+        });
+    });
+    add(tokens.slotReadiness, get =>
+        createSlotReadiness(get(tokens.base).clock, get(tokens.broker), get(tokens.backends)),
+    );
+    add(tokens.claims, get => {
+        const { store, clock, random, logger, settings } = get(tokens.base);
+        const manifest = () => get(tokens.config).current()?.manifest;
+        return createClaimService({
+            store,
+            view: get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            storeRegion: () => manifest()?.storeRegion ?? settings.region,
+            limits: () => manifest()?.claims ?? initialClaimLimits,
+            clock,
+            random,
+            logger,
+        });
+    });
+    add(tokens.crashGuard, get => {
+        const { clock, logger } = get(tokens.base);
+        return createCrashGuard({
+            view: get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            clock,
+            logger,
+            limits: () => get(tokens.config).current()?.manifest.quarantine ?? initialCrashLimits,
+        });
+    });
+}
+
+/** Whether callers of a drained region are still served at home, because their traffic leaves at the declared pace. */
+function isHomeStillServed(
+    plan: PlanObject | undefined,
+    accepted: AcceptedManifest | undefined,
+    service: string,
+    region: string,
+): boolean {
+    if (plan === undefined || accepted === undefined || plan.generation < accepted.generation) {
+        return true;
+    }
+    return (findRoute(plan, service, region)?.homePerSecond ?? 0) > 0;
+}
--- /dev/null
+++ b/packages/entry/src/compose-steering.ts
@@ -0,0 +1,129 @@
+/** The planner, its reports, steering and look-ups. */
+import type { AcceptedConfig } from "@waxwingdale/config";
+import { MemberStatus, rankOwners } from "@waxwingdale/core";
+import type { Membership } from "@waxwingdale/membership";
+import { createReportCollector, createReportMeter } from "@waxwingdale/reports";
+import {
+    createLookupDirectory,
+    createLookupTable,
+    createPlanner,
+    createTrafficSteering,
+    findDeadRegions,
+} from "@waxwingdale/steering";
+import type { LookupTable } from "@waxwingdale/steering";
+import { createLease } from "@waxwingdale/store";
+import { tokens } from "./entry-tokens.js";
+import type { AddPart } from "./entry-tokens.js";
+
+/** Entries of the store's region that compete for the planner lease. More would only add calls to the store. */
+const plannerCandidates = 3;
+
+/** Registers what decides the region and the entry of a request. */
+export function composeSteering(add: AddPart): void {
+    add(tokens.steering, get => {
+        const { clock, logger } = get(tokens.base);
+        const steering = createTrafficSteering({
+            view: get(tokens.membership),
+            clock,
+            logger,
+            accepted: () => get(tokens.config).current(),
+        });
+        get(tokens.plan).onChange(plan => {
+            if (steering.applyPlan(plan)) {
+                get(tokens.traceTap).noteApplied(plan);
+            }
+        });
+        return steering;
+    });
+    add(tokens.lookups, get => {
+        const config = get(tokens.config);
+        let table: LookupTable | undefined;
+        config.onChange(({ manifest }) => (table = createLookupTable(manifest.clientBlocks)));
+        return createLookupDirectory({
+            view: get(tokens.membership),
+            clock: get(tokens.base).clock,
+            accepted: () => config.current(),
+            plan: () => get(tokens.steering).currentPlan(),
+            table: () => table,
+        });
+    });
+    add(tokens.lease, get => {
+        const { store, clock, random, logger, settings } = get(tokens.base);
+        return createLease({
+            store,
+            key: "lease/planner",
+            holder: settings.id,
+            clock,
+            random,
+            logger,
+            isCandidate: () => isPlannerCandidate(get(tokens.membership), get(tokens.config)),
+            knownEpoch: () => get(tokens.plan).status().order?.[0] ?? 0,
+        });
+    });
+    add(tokens.meter, get => {
+        const { settings, clock } = get(tokens.base);
+        const backends = get(tokens.backends);
+        return createReportMeter({
+            entry: settings.id,
+            region: settings.region,
+            clock,
+            servers: () => backends.servers(),
+            manifest: () => get(tokens.config).current()?.manifest,
+            listAgeMs: () => backends.listAgeMs(),
+        });
+    });
+    add(tokens.collector, get => {
+        const { clock, logger } = get(tokens.base);
+        return createReportCollector({
+            view: get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            clock,
+            logger,
+            ownReport: capacities => get(tokens.meter).report(capacities),
+            isCollecting: () => get(tokens.lease).isHeld(),
+        });
+    });
+    add(tokens.planner, get => {
+        const { store, clock, logger } = get(tokens.base);
+        const lease = get(tokens.lease);
+        // Membership forgets members that are dead for long; their region stays dead.
+        let deadRegions: ReadonlySet<string> = new Set();
+        return createPlanner({
+            store,
+            lease: { isHeld: () => lease.isHeld(), epoch: () => lease.epoch() ?? 0 },
+            clock,
+            logger,
+            observe: () => {
+                const accepted = get(tokens.config).current();
+                if (accepted === undefined) {
+                    return undefined;
+                }
+                const collector = get(tokens.collector);
+                deadRegions = findDeadRegions(get(tokens.membership), accepted.manifest, deadRegions);
+                return {
+                    accepted,
+                    demands: collector.demands(),
+                    capacities: collector.capacities(),
+                    deadRegions,
+                };
+            },
+            onObservation: (input, plan) => get(tokens.traceTap).notePlan(input, plan),
+            onPlan: plan => get(tokens.plan).adopt(plan),
+        });
+    });
+}
+
+/** The first entries of the store's region by rendezvous rank; those of any region when that one has none. */
+function isPlannerCandidate(membership: Membership, config: AcceptedConfig): boolean {
+    const self = membership.self();
+    const storeRegion = config.current()?.manifest.storeRegion;
+    if (storeRegion === undefined || self.status !== MemberStatus.Live) {
+        return false;
+    }
+    const near = membership.liveInRegion(storeRegion);
+    const candidates =
+        near.length > 0 ? near : membership.members().filter(({ status }) => status === MemberStatus.Live);
+    const ids = candidates.map(member => member.id);
+    return rankOwners("lease/planner", ids).slice(0, plannerCandidates).includes(self.id);
+}
--- /dev/null
+++ b/packages/entry/src/compose-transport.ts
@@ -0,0 +1,44 @@
+/** Calls between entries, membership and the record of the entry. */
+import { createRpcClient, createRpcServer } from "@waxwingdale/core";
+import { createMembership } from "@waxwingdale/membership";
+import { createEntryRecordWriter } from "./entry-record.js";
+import { tokens } from "./entry-tokens.js";
+import type { AddPart } from "./entry-tokens.js";
+
+/** Registers the connections to peers and the view of them. */
+export function composeTransport(add: AddPart): void {
+    add(tokens.rpcServer, get => createRpcServer(get(tokens.base).logger));
+    add(tokens.rpcClient, get => {
+        const { settings, fleetKey } = get(tokens.base);
+        return createRpcClient({ id: settings.id, fleetKey });
+    });
+    add(tokens.membership, get => {
+        const { self, clock, random, logger, settings } = get(tokens.base);
+        const findSeeds = async () => {
+            const recorded = await get(tokens.entryRecord)
+                .listPeerAddresses()
+                .catch(() => []);
+            return [...settings.seeds, ...recorded];
+        };
+        return createMembership({
+            self,
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            clock,
+            random,
+            logger,
+            findSeeds,
+        });
+    });
+    add(tokens.entryRecord, get => {
+        const { store, clock, logger, operatorAddress, signal } = get(tokens.base);
+        return createEntryRecordWriter({
+            store,
+            clock,
+            logger,
+            operatorAddress,
+            signal,
+            self: () => get(tokens.membership).self(),
+        });
+    });
+}
--- a/packages/entry/src/entry-gauges.ts
+++ b/packages/entry/src/entry-gauges.ts
@@ -1,5 +1,5 @@
 /** Gauges of an entry's parts; each is read when the metrics are collected. */
-import { tokens } from "./compose-entry.js";
+import { tokens } from "./entry-tokens.js";
 import { findNotReadyReason } from "./entry-state.js";
 import type { Resolve } from "./tokens.js";
 
--- a/packages/entry/src/entry-state.ts
+++ b/packages/entry/src/entry-state.ts
@@ -1,6 +1,6 @@
 /** What an entry tells about itself: readiness, a short status and the dump of its whole state. */
 import { MemberStatus } from "@waxwingdale/core";
-import { tokens } from "./compose-entry.js";
+import { tokens } from "./entry-tokens.js";
 import type { Resolve } from "./tokens.js";
 
 /** Returns why the entry should not be used by callers, or undefined. */
--- a/packages/entry/src/shut-down.ts
+++ b/packages/entry/src/shut-down.ts
@@ -1,6 +1,6 @@
 /** Graceful shutdown of an entry: leaves the look-up answers first, then finishes what is in flight. */
 import type { HttpObjectStore } from "@waxwingdale/store";
-import { tokens } from "./compose-entry.js";
+import { tokens } from "./entry-tokens.js";
 import { EntryState } from "./entry-record.js";
 import type { RunningEntry } from "./run-entry.js";
 
