fix(carrier): one timer for the silence of a sender

Ruled out: a timer for each connection in the listener, which also counts the time in which the entry itself does not read. Conclusion: the timer restarts with each chunk and ends with the body.

--- a/packages/carrier/src/request-body.ts
+++ b/packages/carrier/src/request-body.ts
@@ -1,6 +1,8 @@
 /** Reads the start of a request body, so that a small body can be sent again and a large one is streamed. */
 import type { IncomingMessage } from "node:http";
 import { ReasonCode, WaxwingdaleError } from "@waxwingdale/core";
+import { createIdleLimit } from "./idle-limit.js";
+import type { IdleLimit } from "./idle-limit.js";
 
 /** Bytes that are held for each request. A larger body is streamed and cannot be sent a second time. */
 export const maxHeldBytes = 64 * 1024;
@@ -50,10 +52,8 @@
         return createWholeBody(Buffer.alloc(0), 0);
     }
     const chunks = req.iterator({ destroyOnReturn: false });
-    const deadline = AbortSignal.timeout(
-        Math.ceil(Math.max(1, Math.min(limits.timeoutMs, bodyIdleTimeoutMs))),
-    );
-    const head = await readHead(chunks, deadline, limits.maxBytes);
+    const limit = createIdleLimit(Math.min(limits.timeoutMs, bodyIdleTimeoutMs), false, createLateError);
+    const head = await readHead(chunks, limit, limits.maxBytes).finally(() => limit.stop());
     if (head.done) {
         return createWholeBody(head.bytes, length);
     }
@@ -68,11 +68,11 @@
     return Number(req.headers["content-length"] ?? 0);
 }
 
-async function readHead(chunks: AsyncIterator<unknown>, deadline: AbortSignal, maxBytes: number) {
+async function readHead(chunks: AsyncIterator<unknown>, limit: IdleLimit, maxBytes: number) {
     const parts: Buffer[] = [];
     let size = 0;
     while (size < maxHeldBytes) {
-        const next = await nextChunk(chunks, deadline);
+        const next = await nextChunk(chunks, limit);
         if (next === undefined) {
             return { done: true, bytes: Buffer.concat(parts) };
         }
@@ -88,16 +88,13 @@
     return { done: false, bytes: Buffer.concat(parts) };
 }
 
-async function nextChunk(chunks: AsyncIterator<unknown>, deadline: AbortSignal): Promise<Buffer | undefined> {
-    const expired = new Promise<never>((_, reject) => {
-        deadline.addEventListener(
-            "abort",
-            () => reject(new RequestBodyError(ReasonCode.BadRequest, "the body did not arrive in time")),
-            { once: true },
-        );
-    });
+function createLateError(): Error {
+    return new RequestBodyError(ReasonCode.BadRequest, "the body did not arrive in time");
+}
+
+async function nextChunk(chunks: AsyncIterator<unknown>, limit: IdleLimit): Promise<Buffer | undefined> {
     try {
-        const next = await Promise.race([chunks.next(), expired]);
+        const next = await limit.guard(chunks.next());
         return next.done ? undefined : (next.value as Buffer);
     } catch (err) {
         if (err instanceof RequestBodyError) {
@@ -130,20 +127,23 @@
     async function* stream(): AsyncGenerator<Buffer> {
         yield head;
         let size = head.length;
-        for (;;) {
-            consumed = true;
-            const next = await nextChunk(chunks, AbortSignal.timeout(bodyIdleTimeoutMs));
-            if (next === undefined) {
-                return;
-            }
-            size += next.length;
-            if (size > maxBytes) {
-                throw new RequestBodyError(
-                    ReasonCode.BodyTooLarge,
-                    `the body is larger than ${maxBytes} bytes`,
-                );
+        const limit = createIdleLimit(bodyIdleTimeoutMs, true, createLateError);
+        try {
+            for (;;) {
+                consumed = true;
+                const next = await nextChunk(chunks, limit);
+                if (next === undefined) {
+                    return;
+                }
+                size += next.length;
+                if (size > maxBytes) {
+                    const message = `the body is larger than ${maxBytes} bytes`;
+                    throw new RequestBodyError(ReasonCode.BodyTooLarge, message);
+                }
+                yield next;
             }
-            yield next;
+        } finally {
+            limit.stop();
         }
     }
     return { head, complete: false, length, consumed: () => consumed, open: stream };
