refactor(core): one wait for back-pressure, and no unused byte hash

Cause: the carrier and the stand-in of the backend server each had the same wait for a drained answer; the hash of bytes lost its last user when the fingerprint moved to the claims package. Conclusion: behaviour is unchanged.

--- a/packages/carrier/src/attempt.ts
+++ b/packages/carrier/src/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt of a request at one target, and what is known of it afterwards. */
 import type { ServerResponse } from "node:http";
 import type { ReasonCode } from "@waxwingdale/core";
-import { outcomeHeader, Outcome, requestIdHeader } from "@waxwingdale/core";
+import { outcomeHeader, Outcome, requestIdHeader, waitForDrain } from "@waxwingdale/core";
 import type { ResponseHeaders, ResponseSink } from "./dispatch-request.js";
 import { createResponseHeaders, servedByHeader } from "./headers.js";
 import type { RequestContext } from "./request-context.js";
@@ -85,13 +85,5 @@
     if (res.destroyed || res.write(chunk)) {
         return undefined;
     }
-    return new Promise(resolve => {
-        const finish = () => {
-            res.off("drain", finish);
-            res.off("close", finish);
-            resolve();
-        };
-        res.once("drain", finish);
-        res.once("close", finish);
-    });
+    return waitForDrain(res);
 }
--- a/packages/core/src/fingerprint.ts
+++ b/packages/core/src/fingerprint.ts
@@ -12,8 +12,3 @@
 export function hashText(text: string): string {
     return hasher.h64ToString(text);
 }
-
-/** Returns the 64-bit hash of bytes as 16 hexadecimal digits. */
-export function hashBytes(bytes: Uint8Array): string {
-    return hasher.h64Raw(bytes).toString(16).padStart(16, "0");
-}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,3 +18,4 @@
 export * from "./link-shaper.js";
 export * from "./slot-source.js";
 export * from "./traffic-steering.js";
+export * from "./wait-for-drain.js";
--- a/packages/stand-ins/src/backend-server/start-backend-server.ts
+++ b/packages/stand-ins/src/backend-server/start-backend-server.ts
@@ -8,6 +8,7 @@
     drainingHeader,
     idempotencyKeyHeader,
     notStartedHeader,
+    waitForDrain,
 } from "@waxwingdale/core";
 import type { Clock, Random } from "@waxwingdale/core";
 import { defaultBehaviour, noFaults } from "./backend-behaviour.js";
@@ -283,18 +284,6 @@
     return (user + system) / 1e6;
 }
 
-function waitForDrain(res: ServerResponse): Promise<void> {
-    return new Promise(resolve => {
-        const finish = () => {
-            res.off("drain", finish);
-            res.off("close", finish);
-            resolve();
-        };
-        res.once("drain", finish);
-        res.once("close", finish);
-    });
-}
-
 async function readJson(req: IncomingMessage): Promise<unknown> {
     const chunks: Buffer[] = [];
     for await (const chunk of req) {
