feat(core,store): parts that a second daemon shares

The gateway for the users' platform needs what the entry has: settings files in JSON with comments, tokens of the dependency container, a watch loop. They move to core instead of standing twice. A list of the store now says at which position it was read, since a watch from the newest object's version meets an expired history when a kind has not changed for long. With absentGraceMs a list of a store whose lists are current takes objects out at once, and only after a time without the store two lists decide: entries that lapsed meanwhile come back within seconds.

Ruled out: a second watch loop for the platform; the version filter would stand twice.

--- a/packages/core/src/object-store.ts
+++ b/packages/core/src/object-store.ts
@@ -19,6 +19,12 @@
     deleted: boolean;
 }
 
+/** All objects under a prefix, and the position from which a watch continues. */
+export interface ObjectList {
+    objects: StoredObject[];
+    version: number;
+}
+
 /** Result of one watch call. `version` is the position from which the next call continues. */
 export interface WatchResult {
     changes: ObjectChange[];
@@ -94,6 +100,15 @@
     /** Reads all objects whose key starts with `prefix`, in key order. */
     abstract list(prefix: string, signal?: AbortSignal): Promise<StoredObject[]>;
 
+    /**
+     * Reads all objects whose key starts with `prefix` with the position at which they were read. Without a position of
+     * the store, that of the newest object serves: a watch from there repeats nothing and leaves nothing out.
+     */
+    async listAt(prefix: string, signal?: AbortSignal): Promise<ObjectList> {
+        const objects = await this.list(prefix, signal);
+        return { objects, version: Math.max(0, ...objects.map(({ version }) => version)) };
+    }
+
     /**
      * Writes an object if its version is `expectedVersion`; 0 means that it must not exist.
      * Returns the new version.
--- a/packages/entry/src/tokens.ts
+++ b/packages/core/src/tokens.ts
@@ -1,4 +1,6 @@
 /** Typed tokens of the dependency container. */
+// tsyringe checks for the polyfill when it is loaded, so this import is the first one.
+import "reflect-metadata";
 import { instanceCachingFactory } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
 
--- a/packages/entry/src/bin/waxwingdale-entry.ts
+++ b/packages/entry/src/bin/waxwingdale-entry.ts
@@ -1,9 +1,9 @@
 /** Binary of the entry daemon. */
-import { getErrorMessage } from "@waxwingdale/core";
+import { SettingsError, getErrorMessage } from "@waxwingdale/core";
 import sade from "sade";
 import { ListenError } from "../http-listener.js";
 import { startEntry } from "../run-entry.js";
-import { SettingsError, readFleetKey, readSettings } from "../settings.js";
+import { readFleetKey, readSettings } from "../settings.js";
 
 enum ExitCode {
     Settings = 2,
--- a/packages/entry/src/compose-entry.ts
+++ b/packages/entry/src/compose-entry.ts
@@ -10,7 +10,7 @@
 import { composeTransport } from "./compose-transport.js";
 import { tokens } from "./entry-tokens.js";
 import type { AddPart, EntryBase } from "./entry-tokens.js";
-import { register } from "./tokens.js";
+import { register } from "@waxwingdale/core";
 
 /** Creates the container of one entry. Nothing runs yet. */
 export function composeEntry(base: EntryBase): DependencyContainer {
--- a/packages/entry/src/entry-gauges.ts
+++ b/packages/entry/src/entry-gauges.ts
@@ -1,7 +1,7 @@
 /** Gauges of an entry's parts; each is read when the metrics are collected. */
 import { tokens } from "./entry-tokens.js";
 import { findNotReadyReason } from "./entry-state.js";
-import type { Resolve } from "./tokens.js";
+import type { Resolve } from "@waxwingdale/core";
 
 /** Adds the gauges to the metrics of the entry. */
 export function addEntryGauges(resolve: Resolve): void {
--- a/packages/entry/src/entry-state.ts
+++ b/packages/entry/src/entry-state.ts
@@ -1,7 +1,7 @@
 /** What an entry tells about itself: readiness, a short status and the dump of its whole state. */
 import { MemberStatus } from "@waxwingdale/core";
 import { tokens } from "./entry-tokens.js";
-import type { Resolve } from "./tokens.js";
+import type { Resolve } from "@waxwingdale/core";
 
 /** Returns why the entry should not be used by callers, or undefined. */
 export function findNotReadyReason(resolve: Resolve): string | undefined {
--- a/packages/entry/src/entry-tokens.ts
+++ b/packages/entry/src/entry-tokens.ts
@@ -14,8 +14,8 @@
 import type { EntryRecordWriter } from "./entry-record.js";
 import type { Settings } from "./settings.js";
 import type { SlotReadiness } from "./slot-readiness.js";
-import { createToken } from "./tokens.js";
-import type { Resolve, Token } from "./tokens.js";
+import { createToken } from "@waxwingdale/core";
+import type { Resolve, Token } from "@waxwingdale/core";
 import type { TraceTap } from "./trace-tap.js";
 
 /** What is known before any part is built. */
--- a/packages/entry/src/http-listener.ts
+++ b/packages/entry/src/http-listener.ts
@@ -2,9 +2,14 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { WaxwingdaleError, headersTimeoutMs, keepAliveTimeoutMs, maxHeaderBytes } from "@waxwingdale/core";
+import {
+    WaxwingdaleError,
+    headersTimeoutMs,
+    keepAliveTimeoutMs,
+    maxHeaderBytes,
+    splitAddress,
+} from "@waxwingdale/core";
 import type { Logger } from "@waxwingdale/core";
-import { splitAddress } from "./settings.js";
 
 /** A listener could not be opened. */
 export class ListenError extends WaxwingdaleError {
--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -23,8 +23,8 @@
 import { runRecordCleanup } from "./record-cleanup.js";
 import { shutDown } from "./shut-down.js";
 import type { Settings } from "./settings.js";
-import { resolveToken } from "./tokens.js";
-import type { Token } from "./tokens.js";
+import { resolveToken } from "@waxwingdale/core";
+import type { Token } from "@waxwingdale/core";
 import { followForTrace } from "./trace-followers.js";
 
 export interface EntryListeners {
--- a/packages/entry/src/trace-followers.ts
+++ b/packages/entry/src/trace-followers.ts
@@ -3,7 +3,7 @@
 import { DrainSource } from "@waxwingdale/backends";
 import { isSiteDrained } from "@waxwingdale/manifest";
 import { tokens } from "./entry-tokens.js";
-import type { Resolve } from "./tokens.js";
+import type { Resolve } from "@waxwingdale/core";
 
 /** Connects the listeners. Each start of a recording first records the state at that moment. */
 export function followForTrace(resolve: Resolve): void {
--- a/packages/entry/test/settings.test.ts
+++ b/packages/entry/test/settings.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { readFile } from "node:fs/promises";
 import { test } from "node:test";
-import { SettingsError, parseSettings, readFleetKey } from "@waxwingdale/entry";
+import { SettingsError } from "@waxwingdale/core";
+import { parseSettings, readFleetKey } from "@waxwingdale/entry";
 
 const example = new URL("../../../examples/entry.settings.jsonc", import.meta.url);
 const text = await readFile(example, "utf8");
--- a/packages/store/src/version-filter.ts
+++ b/packages/store/src/version-filter.ts
@@ -13,6 +13,10 @@
      * from a state that is older than the object.
      */
     takeMissing(listed: ReadonlySet<string>): string[];
+    /** Takes the keys that a complete and current list lacks: their objects are gone. */
+    takeAbsent(listed: ReadonlySet<string>): string[];
+    /** Whether the last list lacked objects that may come back. */
+    hasSuspects(): boolean;
     /** Returns the highest version seen. */
     highest(): number;
 }
@@ -63,6 +67,13 @@
             gone.forEach(key => bury(key, live.get(key)! - 1));
             return gone;
         },
+        takeAbsent: listed => {
+            const absent = [...live.keys()].filter(key => !listed.has(key));
+            suspects = new Set();
+            absent.forEach(key => bury(key, live.get(key)!));
+            return absent;
+        },
+        hasSuspects: () => [...suspects].some(key => live.has(key)),
         highest: () => highest,
     };
 }
--- a/packages/store/src/watch-prefix.ts
+++ b/packages/store/src/watch-prefix.ts
@@ -31,6 +31,18 @@
      * @default 100
      */
     minIntervalMs?: number;
+    /**
+     * Lists of this store are current. An object that a list lacks is gone at once; after a time without the store it is
+     * gone when a second list lacks it as well, this many milliseconds later, since its owner may have to write it again.
+     * Without it, two lists decide in any case.
+     */
+    absentGraceMs?: number;
+    /** Called after each complete list. */
+    onListed?: () => void;
+    /** Called once when the store stops answering. */
+    onLost?: (error: unknown) => void;
+    /** Called when the store answers again, with the time in milliseconds that it was away. */
+    onRegained?: (awayMs: number) => void;
     /**
      * Waiting time after the first failure, in milliseconds.
      * @default 200
@@ -50,6 +62,9 @@
     const seen = createVersionFilter();
     let position = 0;
     let failures = 0;
+    /** Whether the store has failed since the last complete read. */
+    let wasLost = false;
+    let lostAt: number | undefined;
 
     const applyObject = (object: StoredObject) => {
         if (seen.acceptValue(object.key, object.version)) {
@@ -57,11 +72,33 @@
         }
     };
 
-    const readAll = async () => {
-        const objects = await store.list(prefix, signal);
+    const noteContact = () => {
+        if (lostAt !== undefined) {
+            options.onRegained?.(clock.now() - lostAt);
+            lostAt = undefined;
+        }
+    };
+
+    const noteLoss = (err: unknown) => {
+        if (lostAt === undefined) {
+            options.onLost?.(err);
+            lostAt = clock.now();
+        }
+        wasLost = true;
+    };
+
+    /** Reads all objects. Returns whether some are missing that may come back. */
+    const readAll = async (): Promise<boolean> => {
+        const { objects, version } = await store.listAt(prefix, signal);
+        noteContact();
         objects.forEach(applyObject);
-        seen.takeMissing(new Set(objects.map(({ key }) => key))).forEach(key => options.onDeleted?.(key));
-        position = Math.max(position, seen.highest());
+        const listed = new Set(objects.map(({ key }) => key));
+        const isTrusted = options.absentGraceMs !== undefined && !wasLost;
+        const gone = isTrusted ? seen.takeAbsent(listed) : seen.takeMissing(listed);
+        gone.forEach(key => options.onDeleted?.(key));
+        position = Math.max(position, version, seen.highest());
+        options.onListed?.();
+        return seen.hasSuspects();
     };
 
     const applyChanges = ({ changes }: WatchResult) => {
@@ -75,17 +112,25 @@
     };
 
     /** Waits for changes until all objects have to be read again. Returns whether the position had expired. */
-    const follow = async (): Promise<boolean> => {
+    const follow = async (hasSuspects: boolean): Promise<boolean> => {
         // The jitter spreads the reads of a fleet that started together.
-        const relistAt = clock.now() + (options.relistMs ?? 60_000) * (0.75 + random() / 2);
+        const usualMs = (options.relistMs ?? 60_000) * (0.75 + random() / 2);
+        const isConfirming = hasSuspects && options.absentGraceMs !== undefined;
+        const relistAt = clock.now() + (isConfirming ? options.absentGraceMs! : usualMs);
         while (!signal.aborted && clock.now() < relistAt) {
             const nextCallAt = clock.now() + (options.minIntervalMs ?? 100);
-            const result = await store.watch(prefix, position, options.waitMs ?? 10_000, signal);
+            const waitMs = Math.min(
+                options.waitMs ?? 10_000,
+                isConfirming ? relistAt - clock.now() : Infinity,
+            );
+            const result = await store.watch(prefix, position, waitMs, signal);
+            noteContact();
             position = Math.max(position, result.version);
             if (result.expired) {
                 return true;
             }
             failures = 0;
+            wasLost &&= isConfirming;
             applyChanges(result);
             await clock.sleep(Math.max(0, nextCallAt - clock.now()), signal);
         }
@@ -95,11 +140,11 @@
     while (!signal.aborted) {
         let expired: boolean;
         try {
-            await readAll();
-            expired = await follow();
+            expired = await follow(await readAll());
         } catch (err) {
             expired = true;
             if (!signal.aborted) {
+                noteLoss(err);
                 logger.warn("store-watch-failed", { prefix, failures, error: getErrorMessage(err) });
             }
         }
