feat(balancing): decisions about requests without any network

Which service, which backend server, who waits, who is refused. An object goes to the servers that rank first for it by rendezvous hash, nearest zone first, unless load, failures or the limit of a cold server make another one cheaper. A part of the objects of a short region leaves it; the part changes slowly. Retries and requests to cold servers are bounded so that all instances together keep to the declared limits without messages. Tests name the load pattern they answer.

Ruled out: the slot broker. It needs messages for each request of a busy server, and a load header with each answer already bounds the error to the requests of one round trip.

--- /dev/null
+++ b/packages/balancing/src/admission.ts
@@ -0,0 +1,158 @@
+/**
+ * Decides when a request is sent, waits or is refused. Requests wait at the instance, not at a backend server, so that the
+ * most urgent one gets the next free slot. A request that cannot be answered in time is refused at once.
+ */
+import type { Clock, Timer } from "@waxwingdale/core";
+import { ChoiceKind } from "./balancer.js";
+import type { Balancer, Placement, RoutedRequest } from "./balancer.js";
+
+export enum RefusalReason {
+    /** The answer cannot arrive before the caller stops waiting. */
+    TooLate = "too-late",
+    /** More requests wait than can be served in time. */
+    Overloaded = "overloaded",
+    NoServer = "no-server",
+    CallerLeft = "caller-left",
+}
+
+export interface Refusal {
+    reason: RefusalReason;
+    /** Time in milliseconds after which the caller may come back. */
+    retryAfterMs: number;
+    waitedMs: number;
+}
+
+export type Admission = { placement: Placement } | { refusal: Refusal };
+
+export interface AdmissionControl {
+    /** Calls back once, at once or when a server has room or the request is given up. Returns a function that withdraws it. */
+    request(req: RoutedRequest, onDecision: (admission: Admission) => void): () => void;
+    /** Looks for room for the requests that wait; called when a request has ended or servers have changed. */
+    retryWaiting(): void;
+    waiting(): number;
+}
+
+export interface AdmissionOptions {
+    clock: Clock;
+    balancer: Balancer;
+}
+
+interface WaitingRequest {
+    req: RoutedRequest;
+    /** Time of the clock after which waiting is of no use. */
+    giveUpAt: number;
+    settle: (admission: Admission) => void;
+}
+
+/** Part of the target latency that a request may wait for a slot even when its answer will be late. */
+const minWaitPart = 0.12;
+/** Part of the target latency after which a waiting request is given up: the work takes the rest. */
+const maxWaitPart = 0.6;
+/** Part of the time left that a refused caller is asked to stay away; callers follow up to a third. */
+const retryAfterPart = 0.3;
+/** Time between two looks for room in milliseconds, for changes that no end of a request announces. */
+const lookIntervalMs = 20;
+/** Requests that wait at most; beyond it a look for room would take too long. */
+const maxWaiting = 200;
+
+export function createAdmissionControl({ clock, balancer }: AdmissionOptions): AdmissionControl {
+    const queue: WaitingRequest[] = [];
+    let timer: Timer | undefined;
+    let isLooking = false;
+
+    const refuse = (req: RoutedRequest, reason: RefusalReason): Admission => {
+        const now = clock.now();
+        const retryAfterMs = Math.max(0, req.deadlineAt - now) * retryAfterPart;
+        return { refusal: { reason, retryAfterMs, waitedMs: now - req.arrivedAt } };
+    };
+
+    /** Returns the decision, or undefined when the request has to wait. */
+    const decide = (req: RoutedRequest): Admission | undefined => {
+        const choice = balancer.choose(req);
+        switch (choice.kind) {
+            case ChoiceKind.Send:
+                return clock.now() + choice.expectedMs > req.deadlineAt
+                    ? refuse(req, RefusalReason.TooLate)
+                    : { placement: choice };
+            case ChoiceKind.NoServer:
+                return refuse(req, RefusalReason.NoServer);
+            case ChoiceKind.Full:
+                return undefined;
+        }
+    };
+
+    const isBefore = (a: RoutedRequest, b: RoutedRequest) =>
+        a.route.priority < b.route.priority ||
+        (a.route.priority === b.route.priority && a.arrivedAt < b.arrivedAt);
+
+    const insert = (waiting: WaitingRequest) => {
+        let index = queue.length;
+        while (index > 0 && isBefore(waiting.req, queue[index - 1]!.req)) {
+            index--;
+        }
+        queue.splice(index, 0, waiting);
+    };
+
+    const take = (waiting: WaitingRequest): boolean => {
+        const index = queue.indexOf(waiting);
+        if (index >= 0) {
+            queue.splice(index, 1);
+        }
+        return index >= 0;
+    };
+
+    /** A decision may end another request at once, and so lead back here: the loop in progress sees the new room as well. */
+    const look = () => {
+        if (isLooking) {
+            return;
+        }
+        isLooking = true;
+        timer?.cancel();
+        timer = undefined;
+        for (const waiting of [...queue]) {
+            const isExpired = clock.now() >= waiting.giveUpAt;
+            const decision =
+                decide(waiting.req) ??
+                (isExpired ? refuse(waiting.req, RefusalReason.Overloaded) : undefined);
+            // The request may have been withdrawn by a decision before it.
+            if (decision !== undefined && take(waiting)) {
+                waiting.settle(decision);
+            }
+        }
+        isLooking = false;
+        schedule();
+    };
+
+    const schedule = () => {
+        if (timer === undefined && queue.length > 0) {
+            timer = clock.setTimer(lookIntervalMs, look);
+        }
+    };
+
+    return {
+        request: (req, onDecision) => {
+            const decision = decide(req);
+            if (decision !== undefined) {
+                onDecision(decision);
+                return () => undefined;
+            }
+            const now = clock.now();
+            const target = req.route.targetLatencyMs;
+            const giveUpAt = Math.max(now + target * minWaitPart, req.arrivedAt + target * maxWaitPart);
+            if (queue.length >= maxWaiting) {
+                onDecision(refuse(req, RefusalReason.Overloaded));
+                return () => undefined;
+            }
+            const waiting = { req, giveUpAt, settle: onDecision };
+            insert(waiting);
+            schedule();
+            return () => void take(waiting);
+        },
+        retryWaiting: () => {
+            if (queue.length > 0) {
+                look();
+            }
+        },
+        waiting: () => queue.length,
+    };
+}
--- /dev/null
+++ b/packages/balancing/src/retry-window.ts
@@ -0,0 +1,44 @@
+/** Bounds retries of one service by a share of its requests in a sliding window, summed over all instances. */
+import { createSlidingCount } from "./sliding-count.js";
+
+export interface RetryWindowOptions {
+    windowMs: number;
+    /** Retries for each request in the window. */
+    ratio: number;
+    /** Retries that all instances together may make in a window beyond the ratio. */
+    slack: number;
+    /** Instances that serve traffic. */
+    instances: () => number;
+}
+
+export interface RetryWindow {
+    countRequest(now: number): void;
+    /** Takes one retry; false when the window has no room. */
+    tryRetry(now: number): boolean;
+    /** Part of the allowance that is used, from 0 to 1. */
+    usage(now: number): number;
+}
+
+/**
+ * Part of the allowance that is given out. The rest covers instances that count in windows which begin at other moments
+ * than the window that is checked.
+ */
+const usablePart = 0.7;
+
+export function createRetryWindow(options: RetryWindowOptions): RetryWindow {
+    const requests = createSlidingCount(options.windowMs);
+    const retries = createSlidingCount(options.windowMs);
+    const allowance = (now: number) =>
+        usablePart * (options.ratio * requests.count(now) + options.slack / Math.max(1, options.instances()));
+    return {
+        countRequest: now => requests.add(now),
+        tryRetry: now => {
+            if (retries.count(now) + 1 > allowance(now)) {
+                return false;
+            }
+            retries.add(now);
+            return true;
+        },
+        usage: now => Math.min(1, retries.count(now) / Math.max(1, allowance(now))),
+    };
+}
--- /dev/null
+++ b/packages/balancing/src/server-health.ts
@@ -0,0 +1,83 @@
+/** Whether a backend server is worth sending to, from the outcome of the requests of this instance. */
+
+/** How a request at a backend server ended, as far as it tells about the server. */
+export enum ServerOutcome {
+    Success = "success",
+    /** The server answered with a failure of its own. */
+    Failure = "failure",
+    /** The connection could not be opened in time, or was refused. */
+    Unreachable = "unreachable",
+    /** The connection broke or brought something that is not the answer. */
+    Broken = "broken",
+    /** No answer in the time that was allowed. */
+    Silent = "silent",
+    /** The server said that it did not start the request. */
+    Shed = "shed",
+    /** The caller left or another attempt answered first: tells nothing about the server. */
+    Cancelled = "cancelled",
+}
+
+export interface ServerHealth {
+    /** Whether new requests may go there. After a failure to connect, one request at a time tries again. */
+    isUsable(now: number, inFlight: number): boolean;
+    /** Expected share of failed requests, from 0 to 1. */
+    failureRate(now: number): number;
+    learn(outcome: ServerOutcome, now: number): void;
+    reset(): void;
+}
+
+/** Time in milliseconds without new requests after the first failure to connect. */
+const minBackoffMs = 250;
+/** Longest such time; a server that is back gets requests at most this much later. */
+const maxBackoffMs = 2000;
+/** Time in milliseconds without new requests after the server refused one for lack of room: about the work of one request. */
+const shedBackoffMs = 60;
+/** Weight of one outcome: the last ten or so decide. */
+const failureWeight = 0.12;
+/** Time constant in milliseconds by which the failure rate falls without new outcomes, so that the server is tried again. */
+const forgivenessMs = 3000;
+
+const severity: Record<ServerOutcome, number> = {
+    [ServerOutcome.Success]: 0,
+    [ServerOutcome.Failure]: 1,
+    [ServerOutcome.Unreachable]: 1,
+    [ServerOutcome.Broken]: 1,
+    [ServerOutcome.Silent]: 1,
+    [ServerOutcome.Shed]: 0,
+    [ServerOutcome.Cancelled]: 0,
+};
+
+export function createServerHealth(): ServerHealth {
+    let rate = 0;
+    let learnedAt = 0;
+    let unreachableInARow = 0;
+    let closedUntil = -Infinity;
+
+    const currentRate = (now: number) =>
+        rate === 0 ? 0 : rate * Math.exp(-(now - learnedAt) / forgivenessMs);
+
+    return {
+        isUsable: (now, inFlight) => now >= closedUntil && (unreachableInARow === 0 || inFlight === 0),
+        failureRate: currentRate,
+        learn: (outcome, now) => {
+            if (outcome === ServerOutcome.Cancelled) {
+                return;
+            }
+            rate = currentRate(now) * (1 - failureWeight) + severity[outcome] * failureWeight;
+            learnedAt = now;
+            if (outcome === ServerOutcome.Unreachable) {
+                unreachableInARow += 1;
+                closedUntil = now + Math.min(maxBackoffMs, minBackoffMs * 2 ** (unreachableInARow - 1));
+            } else if (outcome === ServerOutcome.Shed) {
+                closedUntil = Math.max(closedUntil, now + shedBackoffMs);
+            } else if (outcome !== ServerOutcome.Silent) {
+                unreachableInARow = 0;
+            }
+        },
+        reset: () => {
+            rate = 0;
+            unreachableInARow = 0;
+            closedUntil = -Infinity;
+        },
+    };
+}
--- /dev/null
+++ b/packages/balancing/src/work-estimate.ts
@@ -0,0 +1,35 @@
+/** Expected time of the work of a route on a backend server, learned from answers. */
+
+export interface WorkEstimate {
+    /** Expected time in milliseconds without waiting; `isWarm` when the server has handled the object recently. */
+    expect(isWarm: boolean): number;
+    learn(isWarm: boolean, workMs: number): void;
+}
+
+/** Weight of one answer. About the last forty answers decide, a few seconds of a route's traffic at one instance. */
+const learningRate = 0.025;
+/** Work for an object that a server knows, relative to the target latency, before any answer. */
+const initialWarmPart = 0.4;
+const initialColdPart = 1.1;
+
+export function createWorkEstimate(targetLatencyMs: number): WorkEstimate {
+    const warm = createMean(targetLatencyMs * initialWarmPart);
+    const cold = createMean(targetLatencyMs * initialColdPart);
+    return {
+        expect: isWarm => (isWarm ? warm.value() : Math.max(cold.value(), warm.value())),
+        learn: (isWarm, workMs) => (isWarm ? warm : cold).add(workMs),
+    };
+}
+
+/** A mean that the first values move fast and later ones slowly. */
+function createMean(initial: number) {
+    let mean = initial;
+    let values = 1;
+    return {
+        value: () => mean,
+        add: (value: number) => {
+            values += 1;
+            mean += (value - mean) * Math.max(learningRate, 1 / values);
+        },
+    };
+}
--- /dev/null
+++ b/packages/balancing/test/admission.test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ChoiceKind, createAdmissionControl } from "@waxwingdale/balancing";
+import type { Admission, Balancer, Choice, Placement, RoutedRequest } from "@waxwingdale/balancing";
+import { createManualClock } from "@waxwingdale/core";
+import { createRoute } from "./fixtures.js";
+
+function setUp() {
+    const clock = createManualClock(1000);
+    let room = 0;
+    const placement = { kind: ChoiceKind.Send, expectedMs: 50 } as Placement;
+    const choose = (): Choice => (room > 0 ? placement : { kind: ChoiceKind.Full, expectedWaitMs: 100 });
+    const admission = createAdmissionControl({ clock, balancer: { choose } as unknown as Balancer });
+    const createRequest = (fields: Partial<RoutedRequest> = {}): RoutedRequest => ({
+        route: createRoute(),
+        service: "files",
+        objectKey: "1",
+        arrivedAt: clock.now(),
+        deadlineAt: clock.now() + 1000,
+        tried: new Set(),
+        ...fields,
+    });
+    return {
+        clock,
+        admission,
+        createRequest,
+        setRoom: (value: number) => (room = value),
+        takeRoom: () => (room -= 1),
+    };
+}
+
+// Guards against a second answer to one request, which ended the process.
+test("a decision that frees room for others settles each request once", () => {
+    const { admission, createRequest, setRoom } = setUp();
+    const settled: number[] = [];
+    for (let index = 0; index < 3; index++) {
+        admission.request(createRequest(), () => {
+            settled.push(index);
+            admission.retryWaiting();
+        });
+    }
+    setRoom(3);
+    admission.retryWaiting();
+    assert.deepEqual(settled, [0, 1, 2]);
+    assert.equal(admission.waiting(), 0);
+});
+
+// Guards against a less urgent request that takes the slot which a more urgent one waits for.
+test("burst: the most urgent request gets the next slot", () => {
+    const { admission, createRequest, setRoom, takeRoom } = setUp();
+    const order: string[] = [];
+    const enqueue = (name: string, priority: number) =>
+        admission.request(createRequest({ route: createRoute({ priority }) }), () => {
+            order.push(name);
+            takeRoom();
+        });
+    enqueue("page", 2);
+    enqueue("certificate", 1);
+    enqueue("look-up", 1);
+    setRoom(2);
+    admission.retryWaiting();
+    assert.deepEqual(order, ["certificate", "look-up"]);
+});
+
+// Guards against requests that are held back although they will be refused.
+test("overload: a request that finds no room is refused well before its deadline", async () => {
+    const { clock, admission, createRequest } = setUp();
+    let decision: Admission | undefined;
+    admission.request(createRequest(), admitted => (decision = admitted));
+    await clock.advance(150);
+    assert.ok(decision !== undefined && "refusal" in decision);
+    assert.ok(decision.refusal.retryAfterMs > 0);
+    assert.ok(decision.refusal.waitedMs <= 150);
+});
+
+test("a withdrawn request gets no decision", async () => {
+    const { clock, admission, createRequest, setRoom } = setUp();
+    let isSettled = false;
+    const withdraw = admission.request(createRequest(), () => (isSettled = true));
+    withdraw();
+    setRoom(1);
+    admission.retryWaiting();
+    await clock.advance(500);
+    assert.equal(isSettled, false);
+});
--- /dev/null
+++ b/packages/balancing/test/balancer.test.ts
@@ -0,0 +1,142 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ChoiceKind, ServerOutcome, ServerPhase } from "@waxwingdale/balancing";
+import type { Choice, Placement } from "@waxwingdale/balancing";
+import { coldStartMs, createInstance, createRoute, createServer } from "./fixtures.js";
+
+const fourServers = [
+    createServer("i-1", "n-a"),
+    createServer("i-2", "n-a"),
+    createServer("i-3", "n-b"),
+    createServer("i-4", "s-a"),
+];
+
+function placed(choice: Choice): Placement {
+    assert.equal(choice.kind, ChoiceKind.Send);
+    return choice;
+}
+
+// Guards against work that is done anew on each server because an object moves around.
+test("wave: all requests for an object go to one server of the own zone while it has room", () => {
+    const { balancer, createRequest } = createInstance(fourServers);
+    for (const object of ["1", "2", "3", "4", "5"]) {
+        const ids = new Set<string>();
+        for (let round = 0; round < 3; round++) {
+            const req = createRequest(object);
+            const placement = placed(balancer.choose(req));
+            balancer.start(req, placement);
+            balancer.finish(req, placement, { outcome: ServerOutcome.Success, firstByteMs: 60 });
+            assert.equal(placement.server.record.zone, "n-a");
+            ids.add(placement.server.record.id);
+        }
+        assert.equal(ids.size, 1);
+    }
+});
+
+// Guards against a full server whose queue grows while others are idle.
+test("burst: requests beyond the slots of a server go to others, and none when all are full", () => {
+    const { balancer, createRequest } = createInstance([
+        createServer("i-1", "n-a"),
+        createServer("i-2", "n-b"),
+    ]);
+    const perServer = new Map<string, number>();
+    let full = 0;
+    for (let index = 0; index < 16; index++) {
+        const req = createRequest("1");
+        const choice = balancer.choose(req);
+        if (choice.kind !== ChoiceKind.Send) {
+            full += 1;
+            continue;
+        }
+        balancer.start(req, choice);
+        const { id } = choice.server.record;
+        perServer.set(id, (perServer.get(id) ?? 0) + 1);
+    }
+    assert.equal(perServer.size, 2);
+    assert.ok([...perServer.values()].every(count => count <= 5));
+    assert.ok(full >= 6);
+});
+
+// Guards against a failing server that attracts requests because it fails quickly.
+test("grey upstream: a server that fails half of its requests loses them to a sound one", () => {
+    const { balancer, createRequest, clock } = createInstance([
+        createServer("i-1", "n-a"),
+        createServer("i-2", "n-a"),
+    ]);
+    const first = placed(balancer.choose(createRequest("1"))).server.record.id;
+    for (let index = 0; index < 12; index++) {
+        const req = createRequest("1");
+        const placement = placed(balancer.choose(req));
+        balancer.start(req, placement);
+        const isGrey = placement.server.record.id === first;
+        balancer.finish(req, placement, { outcome: isGrey ? ServerOutcome.Failure : ServerOutcome.Success });
+        clock.jump(20);
+    }
+    assert.notEqual(placed(balancer.choose(createRequest("1"))).server.record.id, first);
+});
+
+// Guards against requests to a server that says that it leaves, or to an evacuated zone.
+test("drain and evacuation: leaving servers and evacuated zones get nothing", () => {
+    const { balancer, table, createRequest } = createInstance(fourServers);
+    table.apply(createServer("i-1", "n-a", { phase: ServerPhase.Draining }), true);
+    table.setEvacuated("n-b", true);
+    table.remove("i-4");
+    for (const object of ["1", "2", "3", "4", "5", "6"]) {
+        assert.equal(placed(balancer.choose(createRequest(object))).server.record.id, "i-2");
+    }
+    table.apply(createServer("i-2", "n-a", { phase: ServerPhase.Draining }), true);
+    assert.equal(balancer.choose(createRequest("1")).kind, ChoiceKind.NoServer);
+});
+
+// Guards against a stream of requests to servers that have just started.
+test("cold zone: a new server gets few requests until its cold time is over", () => {
+    const { balancer, table, createRequest, clock } = createInstance([]);
+    table.apply(createServer("i-1", "n-a"), true);
+    const sendOne = () => {
+        const req = createRequest("1");
+        const choice = balancer.choose(req);
+        if (choice.kind !== ChoiceKind.Send) {
+            return false;
+        }
+        balancer.start(req, choice);
+        balancer.finish(req, choice, { outcome: ServerOutcome.Success, firstByteMs: 5 });
+        return true;
+    };
+    const sentIn = (count: number) => Array.from({ length: count }, sendOne).filter(Boolean).length;
+    assert.ok(sentIn(50) <= 20);
+    clock.jump(coldStartMs + 1);
+    assert.equal(sentIn(50), 50);
+});
+
+// Guards against a restart under the same id that is taken for the warm server of before.
+test("a server that starts again under its id is cold, and an older entry does not bring the former one back", () => {
+    const { table, clock } = createInstance([createServer("i-1", "n-a", { startedAt: 5 })]);
+    table.apply(createServer("i-1", "n-a", { startedAt: 9 }), true);
+    const restarted = table.find("i-1")!;
+    assert.ok(restarted.coldUntil > clock.now());
+    table.apply(createServer("i-1", "n-a", { startedAt: 5 }), true);
+    assert.equal(table.find("i-1"), restarted);
+});
+
+// Guards against data that leaves the regions in which it may be processed.
+test("a route with allowed regions uses servers of these regions only", () => {
+    const { balancer, createRequest } = createInstance(fourServers);
+    const route = createRoute({ allowedRegions: ["south"] });
+    for (const object of ["1", "2", "3"]) {
+        const placement = placed(balancer.choose(createRequest(object, { route })));
+        assert.equal(placement.server.region, "south");
+    }
+});
+
+test("a server that was tried is not chosen again for the same request", () => {
+    const { balancer, createRequest } = createInstance(fourServers);
+    const req = createRequest("1");
+    const ids = new Set<string>();
+    for (let choice = balancer.choose(req); choice.kind === ChoiceKind.Send; choice = balancer.choose(req)) {
+        balancer.start(req, choice);
+        balancer.finish(req, choice, { outcome: ServerOutcome.Failure });
+        assert.ok(!ids.has(choice.server.record.id));
+        ids.add(choice.server.record.id);
+    }
+    assert.equal(ids.size, 4);
+});
--- /dev/null
+++ b/packages/balancing/test/fixtures.ts
@@ -0,0 +1,97 @@
+/** Servers, routes and requests for the tests of decisions. */
+import { RequestKind, ServerPhase, createBackendTable, createBalancer } from "@waxwingdale/balancing";
+import type { BackendTable, Balancer, Route, RoutedRequest, ServerRecord } from "@waxwingdale/balancing";
+import { createManualClock, createSilentLogger } from "@waxwingdale/core";
+import type { ManualClock } from "@waxwingdale/core";
+
+export const zones: Record<string, string> = {
+    "n-a": "north",
+    "n-b": "north",
+    "s-a": "south",
+    "s-b": "south",
+};
+export const coldStartMs = 3000;
+
+export function createRoute(fields: Partial<Route> = {}): Route {
+    return {
+        name: "view",
+        host: "files.example",
+        pathPrefix: "/view/",
+        kind: RequestKind.Idempotent,
+        timeoutMs: 1000,
+        targetLatencyMs: 200,
+        priority: 1,
+        maxAttempts: 3,
+        hasAffinity: true,
+        allowedRegions: [],
+        shares: [{ service: "files", weight: 1 }],
+        ...fields,
+    };
+}
+
+export function createServer(id: string, zone: string, fields: Partial<ServerRecord> = {}): ServerRecord {
+    return {
+        id,
+        startedAt: 1,
+        service: "files",
+        address: `10.0.0.1:${8000 + Number(id.replace(/\D/g, ""))}`,
+        zone,
+        slots: 3,
+        phase: ServerPhase.Ready,
+        coldRemainingMs: 0,
+        ...fields,
+    };
+}
+
+export interface Instance {
+    clock: ManualClock;
+    table: BackendTable;
+    balancer: Balancer;
+    readonly createRequest: (objectKey: string, fields?: Partial<RoutedRequest>) => RoutedRequest;
+}
+
+/** Creates the decisions of one instance in zone n-a. */
+export function createInstance(servers: readonly ServerRecord[], clock = createManualClock(1000)): Instance {
+    const table = createBackendTable({
+        clock,
+        logger: createSilentLogger(),
+        regionOf: zone => zones[zone],
+        coldRequestsPerSecond: () => 20,
+        coldSenders: () => 1,
+        onGone: () => undefined,
+    });
+    table.setServices([
+        {
+            name: "files",
+            healthPath: "/healthz",
+            maxConnections: 300,
+            coldStartMs,
+            coldRequestsPerSecond: 11,
+        },
+    ]);
+    servers.forEach(server => table.apply(server, false));
+    const balancer = createBalancer({
+        clock,
+        table,
+        zone: "n-a",
+        region: "north",
+        regions: 2,
+        maxRegionShift: 0.15,
+        hasInstances: () => true,
+        regionHasInstances: () => true,
+    });
+    return {
+        clock,
+        table,
+        balancer,
+        createRequest: (objectKey, fields = {}) => ({
+            route: createRoute(),
+            service: "files",
+            objectKey,
+            arrivedAt: clock.now(),
+            deadlineAt: clock.now() + 1000,
+            tried: new Set<string>(),
+            ...fields,
+        }),
+    };
+}
--- /dev/null
+++ b/packages/balancing/test/limits.test.ts
@@ -0,0 +1,133 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    createColdLimit,
+    createRegionSpill,
+    createRetryWindow,
+    createServiceSplit,
+    createSlidingCount,
+} from "@waxwingdale/balancing";
+import { createRandom } from "@waxwingdale/core";
+import fc from "fast-check";
+
+// Guards against a window that forgets events too early, which would exceed every limit built on it.
+test("a sliding count never misses an event of its window", () => {
+    fc.assert(
+        fc.property(fc.array(fc.integer({ min: 0, max: 400 }), { maxLength: 60 }), gaps => {
+            const count = createSlidingCount(1000);
+            const times: number[] = [];
+            let now = 5000;
+            for (const gap of gaps) {
+                now += gap;
+                count.add(now);
+                times.push(now);
+                const exact = times.filter(time => time > now - 1000).length;
+                const withOneBucket = times.filter(time => time > now - 1100).length;
+                assert.ok(count.count(now) >= exact);
+                assert.ok(count.count(now) <= withOneBucket);
+            }
+        }),
+    );
+});
+
+// Guards against a cold server that crashes under the requests of several instances which each keep to a limit.
+test("cold zone: all instances together stay under the limit of a cold server in any second", () => {
+    fc.assert(
+        fc.property(fc.integer({ min: 1, max: 9 }), fc.integer(), (instances, seed) => {
+            const random = createRandom(seed);
+            const limits = Array.from({ length: instances }, () =>
+                createColdLimit({ requestsPerSecond: 21.5, senders: () => instances }),
+            );
+            const sends: number[] = [];
+            for (let now = 0; now < 4000; now += 2) {
+                const limit = limits[Math.floor(random() * instances)]!;
+                if (limit.hasRoom(now)) {
+                    limit.countRequest(now);
+                    sends.push(now);
+                }
+            }
+            const worst = Math.max(
+                ...sends.map(at => sends.filter(other => other >= at && other < at + 1000).length),
+            );
+            assert.ok(worst <= 21.5);
+        }),
+    );
+});
+
+// Guards against retries that multiply the load of a service which already fails.
+test("grey upstream: retries of all instances stay within the declared share", () => {
+    const instances = 9;
+    const ratio = 0.2;
+    const slack = 58;
+    const windows = Array.from({ length: instances }, () =>
+        createRetryWindow({ windowMs: 10_000, ratio, slack, instances: () => instances }),
+    );
+    const random = createRandom(1);
+    const requests: number[] = [];
+    const retries: number[] = [];
+    for (let now = 0; now < 40_000; now += 4) {
+        const window = windows[Math.floor(random() * instances)]!;
+        window.countRequest(now);
+        requests.push(now);
+        if (window.tryRetry(now)) {
+            retries.push(now);
+        }
+    }
+    for (let from = 0; from < 30_000; from += 500) {
+        const inWindow = (times: number[]) => times.filter(at => at >= from && at < from + 10_000).length;
+        assert.ok(inWindow(retries) <= ratio * inWindow(requests) + slack);
+    }
+});
+
+// Guards against a split that follows popular objects away from the declared weights.
+test("each service gets its share, also when few objects have all requests", () => {
+    fc.assert(
+        fc.property(
+            fc.integer({ min: 1, max: 9 }),
+            fc.integer({ min: 1, max: 4 }),
+            fc.integer(),
+            (weight, objects, seed) => {
+                const split = createServiceSplit([
+                    { service: "a", weight },
+                    { service: "b", weight: 10 - weight },
+                ]);
+                const random = createRandom(seed);
+                let first = 0;
+                for (let index = 0; index < 300; index++) {
+                    first += split.next(String(Math.floor(random() * objects))) === "a" ? 1 : 0;
+                }
+                assert.ok(Math.abs(first / 300 - weight / 10) < 0.05);
+            },
+        ),
+    );
+});
+
+test("a split without weights sends nothing astray", () => {
+    assert.equal(createServiceSplit([{ service: "a", weight: 0 }]).next("1"), "a");
+});
+
+// Guards against traffic that moves in bulk to a region whose servers are cold for it.
+test("wave: the part of objects that leaves a short region changes slowly", () => {
+    const spill = createRegionSpill({ maxShift: 0.15 });
+    const use = (busy: number) => ({ slots: 6, busy, allSlots: 72, regions: 3 });
+    spill.adapt(use(0), 0);
+    assert.equal(spill.part(), 0.75);
+    spill.countRequest();
+    let before = spill.part();
+    for (let second = 1; second < 30; second++) {
+        for (let step = 0; step < 10; step++) {
+            spill.adapt(use(second < 15 ? 1 : 9), second * 1000 + step * 100);
+        }
+        assert.ok(Math.abs(spill.part() - before) <= 0.15 / 2 + 1e-9);
+        before = spill.part();
+    }
+});
+
+// Guards against requests that stay with servers which are gone.
+test("loss of servers: their share of the objects leaves at once", () => {
+    const spill = createRegionSpill({ maxShift: 0.15 });
+    spill.adapt({ slots: 12, busy: 0, allSlots: 24, regions: 2 }, 0);
+    spill.countRequest();
+    spill.adapt({ slots: 6, busy: 4, allSlots: 18, regions: 2 }, 100);
+    assert.equal(spill.part(), 0.5);
+});
