feat(relay): requests between callers and backend servers over HTTP/1.1

One connection carries one request at a time and checks the id of each answer: an extra answer belongs to nobody, and an answer that is cut off is not passed on. http-parser-js reads the answers, since undici and node:http give a client no way to skip an answer and wait for the right one.

--- /dev/null
+++ b/packages/relay/src/answer-parser.ts
@@ -0,0 +1,58 @@
+/** Reads the answers of one connection to a backend server, whoever they belong to. */
+import { HTTPParser } from "http-parser-js";
+
+/** Head of an answer. Header names are in lower case; of a repeated header the last value counts. */
+export interface AnswerHead {
+    status: number;
+    headers: ReadonlyMap<string, string>;
+    /** Names and values in turn, as they came. */
+    rawHeaders: readonly string[];
+    /** Whether the connection may carry another request after this answer. */
+    keepsAlive: boolean;
+}
+
+export interface AnswerEvents {
+    onHead(head: AnswerHead): void;
+    onBody(chunk: Buffer): void;
+    /** The answer is complete. */
+    onComplete(): void;
+}
+
+export interface AnswerParser {
+    /** Returns false when the bytes are no answer; the connection is of no further use. */
+    read(chunk: Buffer): boolean;
+    /** The server closed its side. Returns whether an answer without a length was completed by that, or none was open. */
+    end(): boolean;
+}
+
+/** Creates the parser of one connection. */
+export function createAnswerParser(events: AnswerEvents): AnswerParser {
+    const parser = new HTTPParser(HTTPParser.RESPONSE);
+    parser[HTTPParser.kOnHeadersComplete] = info => {
+        events.onHead(readHead(info));
+        return undefined;
+    };
+    parser[HTTPParser.kOnBody] = (buffer, offset, length) => {
+        // The parser reuses the chunk of the socket, which stays valid as long as it is referenced.
+        events.onBody(buffer.subarray(offset, offset + length));
+    };
+    parser[HTTPParser.kOnMessageComplete] = () => events.onComplete();
+    return {
+        read: chunk => !(parser.execute(chunk) instanceof Error),
+        end: () => !(parser.finish() instanceof Error),
+    };
+}
+
+interface HeadersInfo {
+    statusCode: number;
+    headers: string[];
+    shouldKeepAlive: boolean;
+}
+
+function readHead({ statusCode, headers: rawHeaders, shouldKeepAlive }: HeadersInfo): AnswerHead {
+    const headers = new Map<string, string>();
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+        headers.set(rawHeaders[index]!.toLowerCase(), rawHeaders[index + 1]!);
+    }
+    return { status: statusCode, headers, rawHeaders, keepsAlive: shouldKeepAlive };
+}
--- /dev/null
+++ b/packages/relay/src/upstream-connection.ts
@@ -0,0 +1,256 @@
+/** One connection to a backend server. It carries one request at a time and checks that the answer belongs to it. */
+import { connect } from "node:net";
+import type { Clock, Timer } from "@waxwingdale/core";
+import { createAnswerParser } from "./answer-parser.js";
+import type { AnswerHead } from "./answer-parser.js";
+import type { AnswerInfo, WireProtocol } from "./wire-protocol.js";
+
+/** A complete answer to the request of an exchange. */
+export interface UpstreamAnswer {
+    head: AnswerHead;
+    info: AnswerInfo;
+    body: Buffer;
+    /** Time in milliseconds from the send to the first byte. */
+    firstByteMs: number;
+}
+
+/** Why an exchange ended without an answer. */
+export enum ExchangeFailure {
+    /** The connection could not be opened: nothing was sent. */
+    NotConnected = "not-connected",
+    /** The connection broke after the request was sent, before the answer was complete. */
+    Cut = "cut",
+    /** The server sent something that is no answer. */
+    Malformed = "malformed",
+    /** The answer is larger than an instance keeps. */
+    TooLarge = "too-large",
+}
+
+export interface ExchangeEvents {
+    onAnswer(answer: UpstreamAnswer): void;
+    onFailure(failure: ExchangeFailure, detail: string): void;
+}
+
+export interface UpstreamRequest {
+    requestId: string | undefined;
+    head: string;
+    body: Buffer | undefined;
+}
+
+export interface UpstreamConnection {
+    /** Sends a request. The connection must be idle. Exactly one event follows unless it is destroyed. */
+    exchange(req: UpstreamRequest, events: ExchangeEvents): void;
+    /** Closes the connection; a request that runs on it gets no event. */
+    destroy(): void;
+    /** Whether another request may be sent at this time. */
+    canReuse(now: number, maxIdleMs: number): boolean;
+}
+
+export interface UpstreamConnectionOptions {
+    address: string;
+    clock: Clock;
+    protocol: WireProtocol;
+    connectTimeoutMs: number;
+    /** Bytes of the largest answer. */
+    maxAnswerBytes: number;
+    onConnected(connectMs: number): void;
+    /** The connection is idle and may take another request. */
+    onIdle(): void;
+    /** The connection is of no further use. */
+    onClosed(): void;
+}
+
+/** Time in milliseconds by which a connection is given up before the server closes it, so that a request does not cross the close. */
+const idleMarginMs = 1500;
+/** Time in milliseconds for which a server is taken to keep an idle connection when it does not say so. */
+const defaultIdleMs = 5000;
+
+interface Exchange {
+    req: UpstreamRequest;
+    events: ExchangeEvents;
+    sentAt: number;
+    head?: AnswerHead;
+    info?: AnswerInfo;
+    firstByteAt?: number;
+    chunks: Buffer[];
+    bytes: number;
+    isComplete: boolean;
+}
+
+/** Opens a connection. */
+export function openUpstreamConnection(options: UpstreamConnectionOptions): UpstreamConnection {
+    const { clock, protocol } = options;
+    const colon = options.address.lastIndexOf(":");
+    const openedAt = clock.now();
+    const socket = connect({
+        host: options.address.slice(0, colon),
+        port: Number(options.address.slice(colon + 1)),
+        noDelay: true,
+        allowHalfOpen: true,
+    });
+    let exchange: Exchange | undefined;
+    let isConnected = false;
+    let isClosed = false;
+    /** An answer was skipped or the server said that it closes. */
+    let isLast = false;
+    let idleSince = openedAt;
+    let keepIdleMs = defaultIdleMs;
+    /** Whether the parser is inside an answer that belongs to no request of this connection. */
+    let isSkipping = false;
+
+    const connectTimer: Timer = clock.setTimer(options.connectTimeoutMs, () =>
+        close(ExchangeFailure.NotConnected, "the connection was not opened in time"),
+    );
+
+    const close = (failure: ExchangeFailure, detail: string) => {
+        if (isClosed) {
+            return;
+        }
+        isClosed = true;
+        connectTimer.cancel();
+        socket.destroy();
+        const current = exchange;
+        exchange = undefined;
+        options.onClosed();
+        current?.events.onFailure(isConnected ? failure : ExchangeFailure.NotConnected, detail);
+    };
+
+    const write = (req: UpstreamRequest) => {
+        if (req.body === undefined) {
+            socket.write(req.head, "latin1");
+            return;
+        }
+        socket.cork();
+        socket.write(req.head, "latin1");
+        socket.write(req.body);
+        socket.uncork();
+    };
+
+    /** Hands the answer out. Everything that came with it has been read, so an extra answer is known by now. */
+    const complete = (current: Exchange, isReusable: boolean) => {
+        exchange = undefined;
+        idleSince = clock.now();
+        const { head, info } = current;
+        const answer = {
+            head: head!,
+            info: info!,
+            body: current.chunks.length === 1 ? current.chunks[0]! : Buffer.concat(current.chunks),
+            firstByteMs: current.firstByteAt! - current.sentAt,
+        };
+        if (isReusable && !isLast && head!.keepsAlive) {
+            options.onIdle();
+        } else {
+            close(ExchangeFailure.Cut, "the connection carries no further request");
+        }
+        current.events.onAnswer(answer);
+    };
+
+    const parser = createAnswerParser({
+        onHead: head => {
+            const info = protocol.readAnswer(head.status, head.headers);
+            const belongs = exchange !== undefined && !exchange.isComplete && isAnswerTo(exchange.req, info);
+            isSkipping = !belongs || head.status < 200;
+            if (isSkipping) {
+                // The next answer on the connection may be out of step as well.
+                isLast ||= head.status >= 200;
+                return;
+            }
+            exchange!.head = head;
+            exchange!.info = info;
+            exchange!.firstByteAt = clock.now();
+            keepIdleMs = readIdleMs(head.headers.get("keep-alive")) ?? defaultIdleMs;
+        },
+        onBody: chunk => {
+            if (isSkipping || exchange === undefined || exchange.isComplete) {
+                return;
+            }
+            exchange.chunks.push(chunk);
+            exchange.bytes += chunk.length;
+        },
+        onComplete: () => {
+            if (!isSkipping && exchange?.head !== undefined) {
+                exchange.isComplete = true;
+            }
+            isSkipping = false;
+        },
+    });
+
+    socket.on("connect", () => {
+        isConnected = true;
+        connectTimer.cancel();
+        options.onConnected(clock.now() - openedAt);
+        if (exchange !== undefined) {
+            exchange.sentAt = clock.now();
+            write(exchange.req);
+        }
+    });
+    socket.on("data", (chunk: Buffer) => {
+        if (isClosed) {
+            return;
+        }
+        if (exchange === undefined) {
+            close(ExchangeFailure.Malformed, "the server sent bytes that no request asked for");
+            return;
+        }
+        const isValid = parser.read(chunk);
+        if (exchange.isComplete) {
+            complete(exchange, isValid);
+        } else if (!isValid) {
+            close(ExchangeFailure.Malformed, "the server sent bytes that are no answer");
+        } else if (exchange.bytes > options.maxAnswerBytes) {
+            close(ExchangeFailure.TooLarge, `the answer has more than ${options.maxAnswerBytes} bytes`);
+        }
+    });
+    /**
+     * An answer without a length ends with the connection, unless that was reset. Node reports a reset that arrives together
+     * with data as an end, but a write tells them apart. An empty line before a request line is ignored (RFC 9112, section 2.2).
+     */
+    const completeUnlessReset = (current: Exchange) =>
+        socket.write("\r\n", err => {
+            if (err) {
+                close(ExchangeFailure.Cut, err.message);
+            } else if (!isClosed) {
+                complete(current, false);
+            }
+        });
+
+    socket.on("end", () => {
+        const isWhole = !isClosed && parser.end();
+        if (isWhole && exchange?.isComplete) {
+            completeUnlessReset(exchange);
+            return;
+        }
+        close(ExchangeFailure.Cut, isWhole ? "the server closed the connection" : "the answer was cut off");
+    });
+    socket.on("error", err => close(ExchangeFailure.Cut, err.message));
+    socket.on("close", () => close(ExchangeFailure.Cut, "the connection was closed"));
+
+    return {
+        exchange: (req, events) => {
+            exchange = { req, events, sentAt: clock.now(), chunks: [], bytes: 0, isComplete: false };
+            if (isConnected) {
+                write(req);
+            }
+        },
+        destroy: () => {
+            exchange = undefined;
+            close(ExchangeFailure.Cut, "the connection was given up");
+        },
+        canReuse: (now, maxIdleMs) =>
+            !isClosed && !isLast && now - idleSince < Math.min(maxIdleMs, keepIdleMs - idleMarginMs),
+    };
+}
+
+/** An answer without an id belongs to a request that has none. */
+function isAnswerTo(req: UpstreamRequest, info: AnswerInfo): boolean {
+    return (
+        req.requestId === info.requestId ||
+        (info.requestId === undefined && (info.isNotRun || info.isOtherServer))
+    );
+}
+
+/** Reads the time in milliseconds that a server keeps an idle connection, from a header such as "timeout=5, max=100". */
+function readIdleMs(header: string | undefined): number | undefined {
+    const match = header === undefined ? undefined : (/timeout=(\d+)/i.exec(header) ?? undefined);
+    return match === undefined ? undefined : Number(match[1]) * 1000;
+}
--- /dev/null
+++ b/packages/relay/src/wire-protocol.ts
@@ -0,0 +1,44 @@
+/** How requests and answers carry what the relay needs to know. The platform's headers are behind this class. */
+import type { IncomingHttpHeaders } from "node:http";
+
+/** What a caller says about its request. */
+export interface RequestInfo {
+    /** Identifies one attempt of a caller. */
+    requestId: string | undefined;
+    /** Time in milliseconds that the caller waits. */
+    deadlineMs: number | undefined;
+    /** Identifies the object that the request concerns. */
+    objectKey: string | undefined;
+}
+
+/** Load that a backend server reports with its answer. */
+export interface ReportedLoad {
+    running: number;
+    waiting: number;
+    slots: number;
+}
+
+/** What a backend server says with its answer. */
+export interface AnswerInfo {
+    /** Id of the request that the answer belongs to. */
+    requestId: string | undefined;
+    /** The server states that it did not run the request. */
+    isNotRun: boolean;
+    /** Another server has the address; the request did not run. */
+    isOtherServer: boolean;
+    /** The answer bears the server's signature. */
+    isSigned: boolean;
+    load: ReportedLoad | undefined;
+}
+
+export abstract class WireProtocol {
+    abstract readRequest(headers: IncomingHttpHeaders): RequestInfo;
+    /** Whether the relay replaces a request header by its own. The name is in lower case. */
+    abstract replacesRequestHeader(name: string): boolean;
+    /** Header lines of an attempt: what is left of the caller's time, and the server that the request is meant for. */
+    abstract formatAttemptHeaders(deadlineMs: number, serverId: string): string;
+    /** Reads an answer; header names are in lower case. */
+    abstract readAnswer(status: number, headers: ReadonlyMap<string, string>): AnswerInfo;
+    /** Headers of a refusal that ask the caller to come back after a time. */
+    abstract formatRetryAfter(retryAfterMs: number): Record<string, string>;
+}
--- /dev/null
+++ b/packages/relay/test/fixtures.ts
@@ -0,0 +1,221 @@
+/** An instance with scripted backend servers on loopback addresses. */
+import { createServer as createHttpServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { connect, createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import {
+    RequestKind,
+    ServerPhase,
+    createAdmissionControl,
+    createBackendTable,
+    createBalancer,
+    createRetryWindow,
+    createRouteIndex,
+} from "@waxwingdale/balancing";
+import type { Route } from "@waxwingdale/balancing";
+import { createSilentLogger, createSystemClock } from "@waxwingdale/core";
+import { WireProtocol, createRelay, createUpstreamPool } from "@waxwingdale/relay";
+import type { AnswerInfo, RequestInfo, RequestRecord } from "@waxwingdale/relay";
+
+/** A protocol with short header names. */
+class TestProtocol extends WireProtocol {
+    override readRequest(headers: Record<string, unknown>): RequestInfo {
+        return {
+            requestId: headers["x-id"] as string | undefined,
+            deadlineMs: Number(headers["x-deadline"] ?? 1000),
+            objectKey: "1",
+        };
+    }
+
+    override replacesRequestHeader(name: string): boolean {
+        return name === "x-deadline";
+    }
+
+    override formatAttemptHeaders(deadlineMs: number, serverId: string): string {
+        return `X-Deadline: ${deadlineMs}\r\nX-Server: ${serverId}\r\n`;
+    }
+
+    override readAnswer(status: number, headers: ReadonlyMap<string, string>): AnswerInfo {
+        return {
+            requestId: headers.get("x-id"),
+            isNotRun: headers.has("x-not-run"),
+            isOtherServer: status === 421,
+            isSigned: headers.has("x-signature"),
+            load: undefined,
+        };
+    }
+
+    override formatRetryAfter(retryAfterMs: number): Record<string, string> {
+        return { "Retry-After": (retryAfterMs / 1000).toFixed(3) };
+    }
+}
+
+/** Answers one request, whose head and body are given as text. `count` is the number of requests before it. */
+export type Script = (text: string, socket: Socket, count: number) => void;
+
+export interface ScriptedServer {
+    address: string;
+    requests: string[];
+    connections: Set<Socket>;
+    close(): void;
+}
+
+/** Starts a backend server that answers by a script. */
+export async function startServer(script: Script): Promise<ScriptedServer> {
+    const requests: string[] = [];
+    const connections = new Set<Socket>();
+    const server: Server = createServer(socket => {
+        connections.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("close", () => connections.delete(socket));
+        socket.on("data", chunk => {
+            const text = chunk.toString("latin1");
+            requests.push(text);
+            script(text, socket, requests.length - 1);
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        requests,
+        connections,
+        close: () => {
+            connections.forEach(socket => socket.destroy());
+            server.close();
+        },
+    };
+}
+
+/** Formats a signed answer to the request in `text`. */
+export function formatAnswer(
+    text: string,
+    body: string,
+    fields: { id?: string; status?: number; extra?: string } = {},
+): string {
+    const id = fields.id ?? idOf(text);
+    const status = fields.status ?? 200;
+    return `HTTP/1.1 ${status} X\r\nX-Id: ${id}\r\nX-Signature: s\r\n${fields.extra ?? ""}Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+export function idOf(text: string): string {
+    return /x-id: (\S+)/i.exec(text)?.[1] ?? "";
+}
+
+export interface TestInstance {
+    port: number;
+    records: RequestRecord[];
+    close(): void;
+}
+
+const limits = { headerBytes: 8192, bodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 5000 };
+
+export function createTestRoute(kind: RequestKind): Route {
+    return {
+        name: kind,
+        host: "h",
+        pathPrefix: `/${kind}/`,
+        kind,
+        timeoutMs: 800,
+        targetLatencyMs: 200,
+        priority: 1,
+        maxAttempts: 2,
+        hasAffinity: true,
+        allowedRegions: [],
+        shares: [{ service: "files", weight: 1 }],
+    };
+}
+
+/** Starts an instance that sends to the given servers. */
+export async function startInstance(servers: readonly ScriptedServer[]): Promise<TestInstance> {
+    const clock = createSystemClock();
+    const protocol = new TestProtocol();
+    const table = createBackendTable({
+        clock,
+        logger: createSilentLogger(),
+        regionOf: () => "north",
+        coldRequestsPerSecond: () => 100,
+        coldSenders: () => 1,
+        onGone: () => undefined,
+    });
+    servers.forEach(({ address }, index) =>
+        table.apply(
+            {
+                id: `i-${index}`,
+                startedAt: 1,
+                service: "files",
+                address,
+                zone: "n-a",
+                slots: 3,
+                phase: ServerPhase.Ready,
+                coldRemainingMs: 0,
+            },
+            false,
+        ),
+    );
+    const balancer = createBalancer({
+        clock,
+        table,
+        zone: "n-a",
+        region: "north",
+        regions: 1,
+        maxRegionShift: 0.15,
+        hasInstances: () => true,
+        regionHasInstances: () => true,
+    });
+    const retries = createRetryWindow({ windowMs: 10_000, ratio: 0.2, slack: 50, instances: () => 1 });
+    const pool = createUpstreamPool({
+        clock,
+        protocol,
+        roundTripMs: () => 1,
+        learnConnect: () => undefined,
+    });
+    const routes = [RequestKind.Idempotent, RequestKind.NonIdempotent].map(createTestRoute);
+    const index = createRouteIndex({ version: 1, routes, services: [], limits });
+    const records: RequestRecord[] = [];
+    const relay = createRelay({
+        clock,
+        protocol,
+        balancer,
+        admission: createAdmissionControl({ clock, balancer }),
+        pool,
+        retries: () => retries,
+        routes: () => index,
+        maxBodyBytes: () => limits.bodyBytes,
+        onRequest: record => records.push(record),
+        onOtherServer: id => table.remove(id),
+    });
+    const server = createHttpServer((req, res) => relay.handle(req, res));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        port: (server.address() as AddressInfo).port,
+        records,
+        close: () => {
+            server.closeAllConnections();
+            server.close();
+            pool.destroy();
+        },
+    };
+}
+
+/** Sends raw text and returns what came back until the answers are `count` or the connection closed. */
+export function sendRaw(port: number, text: string, count: number): Promise<string> {
+    return new Promise((resolve, reject) => {
+        let received = "";
+        const socket = connect(port, "127.0.0.1", () => socket.write(text));
+        socket.on("data", chunk => {
+            received += chunk.toString("latin1");
+            if (received.split("HTTP/1.1 ").length - 1 >= count && /\r\n\r\n[^]+$/.test(received)) {
+                setTimeout(() => socket.destroy(), 20);
+            }
+        });
+        socket.on("error", reject);
+        socket.on("close", () => resolve(received));
+    });
+}
+
+/** Formats a request. */
+export function formatRequest(kind: RequestKind, id: string, name = "1"): string {
+    const method = kind === RequestKind.NonIdempotent ? "POST" : "GET";
+    const body = kind === RequestKind.NonIdempotent ? "Content-Length: 2\r\n\r\nhi" : "\r\n";
+    return `${method} /${kind}/${name} HTTP/1.1\r\nHost: h\r\nX-Id: ${id}\r\nX-Deadline: 700\r\n${body}`;
+}
