feat(gateway): the daemon for the users' platform

One role on every instance: it carries requests and answers look-ups. Instances find each other by the gossip of the membership package over the control address; the store holds only what operators and servers write.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
     js.configs.recommended,
     {
         files: ["**/*.ts"],
--- /dev/null
+++ b/packages/gateway/src/compose-gateway.ts
@@ -0,0 +1,173 @@
+/** Composition of a gateway instance: which part is built from which. */
+import {
+    createAdmissionControl,
+    createBackendTable,
+    createBalancer,
+    createRetryWindow,
+} from "@waxwingdale/balancing";
+import type { RetryWindow } from "@waxwingdale/balancing";
+import { MemberStatus, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
+import type { Member } from "@waxwingdale/core";
+import { createMembership } from "@waxwingdale/membership";
+import { createRelay, createUpstreamPool } from "@waxwingdale/relay";
+import { container } from "tsyringe";
+import type { DependencyContainer } from "tsyringe";
+import { createConfigInForce } from "./config-in-force.js";
+import { createGatewayMetrics } from "./gateway-metrics.js";
+import { tokens } from "./gateway-tokens.js";
+import type { AddPart, GatewayBase } from "./gateway-tokens.js";
+import { createInstanceDirectory } from "./instance-directory.js";
+import { logRequest } from "./request-log.js";
+import { createStoreFollowers } from "./store-followers.js";
+
+/** Bytes of a body before a configuration names a bound. */
+const defaultBodyBytes = 1024 * 1024;
+
+/** Creates the container of one instance. Nothing runs yet. */
+export function composeGateway(base: GatewayBase): DependencyContainer {
+    const scope = container.createChildContainer();
+    const add: AddPart = (token, create) => register(scope, token, create);
+    add(tokens.base, () => base);
+    add(tokens.metrics, () => createGatewayMetrics());
+    composePeers(add);
+    composeState(add);
+    composeBalancing(add);
+    composeRelay(add);
+    return scope;
+}
+
+/** Calls between instances, and which of them serve. */
+function composePeers(add: AddPart): void {
+    add(tokens.rpcServer, get => createRpcServer(get(tokens.base).logger));
+    add(tokens.rpcClient, get => {
+        const { settings, fleetKey } = get(tokens.base);
+        return createRpcClient({ id: settings.id, fleetKey, connections: 1 });
+    });
+    add(tokens.membership, get => {
+        const { self, clock, random, logger, settings } = get(tokens.base);
+        return createMembership({
+            self,
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            clock,
+            random,
+            logger,
+            findSeeds: async () => settings.seeds,
+        });
+    });
+    add(tokens.directory, get => createInstanceDirectory(() => get(tokens.membership).members()));
+}
+
+/** Configuration and backend servers. */
+function composeState(add: AddPart): void {
+    add(tokens.config, get => createConfigInForce(get(tokens.base).logger));
+    add(tokens.table, get => {
+        const { clock, logger, settings } = get(tokens.base);
+        const { coldFactor, coldSlack } = settings.bounds;
+        const config = get(tokens.config);
+        const table = createBackendTable({
+            clock,
+            logger,
+            regionOf: zone => settings.zones[zone],
+            coldRequestsPerSecond: name => {
+                const service = config.current()?.services.find(other => other.name === name);
+                return (service?.coldRequestsPerSecond ?? 0) * coldFactor + coldSlack;
+            },
+            coldSenders: (zone, region) => countColdSenders(get(tokens.membership).members(), zone, region),
+            onGone: ({ record }) => get(tokens.pool).closeIdle(record.id),
+        });
+        config.onChange(({ services }) => table.setServices(services));
+        return table;
+    });
+    add(tokens.followers, get => {
+        const { store, clock, random, logger, signal } = get(tokens.base);
+        return createStoreFollowers({
+            store,
+            clock,
+            random,
+            logger,
+            signal,
+            config: get(tokens.config),
+            table: get(tokens.table),
+        });
+    });
+}
+
+/** Instances that share the limit of a cold server: those of its zone, else of its region, else all. */
+function countColdSenders(members: readonly Member[], zone: string, region: string): number {
+    const alive = members.filter(({ status }) => status !== MemberStatus.Dead);
+    const inZone = alive.filter(member => member.zone === zone).length;
+    const inRegion = alive.filter(member => member.region === region).length;
+    return inZone || inRegion || alive.length;
+}
+
+function composeBalancing(add: AddPart): void {
+    add(tokens.balancer, get => {
+        const { clock, settings } = get(tokens.base);
+        const isAlive = ({ status }: Member) => status !== MemberStatus.Dead;
+        const members = () => get(tokens.membership).members().filter(isAlive);
+        return createBalancer({
+            clock,
+            table: get(tokens.table),
+            zone: settings.zone,
+            region: settings.region,
+            regions: new Set(Object.values(settings.zones)).size,
+            maxRegionShift: settings.bounds.maxRegionShift,
+            hasInstances: zone => members().some(member => member.zone === zone),
+            regionHasInstances: region => members().some(member => member.region === region),
+        });
+    });
+    add(tokens.admission, get =>
+        createAdmissionControl({ clock: get(tokens.base).clock, balancer: get(tokens.balancer) }),
+    );
+    add(tokens.retries, get => {
+        const { retryRatio, retrySlack, retryWindowSeconds } = get(tokens.base).settings.bounds;
+        const windows = new Map<string, RetryWindow>();
+        return service => {
+            let window = windows.get(service);
+            if (window === undefined) {
+                window = createRetryWindow({
+                    windowMs: retryWindowSeconds * 1000,
+                    ratio: retryRatio,
+                    slack: retrySlack,
+                    instances: () => get(tokens.membership).members().length,
+                });
+                windows.set(service, window);
+            }
+            return window;
+        };
+    });
+}
+
+function composeRelay(add: AddPart): void {
+    add(tokens.pool, get => {
+        const { clock, protocol } = get(tokens.base);
+        const balancer = get(tokens.balancer);
+        return createUpstreamPool({
+            clock,
+            protocol,
+            roundTripMs: server => balancer.roundTripMs(server),
+            learnConnect: (server, connectMs) => balancer.learnConnect(server, connectMs),
+        });
+    });
+    add(tokens.relay, get => {
+        const { clock, protocol, logger } = get(tokens.base);
+        const config = get(tokens.config);
+        const metrics = get(tokens.metrics);
+        return createRelay({
+            clock,
+            protocol,
+            balancer: get(tokens.balancer),
+            admission: get(tokens.admission),
+            pool: get(tokens.pool),
+            retries: get(tokens.retries),
+            routes: () => config.routes(),
+            maxBodyBytes: () => config.current()?.limits.bodyBytes ?? defaultBodyBytes,
+            onRequest: record => {
+                metrics.observe(record);
+                logRequest(logger, record);
+            },
+            onOtherServer: serverId => get(tokens.table).remove(serverId),
+        });
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -0,0 +1,71 @@
+/** Metrics of a gateway instance in Prometheus' format. */
+import type { RequestRecord } from "@waxwingdale/relay";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Upper bounds in seconds of the latency buckets. */
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5];
+
+export interface GatewayMetrics {
+    registry: Registry;
+    observe(record: RequestRecord): void;
+    countLookup(): void;
+    /** Adds a gauge whose value is read when the metrics are collected. */
+    addGauge(name: string, help: string, read: () => number): void;
+}
+
+export function createGatewayMetrics(): GatewayMetrics {
+    const registry = new Registry();
+    const requests = new Counter({
+        name: "waxwingdale_gateway_requests_total",
+        help: "Requests by route, service, outcome and status",
+        labelNames: ["route", "service", "outcome", "status"],
+        registers: [registry],
+    });
+    const latency = new Histogram({
+        name: "waxwingdale_gateway_request_seconds",
+        help: "Time from the head of a request to its answer",
+        labelNames: ["route", "outcome"],
+        buckets: latencyBuckets,
+        registers: [registry],
+    });
+    const waits = new Histogram({
+        name: "waxwingdale_gateway_wait_seconds",
+        help: "Time that a request waited for a backend server with room",
+        labelNames: ["service"],
+        buckets: latencyBuckets,
+        registers: [registry],
+    });
+    const attempts = new Counter({
+        name: "waxwingdale_gateway_attempts_total",
+        help: "Sends to backend servers by service, availability zone and result",
+        labelNames: ["service", "zone", "result"],
+        registers: [registry],
+    });
+    const lookups = new Counter({
+        name: "waxwingdale_gateway_lookups_total",
+        help: "Look-ups of clients",
+        registers: [registry],
+    });
+    return {
+        registry,
+        observe: ({ route, service, outcome, status, tookMs, waitedMs, attempts: sends }) => {
+            requests.inc({ route, service, outcome, status });
+            latency.observe({ route, outcome }, tookMs / 1000);
+            waits.observe({ service }, waitedMs / 1000);
+            for (const { zone, result } of sends) {
+                attempts.inc({ service, zone, result: result.split(":", 1)[0] });
+            }
+        },
+        countLookup: () => lookups.inc(),
+        addGauge: (name, help, read) => {
+            new Gauge({
+                name,
+                help,
+                registers: [registry],
+                collect() {
+                    this.set(read());
+                },
+            });
+        },
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -0,0 +1,56 @@
+/** The parts of a gateway instance, as the composition names them. */
+import type { AdmissionControl, BackendTable, Balancer, RetryWindow } from "@waxwingdale/balancing";
+import { createToken } from "@waxwingdale/core";
+import type {
+    Clock,
+    Logger,
+    Member,
+    ObjectStore,
+    Random,
+    Resolve,
+    RpcClient,
+    RpcServer,
+    Token,
+} from "@waxwingdale/core";
+import type { Membership } from "@waxwingdale/membership";
+import type { Relay, UpstreamPool, WireProtocol } from "@waxwingdale/relay";
+import type { ConfigInForce } from "./config-in-force.js";
+import type { GatewayMetrics } from "./gateway-metrics.js";
+import type { InstanceDirectory } from "./instance-directory.js";
+import type { GatewaySettings } from "./settings.js";
+import type { StoreFollowers } from "./store-followers.js";
+
+/** What is known before any part is built. */
+export interface GatewayBase {
+    settings: GatewaySettings;
+    self: Member;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    store: ObjectStore;
+    protocol: WireProtocol;
+    fleetKey: string;
+    /** Aborts when the process stops. */
+    signal: AbortSignal;
+}
+
+/** Tokens of all parts. */
+export const tokens = {
+    base: createToken<GatewayBase>("base"),
+    metrics: createToken<GatewayMetrics>("metrics"),
+    rpcServer: createToken<RpcServer>("rpcServer"),
+    rpcClient: createToken<RpcClient>("rpcClient"),
+    membership: createToken<Membership>("membership"),
+    directory: createToken<InstanceDirectory>("directory"),
+    config: createToken<ConfigInForce>("config"),
+    table: createToken<BackendTable>("table"),
+    followers: createToken<StoreFollowers>("followers"),
+    balancer: createToken<Balancer>("balancer"),
+    admission: createToken<AdmissionControl>("admission"),
+    retries: createToken<(service: string) => RetryWindow>("retries"),
+    pool: createToken<UpstreamPool>("pool"),
+    relay: createToken<Relay>("relay"),
+};
+
+/** Adds a part to the composition. */
+export type AddPart = <T>(token: Token<T>, create: (get: Resolve) => T) => void;
--- /dev/null
+++ b/packages/gateway/src/run-gateway.ts
@@ -0,0 +1,192 @@
+/** Starts and stops a gateway instance. */
+import {
+    MemberStatus,
+    createLogOutput,
+    createLogger,
+    createRandom,
+    createSystemClock,
+    hashText,
+    resolveToken,
+} from "@waxwingdale/core";
+import type { Logger, Token } from "@waxwingdale/core";
+import {
+    PlatformProtocol,
+    PlatformStore,
+    createDirectoryHandler,
+    createReadinessHandler,
+} from "@waxwingdale/platform";
+import { composeGateway } from "./compose-gateway.js";
+import { tokens } from "./gateway-tokens.js";
+import { createPeerHandler, openListener } from "./listeners.js";
+import type { Listener } from "./listeners.js";
+import type { GatewaySettings } from "./settings.js";
+
+export interface Gateway {
+    logger: Logger;
+    /** Ends after the requests that have been read are answered, at the latest with the declared time for it. */
+    stop(): Promise<void>;
+}
+
+/** Time in seconds for which clients keep a look-up answer. Shorter ones tell clients sooner of lost instances. */
+const lookupTtlSeconds = 2;
+/** Time in milliseconds between two adaptations of the balancer. */
+const adaptIntervalMs = 100;
+const sweepIntervalMs = 1000;
+/** Margin in milliseconds by which idle connections of callers outlive the declared time. */
+const idleMarginMs = 1000;
+/** Time in milliseconds after SIGTERM in which new connections are still accepted: clients use a look-up answer as long as it lives. */
+const acceptAfterStopMs = (lookupTtlSeconds + 0.5) * 1000;
+/** Margin in milliseconds by which the process ends before it is killed. */
+const stopMarginMs = 700;
+const stopCheckMs = 50;
+
+/** Starts an instance. It serves once the store has been read. */
+export async function startGateway(settings: GatewaySettings): Promise<Gateway> {
+    const clock = createSystemClock();
+    const output = createLogOutput({ clock });
+    const logger = createLogger(clock, {
+        level: settings.logLevel,
+        base: { instance: settings.id },
+        write: output.write,
+        maxLinesPerSecond: 200,
+    });
+    const controller = new AbortController();
+    const startedAt = clock.wallTime();
+    const scope = composeGateway({
+        settings,
+        self: {
+            id: settings.id,
+            incarnation: startedAt,
+            session: startedAt,
+            status: MemberStatus.Live,
+            region: settings.region,
+            zone: settings.zone,
+            callerAddress: settings.listen.callers,
+            peerAddress: settings.listen.peers,
+            ready: false,
+        },
+        clock,
+        random: createRandom(startedAt % 2 ** 31),
+        logger,
+        store: new PlatformStore({ address: settings.store }),
+        protocol: new PlatformProtocol(),
+        // The platform gives instances no secret; the key only keeps fleets of different stores apart.
+        fleetKey: hashText(settings.store),
+        signal: controller.signal,
+    });
+    const get = <T>(token: Token<T>) => resolveToken(scope, token);
+    const membership = get(tokens.membership);
+    const relay = get(tokens.relay);
+    const followers = get(tokens.followers);
+    const config = get(tokens.config);
+    let isStopping = false;
+
+    const notReady = () => (isStopping ? "stopping" : followers.missing());
+    const directory = get(tokens.directory);
+    const ttlSeconds = Math.min(lookupTtlSeconds, settings.bounds.lookupTtlSeconds);
+    const callers = await openListener(settings.listen.callers, (req, res) => relay.handle(req, res));
+    const others = await Promise.all([
+        openListener(settings.listen.readiness, createReadinessHandler(notReady)),
+        openListener(
+            settings.listen.directory,
+            createDirectoryHandler(({ region, zone }) => {
+                get(tokens.metrics).countLookup();
+                return { addresses: directory.find(region, zone), ttlSeconds };
+            }),
+        ),
+        openListener(
+            settings.listen.peers,
+            createPeerHandler({
+                fleetKey: hashText(settings.store),
+                rpc: get(tokens.rpcServer),
+                logger,
+                metrics: () => get(tokens.metrics).registry.metrics(),
+                state: () => describeState(get),
+            }),
+        ),
+    ]);
+    config.onChange(({ limits }) => applyLimits(callers, limits.idleTimeoutMs, limits.headerTimeoutMs));
+    addGauges(get);
+
+    const every = (intervalMs: number, run: () => void) => setInterval(run, intervalMs);
+    const timers = [
+        every(adaptIntervalMs, () => {
+            get(tokens.balancer).adapt();
+            membership.setReady(notReady() === undefined);
+        }),
+        every(sweepIntervalMs, () => get(tokens.pool).sweep()),
+    ];
+    void followers.run();
+    void membership.run(controller.signal);
+    logger.info("started", {
+        zone: settings.zone,
+        region: settings.region,
+        callers: settings.listen.callers,
+    });
+
+    return {
+        logger,
+        stop: async () => {
+            const stopAt = clock.now() + settings.bounds.graceSeconds * 1000 - stopMarginMs;
+            const closeAt = clock.now() + acceptAfterStopMs;
+            logger.info("stopping", { active: relay.active() });
+            isStopping = true;
+            callers.startClosing();
+            await Promise.race([membership.leave(), clock.sleep(stopCheckMs * 4)]);
+            await clock.sleep(Math.max(0, closeAt - clock.now()));
+            callers.close();
+            while (relay.active() > 0 && clock.now() < stopAt) {
+                await clock.sleep(stopCheckMs);
+            }
+            await Promise.race([membership.stopServing(), clock.sleep(stopCheckMs * 4)]);
+            controller.abort();
+            timers.forEach(timer => clearInterval(timer));
+            others.forEach(listener => listener.close());
+            logger.info("stopped", { active: relay.active() });
+            output.flush();
+        },
+    };
+}
+
+/** Callers reuse connections that were idle for a part of the declared time. */
+function applyLimits({ server }: Listener, idleTimeoutMs: number, headerTimeoutMs: number): void {
+    server.keepAliveTimeout = idleTimeoutMs + idleMarginMs;
+    server.headersTimeout = headerTimeoutMs + idleMarginMs;
+}
+
+type Get = <T>(token: Token<T>) => T;
+
+function addGauges(get: Get): void {
+    const metrics = get(tokens.metrics);
+    metrics.addGauge("waxwingdale_gateway_active_requests", "Requests that are being carried", () =>
+        get(tokens.relay).active(),
+    );
+    metrics.addGauge("waxwingdale_gateway_waiting_requests", "Requests that wait for room", () =>
+        get(tokens.admission).waiting(),
+    );
+    metrics.addGauge("waxwingdale_gateway_upstream_connections", "Open connections to backend servers", () =>
+        get(tokens.pool).connections(),
+    );
+    metrics.addGauge(
+        "waxwingdale_gateway_config_version",
+        "Version of the configuration in force",
+        () => get(tokens.config).current()?.version ?? 0,
+    );
+}
+
+function describeState(get: Get): unknown {
+    return {
+        config: get(tokens.config).current(),
+        membership: get(tokens.membership).state(),
+        balancer: get(tokens.balancer).describe(),
+        evacuatedZones: get(tokens.table).evacuatedZones(),
+        servers: get(tokens.table)
+            .all()
+            .map(({ record, isLeaving, load, slowness }) => ({
+                ...record,
+                isLeaving,
+                inFlight: load.inFlight(),
+                slowness,
+            })),
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,62 @@
+/** Settings of a gateway instance: a file in JSON with comments that the platform fills in from its template. */
+import { LogLevel, addressSchema, parseSettingsText, readSettingsText } from "@waxwingdale/core";
+import * as v from "valibot";
+
+const amount = v.pipe(v.number("must be a number"), v.minValue(0, "must not be negative"));
+const name = v.pipe(v.string("must be a text"), v.minLength(1, "must not be empty"));
+
+const settingsSchema = v.object({
+    /** Id of the instance, unique in the fleet. */
+    id: name,
+    region: name,
+    zone: name,
+    listen: v.object({
+        callers: addressSchema,
+        readiness: addressSchema,
+        /** For calls between instances; it also serves state and metrics. */
+        peers: addressSchema,
+        directory: addressSchema,
+    }),
+    /** Peer addresses to join by. */
+    seeds: v.optional(v.array(addressSchema), []),
+    /** Region of each availability zone. */
+    zones: v.record(name, name),
+    /** Address of the platform's store. */
+    store: addressSchema,
+    logLevel: v.optional(v.enum(LogLevel, "must be debug, info, warn or error"), LogLevel.Info),
+    /** Bounds that are declared for the deployment. */
+    bounds: v.object({
+        /** Time from SIGTERM to the end of the process. */
+        graceSeconds: amount,
+        /** Longest time for which clients may keep a look-up answer. */
+        lookupTtlSeconds: amount,
+        /** Retries for each request in a window, all instances together, and how many more in any window. */
+        retryRatio: amount,
+        retryWindowSeconds: amount,
+        retrySlack: amount,
+        /** A cold server gets its declared rate times the factor, plus the slack, in any second. */
+        coldFactor: amount,
+        coldSlack: amount,
+        /** Part of a region's requests that may change their region from one window of two seconds to the next. */
+        maxRegionShift: amount,
+    }),
+});
+
+/** Checked settings. */
+export type GatewaySettings = v.InferOutput<typeof settingsSchema>;
+
+/**
+ * Checks the text of a settings file. Unknown keys are left out, since the template may serve newer versions as well.
+ * @throws SettingsError
+ */
+export function parseGatewaySettings(text: string, fileName: string): GatewaySettings {
+    return parseSettingsText(settingsSchema, text, fileName);
+}
+
+/**
+ * Reads and checks a settings file.
+ * @throws SettingsError
+ */
+export async function readGatewaySettings(path: string): Promise<GatewaySettings> {
+    return parseGatewaySettings(await readSettingsText(path), path);
+}
