feat(balancing): the time of a slot has a price under load

Change: a placement costs the expected time plus the time of its slot, at a price that follows the use of the slots, plus the bytes that cross a border. A request may wait at the instance for the server that knows its object; requests that wait for a server count in its expected wait. Objects are placed for each route apart, since servers warm up for each route apart (median 86 ms on the same route, 254 ms after another route's request for the same object, 262 ms anew). Test: 'burst: under high load a request waits for the server that knows its object'.

--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -3,8 +3,10 @@
  * most urgent one gets the next free slot. A request that cannot be answered in time is refused at once.
  */
 import type { Clock, Timer } from "@waxwingdale/core";
-import { ChoiceKind } from "./balancer.js";
-import type { Balancer, Placement, RoutedRequest } from "./balancer.js";
+import type { BackendState } from "./backend-state.js";
+import type { Balancer } from "./balancer.js";
+import { ChoiceKind } from "./placement.js";
+import type { Placement, RoutedRequest } from "./placement.js";
 
 export enum RefusalReason {
     /** The answer cannot arrive before the caller stops waiting. */
@@ -42,6 +44,8 @@
     /** Time of the clock after which waiting is of no use. */
     giveUpAt: number;
     settle: (admission: Admission) => void;
+    /** The server that the request waits for. */
+    server: BackendState;
 }
 
 /** Part of the target latency that a request may wait for a slot even when its answer will be late. */
@@ -66,8 +70,8 @@
         return { refusal: { reason, retryAfterMs, waitedMs: now - req.arrivedAt } };
     };
 
-    /** Returns the decision, or undefined when the request has to wait. */
-    const decide = (req: RoutedRequest): Admission | undefined => {
+    /** Returns the decision, or the server for which the request has to wait. */
+    const decide = (req: RoutedRequest): Admission | { waitFor: BackendState } => {
         const choice = balancer.choose(req);
         switch (choice.kind) {
             case ChoiceKind.Send:
@@ -77,7 +81,7 @@
             case ChoiceKind.NoServer:
                 return refuse(req, RefusalReason.NoServer);
             case ChoiceKind.Full:
-                return undefined;
+                return { waitFor: choice.server };
         }
     };
 
@@ -95,10 +99,26 @@
 
     const take = (waiting: WaitingRequest): boolean => {
         const index = queue.indexOf(waiting);
-        if (index >= 0) {
-            queue.splice(index, 1);
+        if (index < 0) {
+            return false;
         }
-        return index >= 0;
+        queue.splice(index, 1);
+        waiting.server.load.removeWaiting();
+        return true;
+    };
+
+    /** Decides about a waiting request, which does not count as waiting meanwhile. */
+    const decideAgain = (waiting: WaitingRequest): Admission | undefined => {
+        waiting.server.load.removeWaiting();
+        const decision = decide(waiting.req);
+        if ("waitFor" in decision) {
+            waiting.server = decision.waitFor;
+        }
+        waiting.server.load.addWaiting();
+        if (!("waitFor" in decision)) {
+            return decision;
+        }
+        return clock.now() >= waiting.giveUpAt ? refuse(waiting.req, RefusalReason.Overloaded) : undefined;
     };
 
     /** A decision may end another request at once, and so lead back here: the loop in progress sees the new room as well. */
@@ -110,11 +130,8 @@
         timer?.cancel();
         timer = undefined;
         for (const waiting of [...queue]) {
-            const isExpired = clock.now() >= waiting.giveUpAt;
-            const decision =
-                decide(waiting.req) ??
-                (isExpired ? refuse(waiting.req, RefusalReason.Overloaded) : undefined);
             // The request may have been withdrawn by a decision before it.
+            const decision = queue.includes(waiting) ? decideAgain(waiting) : undefined;
             if (decision !== undefined && take(waiting)) {
                 waiting.settle(decision);
             }
@@ -132,7 +149,7 @@
     return {
         request: (req, onDecision) => {
             const decision = decide(req);
-            if (decision !== undefined) {
+            if (!("waitFor" in decision)) {
                 onDecision(decision);
                 return () => undefined;
             }
@@ -143,8 +160,9 @@
                 onDecision(refuse(req, RefusalReason.Overloaded));
                 return () => undefined;
             }
-            const waiting = { req, giveUpAt, settle: onDecision };
+            const waiting = { req, giveUpAt, settle: onDecision, server: decision.waitFor };
             insert(waiting);
+            waiting.server.load.addWaiting();
             schedule();
             return () => void take(waiting);
         },
--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -7,51 +7,14 @@
 import type { Candidate } from "./object-ranks.js";
 import { createRegionSpill } from "./region-spill.js";
 import type { RegionSpill, RegionUse } from "./region-spill.js";
+import { ChoiceKind, placementKey } from "./placement.js";
+import type { Placement, RoutedRequest } from "./placement.js";
+import { createPlacementCosts } from "./placement-costs.js";
 import { ServerOutcome } from "./server-health.js";
-import type { Route } from "./traffic-config.js";
-import { createWorkEstimate } from "./work-estimate.js";
-import type { WorkEstimate } from "./work-estimate.js";
 import { createZoneDistance } from "./zone-distance.js";
 
-/** A request as far as it decides about the backend server. */
-export interface RoutedRequest {
-    route: Route;
-    service: string;
-    objectKey: string;
-    /** Time of the clock at which the request was read. */
-    arrivedAt: number;
-    /** Time of the clock at which its caller stops waiting. */
-    deadlineAt: number;
-    /** Ids of servers that have had the request already. */
-    tried: Set<string>;
-}
-
-export enum ChoiceKind {
-    Send = "send",
-    /** All servers that could take the request are full. */
-    Full = "full",
-    /** No server may get the request. */
-    NoServer = "no-server",
-}
-
-export interface Placement {
-    kind: ChoiceKind.Send;
-    server: BackendState;
-    /** Whether this instance knows the server to have handled the object recently. */
-    isWarm: boolean;
-    /** Expected time to the answer in milliseconds. */
-    expectedMs: number;
-    /** Expected part of it that the request waits for a slot. */
-    waitMs: number;
-    /** Expected part of it that the way takes. */
-    roundTripMs: number;
-    startedAt: number;
-    /** See `Candidate`. */
-    otherRegionRank: number;
-}
-
 export type Choice =
-    Placement | { kind: ChoiceKind.Full; expectedWaitMs: number } | { kind: ChoiceKind.NoServer };
+    Placement | { kind: ChoiceKind.Full; server: BackendState } | { kind: ChoiceKind.NoServer };
 
 /** What an attempt showed about its server. */
 export interface AttemptResult {
@@ -59,6 +22,7 @@
     /** Time in milliseconds from the send to the first byte of the answer. */
     firstByteMs?: number;
     load?: LoadReport;
+    answerBytes?: number;
 }
 
 export interface Balancer {
@@ -89,40 +53,16 @@
     regionHasInstances: (region: string) => boolean;
 }
 
-/** Requests beyond its slots that a server is given, so that a slot is never empty for the time of a round trip. */
-const maxAheadOfSlots = 2;
-/** Extra cost in milliseconds of another zone of the own region, since bytes between zones are charged for. */
-const zoneCrossingCostMs = 12;
-/**
- * Extra cost in milliseconds for each rank in other regions. Objects that leave a region spread over the others by it; it
- * is less than the difference between a warm and a cold server, so that an object stays where it has been.
- */
-const otherRegionRankCostMs = 6;
-/** Cost of an expected failure, in target latencies of the route. */
-const failureCostInTargets = 2;
-/** Weight of one answer in the slowness of a server. */
-const slownessWeight = 0.08;
-/** Time constant in milliseconds by which an unused server's slowness returns to normal. */
+/** Part of a server's slowness that is forgiven at each adaptation, so that a server which is no longer used is tried again. */
 const slownessDecay = 0.02;
-const minSlowness = 0.5;
-const maxSlowness = 12;
 
 export function createBalancer(options: BalancerOptions): Balancer {
     const { clock, table, zone, region } = options;
     const ranks = createObjectRanks(region);
     const distance = createZoneDistance(zone, region);
-    const estimates = new Map<string, WorkEstimate>();
+    const costs = createPlacementCosts({ zone, region, distance });
     const spills = new Map<string, RegionSpill>();
 
-    const estimateOf = (route: Route): WorkEstimate => {
-        let estimate = estimates.get(route.name);
-        if (estimate === undefined) {
-            estimate = createWorkEstimate(route.targetLatencyMs);
-            estimates.set(route.name, estimate);
-        }
-        return estimate;
-    };
-
     const spillOf = (service: string): RegionSpill => {
         let spill = spills.get(service);
         if (spill === undefined) {
@@ -151,103 +91,54 @@
         takesCold(server, now) &&
         (req.route.allowedRegions.length === 0 || req.route.allowedRegions.includes(server.region));
 
-    const expectedWork = ({ server, rankInZone }: Candidate, req: RoutedRequest): number => {
-        const estimate = estimateOf(req.route);
-        if (!req.route.hasAffinity || server.warm.has(placementKey(req))) {
-            return estimate.expect(true);
-        }
-        // Other instances send the object to the first of its zone, so it may well be warm there.
-        return rankInZone === 0
-            ? (estimate.expect(true) + estimate.expect(false)) / 2
-            : estimate.expect(false);
-    };
-
-    const place = (candidate: Candidate, req: RoutedRequest, now: number): Placement => {
-        const { server } = candidate;
-        const workMs = expectedWork(candidate, req) * server.slowness;
-        const busy = server.load.expected(now);
-        const beyond = Math.max(0, busy + 1 - server.record.slots);
-        const waitMs = (beyond / server.record.slots) * workMs;
-        const roundTripMs = distance.roundTripMs(server);
-        return {
-            kind: ChoiceKind.Send,
-            server,
-            isWarm: server.warm.has(placementKey(req)),
-            expectedMs: roundTripMs + waitMs + workMs,
-            waitMs,
-            roundTripMs,
-            startedAt: now,
-            otherRegionRank: candidate.otherRegionRank,
-        };
-    };
-
-    const costOf = (placement: Placement, req: RoutedRequest, now: number): number => {
-        const { server, otherRegionRank } = placement;
-        const crossing = server.region === region && server.record.zone !== zone ? zoneCrossingCostMs : 0;
-        const spread = otherRegionRank * otherRegionRankCostMs;
-        const failure = server.health.failureRate(now) * failureCostInTargets * req.route.targetLatencyMs;
-        return placement.expectedMs + crossing + spread + failure;
-    };
+    const isCheaper = (a: Placement | undefined, b: Placement | undefined) =>
+        a !== undefined && (b === undefined || a.costMs < b.costMs);
 
+    /** Returns the cheapest placement among servers that are open, whether they have room at once or not. */
     const pickBest = (candidates: readonly Candidate[], req: RoutedRequest, now: number) => {
         let best: Placement | undefined;
-        let bestCost = Infinity;
-        let isAnyOpen = false;
-        let leastWaitMs = Infinity;
         for (const candidate of candidates) {
-            if (!isOpen(candidate.server, req, now)) {
-                continue;
-            }
-            isAnyOpen = true;
-            const placement = place(candidate, req, now);
-            leastWaitMs = Math.min(leastWaitMs, placement.waitMs);
-            const { load, record } = candidate.server;
-            if (load.expected(now) >= record.slots + maxAheadOfSlots) {
-                continue;
-            }
-            const cost = costOf(placement, req, now);
-            if (cost < bestCost) {
-                best = placement;
-                bestCost = cost;
+            if (isOpen(candidate.server, req, now)) {
+                const placement = costs.place(candidate, req, now);
+                best = isCheaper(placement, best) ? placement : best;
             }
         }
-        return { best, bestCost, isAnyOpen, leastWaitMs };
+        return best;
     };
 
-    const choose = (req: RoutedRequest): Choice => {
-        const now = clock.now();
+    /** Servers beyond the ranks of the object, for a request whose ranked servers are all closed. */
+    const pickRest = (servers: readonly BackendState[], req: RoutedRequest, now: number) =>
+        pickBest(
+            servers.map(server => ({ server, rankInZone: servers.length, otherRegionRank: 0 })),
+            req,
+            now,
+        );
+
+    const pick = (req: RoutedRequest, now: number): Placement | undefined => {
         const servers = table.usable(req.service);
         const all = ranks.candidates(req.service, placementKey(req), servers, table.revision());
+        const isHome = ({ server }: Candidate) => server.region === region;
+        const own = all.filter(isHome);
+        const others = all.filter(candidate => !isHome(candidate));
         const spill = spillOf(req.service);
-        const own = all.filter(({ server }) => server.region === region);
-        const others = all.filter(({ server }) => server.region !== region);
         const leaves = own.length === 0 || (others.length > 0 && spill.leaves(placementKey(req)));
-        let found = pickBest(leaves ? others : own, req, now);
-        if (found.best === undefined || found.best.waitMs > 0) {
-            const alternative = pickBest(leaves ? own : others, req, now);
-            const isBetter = alternative.best !== undefined && alternative.bestCost < found.bestCost;
-            if (isBetter && (!found.isAnyOpen || spill.tryOverflow())) {
-                found = alternative;
-            } else {
-                found.isAnyOpen ||= alternative.isAnyOpen;
-            }
+        const first = pickBest(leaves ? others : own, req, now);
+        if (first?.waitMs === 0) {
+            return first;
         }
-        if (found.best !== undefined) {
-            return found.best;
+        const second = pickBest(leaves ? own : others, req, now);
+        if (first === undefined || (second?.hasRoom && isCheaper(second, first) && spill.tryOverflow())) {
+            return second ?? pickRest(servers, req, now);
         }
-        // The ranks name only some servers; a request that found none of them may go to any.
-        const rest = pickBest(
-            servers.map(server => ({ server, rankInZone: servers.length, otherRegionRank: 0 })),
-            req,
-            now,
-        );
-        const isHome = rest.best?.server.region === region;
-        if (rest.best !== undefined && (isHome || !found.isAnyOpen || spill.tryOverflow())) {
-            return rest.best;
+        return first;
+    };
+
+    const choose = (req: RoutedRequest): Choice => {
+        const best = pick(req, clock.now());
+        if (best === undefined) {
+            return { kind: ChoiceKind.NoServer };
         }
-        return found.isAnyOpen || rest.isAnyOpen
-            ? { kind: ChoiceKind.Full, expectedWaitMs: Math.min(found.leastWaitMs, rest.leastWaitMs) }
-            : { kind: ChoiceKind.NoServer };
+        return best.hasRoom ? best : { kind: ChoiceKind.Full, server: best.server };
     };
 
     const useOf = (servers: readonly BackendState[], now: number): RegionUse => {
@@ -260,19 +151,6 @@
         };
     };
 
-    const learnWork = (req: RoutedRequest, placement: Placement, firstByteMs: number) => {
-        if (placement.waitMs > 0) {
-            return;
-        }
-        const { server, isWarm } = placement;
-        const workMs = Math.max(1, firstByteMs - placement.roundTripMs);
-        const estimate = estimateOf(req.route);
-        const ratio = workMs / Math.max(1, placement.expectedMs / server.slowness - placement.roundTripMs);
-        const limited = Math.min(maxSlowness, Math.max(minSlowness, ratio));
-        server.slowness += (limited - server.slowness) * slownessWeight;
-        estimate.learn(isWarm, workMs / Math.max(1, server.slowness));
-    };
-
     return {
         choose,
         start: (req, { server }) => {
@@ -285,7 +163,7 @@
             req.tried.add(server.record.id);
             server.warm.add(placementKey(req));
         },
-        finish: (req, placement, { outcome, firstByteMs, load }) => {
+        finish: (req, placement, { outcome, firstByteMs, load, answerBytes = 0 }) => {
             const now = clock.now();
             const { server } = placement;
             server.load.finish();
@@ -294,7 +172,7 @@
                 server.load.report(load, now);
             }
             if (outcome === ServerOutcome.Success && firstByteMs !== undefined) {
-                learnWork(req, placement, firstByteMs);
+                costs.learn(req, placement, firstByteMs, answerBytes);
             }
             if (outcome === ServerOutcome.Unreachable) {
                 server.warm.clear();
@@ -306,7 +184,9 @@
         adapt: () => {
             const now = clock.now();
             for (const { name } of table.services()) {
-                spillOf(name).adapt(useOf(table.usable(name), now), now);
+                const use = useOf(table.usable(name), now);
+                spillOf(name).adapt(use, now);
+                costs.setUse(name, use.busy / Math.max(1, use.slots));
             }
             for (const server of table.all()) {
                 server.slowness += (1 - server.slowness) * slownessDecay;
@@ -314,12 +194,7 @@
         },
         describe: () => ({
             spill: Object.fromEntries([...spills].map(([service, spill]) => [service, spill.part()])),
-            work: Object.fromEntries(
-                [...estimates].map(([name, estimate]) => [
-                    name,
-                    { warmMs: estimate.expect(true), coldMs: estimate.expect(false) },
-                ]),
-            ),
+            work: costs.describe(),
             distance: distance.describe(),
         }),
     };
@@ -328,8 +203,3 @@
 function countSlots(servers: readonly BackendState[]): number {
     return servers.reduce((sum, { record }) => sum + record.slots, 0);
 }
-
-/** Servers keep what they know of an object for each route apart, so the routes of an object are placed apart as well. */
-function placementKey({ route, objectKey }: RoutedRequest): string {
-    return `${route.name}\n${objectKey}`;
-}
--- a/packages/balancing/src/index.ts
+++ b/packages/balancing/src/index.ts
@@ -5,6 +5,8 @@
 export * from "./balancer.js";
 export * from "./cold-limit.js";
 export * from "./object-ranks.js";
+export * from "./placement-costs.js";
+export * from "./placement.js";
 export * from "./region-spill.js";
 export * from "./retry-window.js";
 export * from "./route-index.js";
--- a/packages/balancing/src/server-load.ts
+++ b/packages/balancing/src/server-load.ts
@@ -12,6 +12,10 @@
     inFlight(): number;
     /** Requests that the server is expected to have, of all instances. */
     expected(now: number): number;
+    /** Requests of this instance that wait for the server. */
+    waiting(): number;
+    addWaiting(): void;
+    removeWaiting(): void;
     start(): void;
     finish(): void;
     report(load: LoadReport, now: number): void;
@@ -29,6 +33,7 @@
     let own = 0;
     let others = 0;
     let reportedAt = 0;
+    let waiting = 0;
 
     const expectedOthers = (now: number) =>
         others === 0 ? 0 : others * Math.exp(-(now - reportedAt) / reportDecayMs);
@@ -36,14 +41,21 @@
     return {
         inFlight: () => own,
         expected: now => own + expectedOthers(now),
+        waiting: () => waiting,
+        addWaiting: () => {
+            waiting += 1;
+        },
+        removeWaiting: () => {
+            waiting -= 1;
+        },
         start: () => {
             own += 1;
         },
         finish: () => {
             own = Math.max(0, own - 1);
         },
-        report: ({ running, waiting }, now) => {
-            others = Math.max(0, running + waiting - own);
+        report: (reported, now) => {
+            others = Math.max(0, reported.running + reported.waiting - own);
             reportedAt = now;
         },
         reset: () => {
--- a/packages/balancing/src/work-estimate.ts
+++ b/packages/balancing/src/work-estimate.ts
@@ -1,9 +1,12 @@
-/** Expected time of the work of a route on a backend server, learned from answers. */
+/** Expected time of the work of a route on a backend server, and size of its answers, learned from answers. */
 
 export interface WorkEstimate {
     /** Expected time in milliseconds without waiting; `isWarm` when the server has handled the object recently. */
     expect(isWarm: boolean): number;
     learn(isWarm: boolean, workMs: number): void;
+    /** Mean size of an answer. */
+    answerBytes(): number;
+    learnBytes(bytes: number): void;
 }
 
 /** Weight of one answer. About the last forty answers decide, a few seconds of a route's traffic at one instance. */
@@ -11,11 +14,15 @@
 /** Work for an object that a server knows, relative to the target latency, before any answer. */
 const initialWarmPart = 0.4;
 const initialColdPart = 1.1;
+const initialAnswerBytes = 4096;
 
 export function createWorkEstimate(targetLatencyMs: number): WorkEstimate {
     const warm = createMean(targetLatencyMs * initialWarmPart);
     const cold = createMean(targetLatencyMs * initialColdPart);
+    const bytes = createMean(initialAnswerBytes);
     return {
+        answerBytes: () => bytes.value(),
+        learnBytes: size => bytes.add(size),
         expect: isWarm => (isWarm ? warm.value() : Math.max(cold.value(), warm.value())),
         learn: (isWarm, workMs) => (isWarm ? warm : cold).add(workMs),
     };
--- a/packages/balancing/test/admission.test.ts
+++ b/packages/balancing/test/admission.test.ts
@@ -1,15 +1,23 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ChoiceKind, createAdmissionControl } from "@waxwingdale/balancing";
-import type { Admission, Balancer, Choice, Placement, RoutedRequest } from "@waxwingdale/balancing";
+import { ChoiceKind, createAdmissionControl, createServerLoad } from "@waxwingdale/balancing";
+import type {
+    Admission,
+    BackendState,
+    Balancer,
+    Choice,
+    Placement,
+    RoutedRequest,
+} from "@waxwingdale/balancing";
 import { createManualClock } from "@waxwingdale/core";
 import { createRoute } from "./fixtures.js";
 
 function setUp() {
     const clock = createManualClock(1000);
     let room = 0;
+    const server = { load: createServerLoad() } as BackendState;
     const placement = { kind: ChoiceKind.Send, expectedMs: 50 } as Placement;
-    const choose = (): Choice => (room > 0 ? placement : { kind: ChoiceKind.Full, expectedWaitMs: 100 });
+    const choose = (): Choice => (room > 0 ? placement : { kind: ChoiceKind.Full, server });
     const admission = createAdmissionControl({ clock, balancer: { choose } as unknown as Balancer });
     const createRequest = (fields: Partial<RoutedRequest> = {}): RoutedRequest => ({
         route: createRoute(),
--- a/packages/balancing/test/balancer.test.ts
+++ b/packages/balancing/test/balancer.test.ts
@@ -44,12 +44,14 @@
     for (let index = 0; index < 16; index++) {
         const req = createRequest("1");
         const choice = balancer.choose(req);
-        if (choice.kind !== ChoiceKind.Send) {
+        if (choice.kind === ChoiceKind.Full) {
+            choice.server.load.addWaiting();
             full += 1;
             continue;
         }
-        balancer.start(req, choice);
-        const { id } = choice.server.record;
+        const placement = placed(choice);
+        balancer.start(req, placement);
+        const { id } = placement.server.record;
         perServer.set(id, (perServer.get(id) ?? 0) + 1);
     }
     assert.equal(perServer.size, 2);
@@ -57,6 +59,35 @@
     assert.ok(full >= 6);
 });
 
+// Guards against a state in which objects move to idle servers that do not know them, work takes three times as long, all
+// slots fill up and never empty again.
+test("burst: under high load a request waits for the server that knows its object", () => {
+    const { balancer, createRequest } = createInstance([
+        createServer("i-1", "n-a"),
+        createServer("i-2", "n-a"),
+    ]);
+    const warmUp = createRequest("1");
+    const home = placed(balancer.choose(warmUp)).server;
+    const learn = (isWarm: boolean, workMs: number) => {
+        const req = createRequest("1");
+        const placement = { ...placed(balancer.choose(req)), isWarm, workMs, waitMs: 0 };
+        balancer.start(req, placement);
+        balancer.finish(req, placement, { outcome: ServerOutcome.Success, firstByteMs: workMs });
+    };
+    for (let index = 0; index < 20; index++) {
+        learn(true, 70);
+        learn(false, 240);
+    }
+    const others = ["10", "11", "12", "13", "14", "15"].map(object => createRequest(object));
+    others.forEach((req, index) => {
+        const placement = placed(balancer.choose(req));
+        balancer.start(req, index < 3 ? { ...placement, server: home } : placement);
+    });
+    balancer.adapt();
+    const choice = balancer.choose(createRequest("1"));
+    assert.equal(choice.kind === ChoiceKind.NoServer ? undefined : choice.server, home);
+});
+
 // Guards against a failing server that attracts requests because it fails quickly.
 test("grey upstream: a server that fails half of its requests loses them to a sound one", () => {
     const { balancer, createRequest, clock } = createInstance([
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -274,6 +274,7 @@
             outcome,
             firstByteMs: answer?.firstByteMs,
             load: answer?.info.load,
+            answerBytes: answer?.body.length,
         });
         attempts.push({
             server: placement.server.record.id,
