feat(balancing): one server in each zone for an object, and a mean of the load of others

Each instance ranked four servers of each zone of its region for an object, and used 2.5 of them: about 55 objects a server, more than it keeps. Reports of other instances' requests decayed to zero, so that under load several instances filled the same queue (4751 of 22686 arrivals refused by servers). Change: the first open and sound server of each zone counts; the other zone's first is warm by its own callers. A report decays to the mean of the reports. Ruled out: slots (warm work needs half of them), instances (0.13 of 0.54 cores).

--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -4,7 +4,7 @@
 import type { BackendTable } from "./backend-table.js";
 import type { LoadReport } from "./server-load.js";
 import { createObjectRanks } from "./object-ranks.js";
-import type { Candidate } from "./object-ranks.js";
+import type { ZoneRanks } from "./object-ranks.js";
 import { createRegionSpill } from "./region-spill.js";
 import type { RegionSpill, RegionUse } from "./region-spill.js";
 import { ChoiceKind, placementKey } from "./placement.js";
@@ -53,6 +53,10 @@
     regionHasInstances: (region: string) => boolean;
 }
 
+/** Slowness from which a server is sick: cold work, which is about three times as long as warm work, must not look like it. */
+const sickSlowness = 3.5;
+/** Share of failed requests from which a server is sick; one failure alone is not enough. */
+const sickFailureRate = 0.2;
 /** Part of a server's slowness that is forgiven at each adaptation, so that a server which is no longer used is tried again. */
 const slownessDecay = 0.02;
 
@@ -91,14 +95,20 @@
         takesCold(server, now) &&
         (req.route.allowedRegions.length === 0 || req.route.allowedRegions.includes(server.region));
 
+    /** A server that is sick keeps no object: the next one of the zone learns it. */
+    const isSound = (server: BackendState, now: number): boolean =>
+        server.slowness < sickSlowness && server.health.failureRate(now) < sickFailureRate;
+
     const isCheaper = (a: Placement | undefined, b: Placement | undefined) =>
         a !== undefined && (b === undefined || a.costMs < b.costMs);
 
-    /** Returns the cheapest placement among servers that are open, whether they have room at once or not. */
-    const pickBest = (candidates: readonly Candidate[], req: RoutedRequest, now: number) => {
+    /** Returns the cheapest placement among the first open servers of zones, whether they have room at once or not. */
+    const pickBest = (zones: readonly ZoneRanks[], req: RoutedRequest, now: number) => {
         let best: Placement | undefined;
-        for (const candidate of candidates) {
-            if (isOpen(candidate.server, req, now)) {
+        for (const { candidates } of zones) {
+            const open = candidates.filter(({ server }) => isOpen(server, req, now));
+            const candidate = open.find(({ server }) => isSound(server, now)) ?? open[0];
+            if (candidate !== undefined) {
                 const placement = costs.place(candidate, req, now);
                 best = isCheaper(placement, best) ? placement : best;
             }
@@ -106,22 +116,23 @@
         return best;
     };
 
-    /** Servers beyond the ranks of the object, for a request whose ranked servers are all closed. */
-    const pickRest = (servers: readonly BackendState[], req: RoutedRequest, now: number) =>
-        pickBest(
-            servers.map(server => ({ server, rankInZone: servers.length, otherRegionRank: 0 })),
-            req,
-            now,
-        );
+    /** Any open server, for a request whose ranked servers are all closed. */
+    const pickRest = (servers: readonly BackendState[], req: RoutedRequest, now: number) => {
+        const alone = servers.map(server => ({
+            isOwnRegion: server.region === region,
+            candidates: [{ server, isFirstInZone: false, otherRegionRank: 0 }],
+        }));
+        return pickBest(alone, req, now);
+    };
 
     const pick = (req: RoutedRequest, now: number): Placement | undefined => {
         const servers = table.usable(req.service);
-        const all = ranks.candidates(req.service, placementKey(req), servers, table.revision());
-        const isHome = ({ server }: Candidate) => server.region === region;
-        const own = all.filter(isHome);
-        const others = all.filter(candidate => !isHome(candidate));
+        const key = placementKey(req);
+        const zones = ranks.zones(req.service, key, servers, table.revision());
+        const own = zones.filter(({ isOwnRegion }) => isOwnRegion);
+        const others = zones.filter(({ isOwnRegion }) => !isOwnRegion);
         const spill = spillOf(req.service);
-        const leaves = own.length === 0 || (others.length > 0 && spill.leaves(placementKey(req)));
+        const leaves = own.length === 0 || (others.length > 0 && spill.leaves(key));
         const first = pickBest(leaves ? others : own, req, now);
         if (first?.waitMs === 0) {
             return first;
--- a/packages/balancing/src/object-ranks.ts
+++ b/packages/balancing/src/object-ranks.ts
@@ -5,58 +5,70 @@
 /** A backend server that may get the requests of an object. */
 export interface Candidate {
     server: BackendState;
-    /** Rank of the server for the object in its own zone; 0 is the server that other instances choose as well. */
-    rankInZone: number;
+    /** Whether other instances send the object to this server as well: it ranks first in its zone. */
+    isFirstInZone: boolean;
     /** Rank among the servers of all other regions; 0 in the own region. */
     otherRegionRank: number;
 }
 
+/** The servers of one zone, best first. Only the first that is open counts: each copy of an object costs others theirs. */
+export interface ZoneRanks {
+    isOwnRegion: boolean;
+    candidates: readonly Candidate[];
+}
+
 export interface ObjectRanks {
-    /** Candidates of an object, nearest zones with more alternatives. `revision` is that of the table of servers. */
-    candidates(
+    /** Ranks of an object in each zone. `revision` is that of the table of servers. */
+    zones(
         service: string,
         objectKey: string,
         servers: readonly BackendState[],
         revision: number,
-    ): readonly Candidate[];
+    ): readonly ZoneRanks[];
 }
 
 /** Objects whose ranks are kept; a rank costs a hash for each server of the service. */
 const maxCachedObjects = 4000;
-/** Alternatives for each zone of the own region, and for each other zone. */
-const ownRegionRanks = 4;
-const otherRegionRanks = 2;
+/** Servers of a zone that are ranked: the second and third serve when those before are closed. */
+const ranksInZone = 3;
+
+interface ScoredServer {
+    server: BackendState;
+    score: number;
+}
 
 export function createObjectRanks(ownRegion: string): ObjectRanks {
-    const cache = new Map<string, readonly Candidate[]>();
+    const cache = new Map<string, readonly ZoneRanks[]>();
     let cachedRevision = -1;
 
-    const rank = (objectKey: string, servers: readonly BackendState[]): readonly Candidate[] => {
-        const byZone = new Map<string, { server: BackendState; score: number }[]>();
+    const scoreByZone = (objectKey: string, servers: readonly BackendState[]): ScoredServer[][] => {
+        const byZone = new Map<string, ScoredServer[]>();
         for (const server of servers) {
             const scored = byZone.get(server.record.zone) ?? [];
             scored.push({ server, score: hash32(`${objectKey}\n${server.record.id}`) });
             byZone.set(server.record.zone, scored);
         }
-        const ranked = [...byZone.values()].flatMap(scored => {
-            const limit = scored[0]!.server.region === ownRegion ? ownRegionRanks : otherRegionRanks;
-            return scored
-                .sort((a, b) => b.score - a.score)
-                .slice(0, limit)
-                .map(({ server, score }, rankInZone) => ({ server, score, rankInZone }));
-        });
-        let othersBefore = 0;
-        return ranked
-            .sort((a, b) => b.score - a.score)
-            .map(({ server, rankInZone }) => ({
+        const zones = [...byZone.values()];
+        zones.forEach(scored => scored.sort((a, b) => b.score - a.score));
+        return zones.sort((a, b) => b[0]!.score - a[0]!.score);
+    };
+
+    const rank = (objectKey: string, servers: readonly BackendState[]): readonly ZoneRanks[] => {
+        let otherRegionRank = 0;
+        return scoreByZone(objectKey, servers).map(scored => {
+            const isOwnRegion = scored[0]!.server.region === ownRegion;
+            const zoneRank = isOwnRegion ? 0 : otherRegionRank++;
+            const candidates = scored.slice(0, ranksInZone).map(({ server }, index) => ({
                 server,
-                rankInZone,
-                otherRegionRank: server.region === ownRegion ? 0 : othersBefore++,
+                isFirstInZone: index === 0,
+                otherRegionRank: zoneRank,
             }));
+            return { isOwnRegion, candidates };
+        });
     };
 
     return {
-        candidates: (service, objectKey, servers, revision) => {
+        zones: (service, objectKey, servers, revision) => {
             if (revision !== cachedRevision || cache.size > maxCachedObjects) {
                 cache.clear();
                 cachedRevision = revision;
--- a/packages/balancing/src/placement-costs.ts
+++ b/packages/balancing/src/placement-costs.ts
@@ -62,7 +62,7 @@
         return estimate;
     };
 
-    const expectWork = ({ server, rankInZone }: Candidate, req: RoutedRequest): number => {
+    const expectWork = ({ server, isFirstInZone }: Candidate, req: RoutedRequest): number => {
         const estimate = estimateOf(req.route);
         const warmMs = estimate.expect(true);
         if (!req.route.hasAffinity || server.warm.has(placementKey(req))) {
@@ -70,7 +70,7 @@
         }
         const coldMs = estimate.expect(false);
         // Other instances send the object to the first of its zone, so it may well be warm there.
-        return rankInZone === 0 ? coldMs + (warmMs - coldMs) * likelyWarmPart : coldMs;
+        return isFirstInZone ? coldMs + (warmMs - coldMs) * likelyWarmPart : coldMs;
     };
 
     const crossingCost = ({ server }: Candidate, route: Route): number => {
--- a/packages/balancing/src/server-load.ts
+++ b/packages/balancing/src/server-load.ts
@@ -24,19 +24,26 @@
 }
 
 /**
- * Time constant in milliseconds by which a report of other instances' requests loses weight. It follows from the work
- * of a request, after which the reported requests have ended.
+ * Time constant in milliseconds by which a report of other instances' requests gives way to their mean. It follows from the
+ * work of a request, after which the reported requests have ended and others have come.
  */
-const reportDecayMs = 400;
+const reportDecayMs = 300;
+/** Time constant in milliseconds by which the mean falls without reports, when nobody sends there any more. */
+const meanDecayMs = 4000;
+/** Weight of one report in the mean. */
+const meanWeight = 0.15;
 
 export function createServerLoad(): ServerLoad {
     let own = 0;
-    let others = 0;
-    let reportedAt = 0;
     let waiting = 0;
+    let reported = 0;
+    let mean = 0;
+    let reportedAt = 0;
 
-    const expectedOthers = (now: number) =>
-        others === 0 ? 0 : others * Math.exp(-(now - reportedAt) / reportDecayMs);
+    const expectedOthers = (now: number) => {
+        const age = now - reportedAt;
+        return (mean + (reported - mean) * Math.exp(-age / reportDecayMs)) * Math.exp(-age / meanDecayMs);
+    };
 
     return {
         inFlight: () => own,
@@ -54,12 +61,14 @@
         finish: () => {
             own = Math.max(0, own - 1);
         },
-        report: (reported, now) => {
-            others = Math.max(0, reported.running + reported.waiting - own);
+        report: (load, now) => {
+            reported = Math.max(0, load.running + load.waiting - own);
+            mean += (reported - mean) * meanWeight;
             reportedAt = now;
         },
         reset: () => {
-            others = 0;
+            reported = 0;
+            mean = 0;
         },
     };
 }
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -5,8 +5,9 @@
 
 /** Lists the test files of all packages. */
 function listTestFiles() {
-    return readdirSync("packages").flatMap(pkg => {
-        const dir = join("packages", pkg, "test");
+    const folders = [...readdirSync("packages").map(pkg => join("packages", pkg)), "platform"];
+    return folders.flatMap(folder => {
+        const dir = join(folder, "test");
         return existsSync(dir)
             ? readdirSync(dir)
                   .filter(name => name.endsWith(".test.ts"))
