fix(relay,balancing): stale connections cost no attempt, new routes are not refused

(2) 'request-refused reason=too-late waitedMs=0' on a route whose requests had never run: without a target latency the timeout served as one, and the first expected time was longer than the timeout, so that nothing was ever learned. (3) Entries that lapse in the sight of a waiting watch would take all servers out at once. Watch calls are at least 200 ms apart, since each is charged for. The tests fail without the changes (kept connection, first request).

--- a/packages/balancing/src/placement-costs.ts
+++ b/packages/balancing/src/placement-costs.ts
@@ -56,7 +56,7 @@
     const estimateOf = (route: Route): WorkEstimate => {
         let estimate = estimates.get(route.name);
         if (estimate === undefined) {
-            estimate = createWorkEstimate(route.targetLatencyMs);
+            estimate = createWorkEstimate(route);
             estimates.set(route.name, estimate);
         }
         return estimate;
--- a/packages/balancing/src/work-estimate.ts
+++ b/packages/balancing/src/work-estimate.ts
@@ -9,16 +9,24 @@
     learnBytes(bytes: number): void;
 }
 
+/** Times of a route in milliseconds that the first estimate follows from. */
+export interface LatencyBounds {
+    targetLatencyMs: number;
+    timeoutMs: number;
+}
+
 /** Weight of one answer. About the last forty answers decide, a few seconds of a route's traffic at one instance. */
 const learningRate = 0.025;
 /** Work for an object that a server knows, relative to the target latency, before any answer. */
 const initialWarmPart = 0.4;
 const initialColdPart = 1.1;
+const maxInitialPart = 0.4;
 const initialAnswerBytes = 4096;
 
-export function createWorkEstimate(targetLatencyMs: number): WorkEstimate {
+export function createWorkEstimate({ targetLatencyMs, timeoutMs }: LatencyBounds): WorkEstimate {
     const warm = createMean(targetLatencyMs * initialWarmPart);
-    const cold = createMean(targetLatencyMs * initialColdPart);
+    // A route whose first request seems to take too long would be refused for ever, and nothing would be learned.
+    const cold = createMean(Math.min(targetLatencyMs * initialColdPart, timeoutMs * maxInitialPart));
     const bytes = createMean(initialAnswerBytes);
     return {
         answerBytes: () => bytes.value(),
--- a/packages/balancing/test/balancer.test.ts
+++ b/packages/balancing/test/balancer.test.ts
@@ -171,3 +171,10 @@
     }
     assert.equal(ids.size, 4);
 });
+
+// Guards against a route that is refused for ever since its first request is expected to take longer than its timeout.
+test("the first request of a route is expected to be in time", () => {
+    const { balancer, createRequest } = createInstance(fourServers);
+    const route = createRoute({ targetLatencyMs: 900, timeoutMs: 900 });
+    assert.ok(placed(balancer.choose(createRequest("1", { route }))).expectedMs < 900);
+});
--- a/packages/gateway/src/store-followers.ts
+++ b/packages/gateway/src/store-followers.ts
@@ -38,8 +38,8 @@
 const minBackoffMs = 150;
 /** Longest time in milliseconds between two calls to a store that is away: its return is noticed that much later. */
 const maxBackoffMs = 1000;
-/** Least time in milliseconds between two watch calls, since each call is charged for. */
-const minIntervalMs = 50;
+/** Least time in milliseconds between two watch calls, since each call is charged for and many servers start together. */
+const minIntervalMs = 200;
 
 export function createStoreFollowers(options: StoreFollowersOptions): StoreFollowers {
     const { clock, logger, config, table } = options;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -56,6 +56,8 @@
 const hedgeFactor = 3;
 /** Time in milliseconds that is added to it, for the scatter of short work. */
 const hedgeSlackMs = 120;
+/** Time in milliseconds beyond a round trip within which the end of a reused connection is noticed. */
+const staleSlackMs = 8;
 /** Part of the time left that a second attempt must fit into. */
 const usableTimePart = 0.9;
 
@@ -308,6 +310,10 @@
         }
     };
 
+    /** A reused connection that breaks within a round trip was closed by the server before. */
+    const isStale = ({ isReused, sentAt, placement }: RunningAttempt): boolean =>
+        isReused && clock.now() - sentAt < placement.roundTripMs + staleSlackMs;
+
     const onFailure = (attempt: RunningAttempt, failure: ExchangeFailure, detail: string) => {
         if (failure === ExchangeFailure.NotConnected) {
             sends -= 1;
@@ -316,7 +322,14 @@
             tryAgain(false, () => refuse({ reason: lastFailure, retryAfterMs: retryDelay() }));
             return;
         }
-        endAttempt(attempt, ServerOutcome.Broken, `${failure}: ${detail}`);
+        if (isStale(attempt)) {
+            // The connection was gone before the request arrived: the server has hardly begun to run it.
+            sends -= 1;
+            endAttempt(attempt, ServerOutcome.Cancelled, `stale: ${detail}`);
+            routed.tried.delete(attempt.placement.server.record.id);
+        } else {
+            endAttempt(attempt, ServerOutcome.Broken, `${failure}: ${detail}`);
+        }
         mayHaveRun = true;
         lastFailure = "the backend server's answer was lost";
         const giveUp = () => fail(RequestOutcome.Failed, 502, lastFailure);
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -195,6 +195,25 @@
     assert.equal(totalSent(), 10);
 });
 
+// Guards against a connection that the server has closed, which used up the attempts of a request.
+test("a kept connection that was reset does not count as an attempt of an idempotent request", async t => {
+    const cutOnce = new Set<string>();
+    const script: Script = (text, socket) => {
+        const id = idOf(text);
+        if (id.startsWith("cut") && !cutOnce.has(`${id} ${socket.remotePort}`)) {
+            cutOnce.add(`${id} ${socket.remotePort}`);
+            if (cutOnce.size <= 3) {
+                socket.resetAndDestroy();
+                return;
+            }
+        }
+        socket.write(formatAnswer(text, `body of ${id}`));
+    };
+    const { instance } = await setUp(t, script);
+    await Promise.all(["a", "b", "c"].map(id => sendRaw(instance.port, formatRequest(Idempotent, id), 1)));
+    assert.match(await sendRaw(instance.port, formatRequest(Idempotent, "cut"), 1), /body of cut$/);
+});
+
 test("a path without a route gets 404, and no server sees it", async t => {
     const { instance, totalSent } = await setUp(t, answer);
     const text = await sendRaw(instance.port, "GET /none/1 HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n", 1);
--- a/packages/store/src/version-filter.ts
+++ b/packages/store/src/version-filter.ts
@@ -17,6 +17,8 @@
     takeAbsent(listed: ReadonlySet<string>): string[];
     /** Whether the last list lacked objects that may come back. */
     hasSuspects(): boolean;
+    /** Objects that are not known to be gone. */
+    size(): number;
     /** Returns the highest version seen. */
     highest(): number;
 }
@@ -74,6 +76,7 @@
             return absent;
         },
         hasSuspects: () => [...suspects].some(key => live.has(key)),
+        size: () => live.size,
         highest: () => highest,
     };
 }
--- a/packages/store/src/watch-prefix.ts
+++ b/packages/store/src/watch-prefix.ts
@@ -55,6 +55,10 @@
     maxBackoffMs?: number;
 }
 
+/** Objects that are removed at once, as a number and as a part of all, for which a list has to confirm the removal. */
+const massRemovalCount = 3;
+const massRemovalPart = 0.34;
+
 /** Runs until the signal aborts. A failing store is tried again after a growing waiting time. */
 export async function watchPrefix(options: WatchPrefixOptions): Promise<void> {
     const { store, prefix, clock, random, logger, signal } = options;
@@ -101,6 +105,16 @@
         return seen.hasSuspects();
     };
 
+    /** Owners that could not reach the store lose their entries together, and write them again when it is back. */
+    const isMassRemoval = ({ changes }: WatchResult) => {
+        const removed = changes.filter(({ deleted }) => deleted).length;
+        return (
+            options.absentGraceMs !== undefined &&
+            removed >= massRemovalCount &&
+            removed > seen.size() * massRemovalPart
+        );
+    };
+
     const applyChanges = ({ changes }: WatchResult) => {
         for (const { key, version, value, deleted } of changes) {
             if (!deleted) {
@@ -130,6 +144,11 @@
                 return true;
             }
             failures = 0;
+            if (isMassRemoval(result)) {
+                logger.warn("store-mass-removal", { prefix, changes: result.changes.length });
+                wasLost = true;
+                return false;
+            }
             wasLost &&= isConfirming;
             applyChanges(result);
             await clock.sleep(Math.max(0, nextCallAt - clock.now()), signal);
