feat(gateway): starts without the store, settings that change, an address for metrics

An instance that restarts while the store is away was not ready until its return. The configuration is now the project's replicated document: it comes from the store or, by gossip, from a peer that is ahead. The settings are read again by SIGHUP and when the file changes; a file that cannot be used changes nothing. Metrics have a fixed port, since the deploy file needs one. Ruled out: a copy of the store's state in an object of our own, which could not be read either while the store is away.

--- a/packages/config/src/replicated-document.ts
+++ b/packages/config/src/replicated-document.ts
@@ -2,6 +2,7 @@
 import { getErrorMessage } from "@waxwingdale/core";
 import type { Clock, Logger, ObjectStore, PeerTransport, Random } from "@waxwingdale/core";
 import { watchPrefix } from "@waxwingdale/store";
+import type { WatchPrefixOptions } from "@waxwingdale/store";
 import * as v from "valibot";
 import type { DocumentExchange } from "./document-exchange.js";
 import { InvalidDocumentError, UnsupportedDocumentError } from "./document-errors.js";
@@ -35,6 +36,13 @@
      * @throws UnsupportedDocumentError when this release cannot apply the value; any other error means an invalid value
      */
     parse: (value: unknown) => Value;
+    /** Times of the watch, and what is called when the store is lost or answers again. */
+    watch?: Partial<
+        Pick<
+            WatchPrefixOptions,
+            "waitMs" | "minIntervalMs" | "minBackoffMs" | "maxBackoffMs" | "onLost" | "onRegained"
+        >
+    >;
 }
 
 /** A value of greater order than the one in force that this process cannot apply. */
@@ -178,6 +186,7 @@
 
     const followStore = (signal: AbortSignal) =>
         watchPrefix({
+            ...options.watch,
             store,
             prefix: key,
             clock,
--- a/packages/gateway/src/bin/waxwingdale-gateway.ts
+++ b/packages/gateway/src/bin/waxwingdale-gateway.ts
@@ -27,7 +27,7 @@
             process.stdout.write(`${path}: ok\n`);
             return;
         }
-        handleSignals(await startGateway(settings));
+        handleSignals(await startGateway(settings, path));
     } catch (err) {
         process.stderr.write(`waxwingdale-gateway: ${getErrorMessage(err)}\n`);
         process.exit(getExitCode(err));
@@ -52,8 +52,7 @@
     };
     process.on("SIGTERM", stop);
     process.on("SIGINT", stop);
-    // What the settings hold is fixed for the life of a process, so a reload has nothing to change.
-    process.on("SIGHUP", () => gateway.logger.info("reload", { changed: false }));
+    process.on("SIGHUP", () => void gateway.reload());
     process.on("unhandledRejection", err =>
         gateway.logger.error("unhandled-rejection", { error: getErrorMessage(err) }),
     );
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -6,23 +6,28 @@
     createRetryWindow,
 } from "@waxwingdale/balancing";
 import type { RetryWindow } from "@waxwingdale/balancing";
+import { createDocumentExchange } from "@waxwingdale/config";
 import { MemberStatus, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
 import { createRelay, createUpstreamPool } from "@waxwingdale/relay";
 import { container } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
-import { createConfigInForce } from "./config-in-force.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { tokens } from "./gateway-tokens.js";
 import type { AddPart, GatewayBase } from "./gateway-tokens.js";
 import { createInstanceDirectory } from "./instance-directory.js";
 import { logRequest } from "./request-log.js";
-import { createStoreFollowers } from "./store-followers.js";
+import { createStoreView } from "./store-view.js";
+import { createTrafficDocument } from "./traffic-document.js";
+import { watchTimes } from "./watch-times.js";
 
 /** Bytes of a body before a configuration names a bound. */
 const defaultBodyBytes = 1024 * 1024;
 
+/** Longest wait of a watch for the configuration in milliseconds. A connection that went silent is noticed after it. */
+const configWaitMs = 4000;
+
 /** Creates the container of one instance. Nothing runs yet. */
 export function composeGateway(base: GatewayBase): DependencyContainer {
     const scope = container.createChildContainer();
@@ -41,7 +46,7 @@
     add(tokens.rpcServer, get => createRpcServer(get(tokens.base).logger));
     add(tokens.rpcClient, get => {
         const { settings, fleetKey } = get(tokens.base);
-        return createRpcClient({ id: settings.id, fleetKey, connections: 1 });
+        return createRpcClient({ id: settings().id, fleetKey, connections: 1 });
     });
     add(tokens.membership, get => {
         const { self, clock, random, logger, settings } = get(tokens.base);
@@ -52,7 +57,7 @@
             clock,
             random,
             logger,
-            findSeeds: async () => settings.seeds,
+            findSeeds: async () => settings().seeds,
         });
     });
     add(tokens.directory, get => createInstanceDirectory(() => get(tokens.membership).members()));
@@ -60,16 +65,35 @@
 
 /** Configuration and backend servers. */
 function composeState(add: AddPart): void {
-    add(tokens.config, get => createConfigInForce(get(tokens.base).logger));
+    add(tokens.exchange, get =>
+        createDocumentExchange({ registry: get(tokens.rpcServer), logger: get(tokens.base).logger }),
+    );
+    add(tokens.config, get => {
+        const { store, clock, random, logger } = get(tokens.base);
+        const exchange = get(tokens.exchange);
+        get(tokens.membership).addExtension("documents", {
+            digest: () => exchange.orders(),
+            merge: (digest, peerAddress) => exchange.noteRemoteOrders(peerAddress, digest),
+        });
+        return createTrafficDocument({
+            store,
+            transport: get(tokens.rpcClient),
+            exchange,
+            clock,
+            random,
+            logger,
+            watch: watchTimes(logger, "config/", configWaitMs),
+        });
+    });
     add(tokens.table, get => {
         const { clock, logger, settings } = get(tokens.base);
-        const { coldFactor, coldSlack } = settings.bounds;
         const config = get(tokens.config);
         const table = createBackendTable({
             clock,
             logger,
-            regionOf: zone => settings.zones[zone],
+            regionOf: zone => settings().zones[zone],
             coldRequestsPerSecond: name => {
+                const { coldFactor, coldSlack } = settings().bounds;
                 const service = config.current()?.services.find(other => other.name === name);
                 return (service?.coldRequestsPerSecond ?? 0) * coldFactor + coldSlack;
             },
@@ -79,16 +103,18 @@
         config.onChange(({ services }) => table.setServices(services));
         return table;
     });
-    add(tokens.followers, get => {
+    add(tokens.storeView, get => {
         const { store, clock, random, logger, signal } = get(tokens.base);
-        return createStoreFollowers({
+        return createStoreView({
             store,
             clock,
             random,
             logger,
             signal,
-            config: get(tokens.config),
             table: get(tokens.table),
+            members: () => get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
         });
     });
 }
@@ -109,10 +135,10 @@
         return createBalancer({
             clock,
             table: get(tokens.table),
-            zone: settings.zone,
-            region: settings.region,
-            regions: new Set(Object.values(settings.zones)).size,
-            maxRegionShift: settings.bounds.maxRegionShift,
+            zone: settings().zone,
+            region: settings().region,
+            regions: new Set(Object.values(settings().zones)).size,
+            maxRegionShift: settings().bounds.maxRegionShift,
             hasInstances: zone => members().some(member => member.zone === zone),
             regionHasInstances: region => members().some(member => member.region === region),
         });
@@ -121,7 +147,7 @@
         createAdmissionControl({ clock: get(tokens.base).clock, balancer: get(tokens.balancer) }),
     );
     add(tokens.retries, get => {
-        const { retryRatio, retrySlack, retryWindowSeconds } = get(tokens.base).settings.bounds;
+        const { retryRatio, retrySlack, retryWindowSeconds } = get(tokens.base).settings().bounds;
         const windows = new Map<string, RetryWindow>();
         return service => {
             let window = windows.get(service);
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -1,5 +1,6 @@
 /** The parts of a gateway instance, as the composition names them. */
 import type { AdmissionControl, BackendTable, Balancer, RetryWindow } from "@waxwingdale/balancing";
+import type { DocumentExchange } from "@waxwingdale/config";
 import { createToken } from "@waxwingdale/core";
 import type {
     Clock,
@@ -14,15 +15,16 @@
 } from "@waxwingdale/core";
 import type { Membership } from "@waxwingdale/membership";
 import type { Relay, UpstreamPool, WireProtocol } from "@waxwingdale/relay";
-import type { ConfigInForce } from "./config-in-force.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import type { InstanceDirectory } from "./instance-directory.js";
 import type { GatewaySettings } from "./settings.js";
-import type { StoreFollowers } from "./store-followers.js";
+import type { StoreView } from "./store-view.js";
+import type { TrafficDocument } from "./traffic-document.js";
 
 /** What is known before any part is built. */
 export interface GatewayBase {
-    settings: GatewaySettings;
+    /** Settings in force; all but the instance's place and addresses may change. */
+    settings: () => GatewaySettings;
     self: Member;
     clock: Clock;
     random: Random;
@@ -42,9 +44,10 @@
     rpcClient: createToken<RpcClient>("rpcClient"),
     membership: createToken<Membership>("membership"),
     directory: createToken<InstanceDirectory>("directory"),
-    config: createToken<ConfigInForce>("config"),
+    exchange: createToken<DocumentExchange>("exchange"),
+    config: createToken<TrafficDocument>("config"),
     table: createToken<BackendTable>("table"),
-    followers: createToken<StoreFollowers>("followers"),
+    storeView: createToken<StoreView>("storeView"),
     balancer: createToken<Balancer>("balancer"),
     admission: createToken<AdmissionControl>("admission"),
     retries: createToken<(service: string) => RetryWindow>("retries"),
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -19,10 +19,13 @@
 import { tokens } from "./gateway-tokens.js";
 import { createPeerHandler, openListener } from "./listeners.js";
 import type { Listener } from "./listeners.js";
+import { createSettingsSource } from "./settings-source.js";
 import type { GatewaySettings } from "./settings.js";
 
 export interface Gateway {
     logger: Logger;
+    /** Reads the settings again. */
+    reload(): Promise<void>;
     /** Ends after the requests that have been read are answered, at the latest with the declared time for it. */
     stop(): Promise<void>;
 }
@@ -40,8 +43,8 @@
 const stopMarginMs = 700;
 const stopCheckMs = 50;
 
-/** Starts an instance. It serves once the store has been read. */
-export async function startGateway(settings: GatewaySettings): Promise<Gateway> {
+/** Starts an instance. It serves once the store has been read, or a peer has told what it knows. */
+export async function startGateway(settings: GatewaySettings, settingsPath: string): Promise<Gateway> {
     const clock = createSystemClock();
     const output = createLogOutput({ clock });
     const logger = createLogger(clock, {
@@ -52,8 +55,14 @@
     });
     const controller = new AbortController();
     const startedAt = clock.wallTime();
+    const source = createSettingsSource({
+        path: settingsPath,
+        initial: settings,
+        clock,
+        logger: () => logger,
+    });
     const scope = composeGateway({
-        settings,
+        settings: () => source.current(),
         self: {
             id: settings.id,
             incarnation: startedAt,
@@ -77,14 +86,26 @@
     const get = <T>(token: Token<T>) => resolveToken(scope, token);
     const membership = get(tokens.membership);
     const relay = get(tokens.relay);
-    const followers = get(tokens.followers);
+    const storeView = get(tokens.storeView);
     const config = get(tokens.config);
     let isStopping = false;
 
-    const notReady = () => (isStopping ? "stopping" : followers.missing());
+    const notReady = () => {
+        if (isStopping) {
+            return "stopping";
+        }
+        return config.current() === undefined ? "no configuration" : storeView.missing();
+    };
     const directory = get(tokens.directory);
     const ttlSeconds = Math.min(lookupTtlSeconds, settings.bounds.lookupTtlSeconds);
     const callers = await openListener(settings.listen.callers, (req, res) => relay.handle(req, res));
+    const peerHandler = createPeerHandler({
+        fleetKey: hashText(settings.store),
+        rpc: get(tokens.rpcServer),
+        logger,
+        metrics: () => get(tokens.metrics).registry.metrics(),
+        state: () => describeState(get),
+    });
     const others = await Promise.all([
         openListener(settings.listen.readiness, createReadinessHandler(notReady)),
         openListener(
@@ -94,16 +115,10 @@
                 return { addresses: directory.find(region, zone), ttlSeconds };
             }),
         ),
-        openListener(
-            settings.listen.peers,
-            createPeerHandler({
-                fleetKey: hashText(settings.store),
-                rpc: get(tokens.rpcServer),
-                logger,
-                metrics: () => get(tokens.metrics).registry.metrics(),
-                state: () => describeState(get),
-            }),
-        ),
+        openListener(settings.listen.peers, peerHandler),
+        ...(settings.listen.metrics === undefined
+            ? []
+            : [openListener(settings.listen.metrics, peerHandler)]),
     ]);
     config.onChange(({ limits }) => applyLimits(callers, limits.idleTimeoutMs, limits.headerTimeoutMs));
     addGauges(get);
@@ -116,7 +131,9 @@
         }),
         every(sweepIntervalMs, () => get(tokens.pool).sweep()),
     ];
-    void followers.run();
+    void source.run(controller.signal);
+    void config.run(controller.signal);
+    void storeView.run();
     void membership.run(controller.signal);
     logger.info("started", {
         zone: settings.zone,
@@ -126,8 +143,9 @@
 
     return {
         logger,
+        reload: () => source.reload("signal"),
         stop: async () => {
-            const stopAt = clock.now() + settings.bounds.graceSeconds * 1000 - stopMarginMs;
+            const stopAt = clock.now() + source.current().bounds.graceSeconds * 1000 - stopMarginMs;
             const closeAt = clock.now() + acceptAfterStopMs;
             logger.info("stopping", { active: relay.active() });
             isStopping = true;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -16,6 +16,8 @@
         /** For calls between instances; it also serves state and metrics. */
         peers: addressSchema,
         directory: addressSchema,
+        /** For the collector of metrics, when it does not use the peers' address. */
+        metrics: v.optional(addressSchema),
     }),
     /** Peer addresses to join by. */
     seeds: v.optional(v.array(addressSchema), []),
--- /dev/null
+++ b/packages/gateway/test/instance-directory.test.ts
@@ -0,0 +1,46 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { MemberStatus } from "@waxwingdale/core";
+import type { Member } from "@waxwingdale/core";
+import { createInstanceDirectory } from "@waxwingdale/gateway";
+
+function createMember(id: string, zone: string, region: string, fields: Partial<Member> = {}): Member {
+    return {
+        id,
+        incarnation: 1,
+        session: 1,
+        status: MemberStatus.Live,
+        region,
+        zone,
+        callerAddress: `${id}:1`,
+        peerAddress: `${id}:2`,
+        ready: true,
+        ...fields,
+    };
+}
+
+test("clients get the instances of their zone, else of their region, else any", () => {
+    let members = [
+        createMember("a", "n-a", "north"),
+        createMember("b", "n-b", "north"),
+        createMember("c", "s-a", "south"),
+    ];
+    const directory = createInstanceDirectory(() => members);
+    assert.deepEqual(directory.find("north", "n-a"), ["a:1"]);
+    members = members.slice(1);
+    assert.deepEqual(directory.find("north", "n-a"), ["b:1"]);
+    members = members.slice(1);
+    assert.deepEqual(directory.find("north", "n-a"), ["c:1"]);
+    assert.deepEqual(directory.find(undefined, undefined), ["c:1"]);
+});
+
+// Guards against clients that are sent to an instance which stops, is dead or has no configuration yet.
+test("an instance that does not serve is not named", () => {
+    const members = [
+        createMember("a", "n-a", "north", { ready: false }),
+        createMember("b", "n-a", "north", { status: MemberStatus.Leaving }),
+        createMember("c", "n-a", "north", { status: MemberStatus.Dead }),
+        createMember("d", "n-a", "north", { status: MemberStatus.Suspect }),
+    ];
+    assert.deepEqual(createInstanceDirectory(() => members).find("north", "n-a"), []);
+});
