fix(balancing): shares of a split hold for all instances together

Cause, found by reading: each instance followed the objects up to four requests away from a share, and all instances in the same direction. Nine instances together may so be 36 of 300 requests off, more than the tenth that is allowed for a window; 89 instances that all begin with the same service are off by their number. Change: the allowance is shared by the instances, none when each has less than half a request, and instances begin at random points of the split. An answer to HEAD is not waited for longer than its head.

--- a/packages/balancing/src/service-split.ts
+++ b/packages/balancing/src/service-split.ts
@@ -1,5 +1,6 @@
 /** Splits the requests of a route between services in the declared proportions. */
 import { hash32 } from "@waxwingdale/core";
+import type { Random } from "@waxwingdale/core";
 import type { ServiceShare } from "./traffic-config.js";
 
 export interface ServiceSplit {
@@ -7,16 +8,29 @@
     next(objectKey: string | undefined): string;
 }
 
-/** Requests by which the split may be ahead of or behind a share before the object no longer decides. */
-const maxDeviation = 4;
+export interface ServiceSplitOptions {
+    shares: readonly ServiceShare[];
+    /** Instances that split the requests of the route, each on its own. */
+    instances: () => number;
+    random: Random;
+}
+
+/**
+ * Requests by which all instances together may be ahead of or behind a share. The objects decide in the same way
+ * everywhere, so the deviations of instances add up, and shares are declared for windows of a few hundred requests.
+ */
+const maxFleetDeviation = 18;
+/** Most of it for one instance, and the least for which objects decide: a whole request goes to one service. */
+const maxDeviation = 2;
+const minDeviation = 0.5;
 const hashRange = 2 ** 32;
 
 /**
- * Creates a split. The object picks the service by its hash, since its backend server is warm there. A share that is more
- * than `maxDeviation` requests away from its due is corrected at once, since the declared proportions hold for any
- * window of time.
+ * Creates a split. The object picks the service by its hash, since its backend server is warm there. A share that is too
+ * far from its due is corrected at once, since the declared proportions hold for any window of time. Instances begin at
+ * random points, so that their first requests do not all go to one service.
  */
-export function createServiceSplit(shares: readonly ServiceShare[]): ServiceSplit {
+export function createServiceSplit({ shares, instances, random }: ServiceSplitOptions): ServiceSplit {
     const total = shares.reduce((sum, { weight }) => sum + weight, 0);
     const parts = shares
         .filter(({ weight }) => weight > 0)
@@ -34,22 +48,25 @@
         return first;
     };
 
-    return {
-        next: objectKey => {
-            if (parts.length <= 1) {
-                return first.service;
-            }
-            parts.forEach(part => (part.due += part.share));
-            const mostDue = parts.reduce((a, b) => (b.due > a.due ? b : a));
-            let picked = objectKey === undefined ? mostDue : pickByObject(objectKey);
-            if (mostDue.due > maxDeviation || picked.due < -maxDeviation) {
-                picked = mostDue;
-            }
-            picked.due -= 1;
-            return picked.service;
-        },
+    const take = (objectKey: string | undefined): string => {
+        const allowed = Math.min(maxDeviation, maxFleetDeviation / instances());
+        parts.forEach(part => (part.due += part.share));
+        const mostDue = parts.reduce((a, b) => (b.due > a.due ? b : a));
+        let picked = objectKey === undefined || allowed < minDeviation ? mostDue : pickByObject(objectKey);
+        if (mostDue.due > allowed || picked.due < -allowed) {
+            picked = mostDue;
+        }
+        picked.due -= 1;
+        return picked.service;
     };
+
+    for (let step = Math.floor(random() * maxInitialSteps); step > 0 && parts.length > 1; step--) {
+        take(undefined);
+    }
+    return { next: objectKey => (parts.length <= 1 ? first.service : take(objectKey)) };
 }
 
 /** Separates the choice of a service from the choice of a backend server, which hashes the same keys. */
 const splitSeed = 17;
+/** Steps of the split, at most, by which an instance begins later than another. */
+const maxInitialSteps = 100;
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -177,7 +177,7 @@
         });
     });
     add(tokens.relay, get => {
-        const { clock, protocol, logger } = get(tokens.base);
+        const { clock, protocol, logger, random } = get(tokens.base);
         const config = get(tokens.config);
         const metrics = get(tokens.metrics);
         return createRelay({
@@ -188,6 +188,8 @@
             pool: get(tokens.pool),
             retries: get(tokens.retries),
             routes: () => config.routes(),
+            instances: () => get(tokens.membership).members().length,
+            random,
             maxBodyBytes: () => config.current()?.limits.bodyBytes ?? defaultBodyBytes,
             onRequest: record => {
                 metrics.observe(record);
--- a/packages/relay/src/answer-parser.ts
+++ b/packages/relay/src/answer-parser.ts
@@ -12,7 +12,8 @@
 }
 
 export interface AnswerEvents {
-    onHead(head: AnswerHead): void;
+    /** Returns whether a body follows, as far as the headers announce one. */
+    onHead(head: AnswerHead): boolean;
     onBody(chunk: Buffer): void;
     /** The answer is complete. */
     onComplete(): void;
@@ -25,12 +26,15 @@
     end(): boolean;
 }
 
+/** Tells the parser that no body follows. */
+const noBody = 1;
+
 /** Creates the parser of one connection. */
 export function createAnswerParser(events: AnswerEvents): AnswerParser {
     const parser = new HTTPParser(HTTPParser.RESPONSE);
     parser[HTTPParser.kOnHeadersComplete] = info => {
-        events.onHead(readHead(info));
-        return undefined;
+        const hasBody = events.onHead(readHead(info));
+        return hasBody ? undefined : noBody;
     };
     parser[HTTPParser.kOnBody] = (buffer, offset, length) => {
         // The parser reuses the chunk of the socket, which stays valid as long as it is referenced.
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -12,7 +12,7 @@
     RouteIndex,
     ServiceSplit,
 } from "@waxwingdale/balancing";
-import type { Clock } from "@waxwingdale/core";
+import type { Clock, Random } from "@waxwingdale/core";
 import { passAnswer, sendOwnAnswer } from "./caller-answer.js";
 import { formatRequestHead } from "./forwarded-headers.js";
 import { readBody } from "./request-body.js";
@@ -34,6 +34,9 @@
     /** Routes in force; undefined before the first configuration is known. */
     routes: () => RouteIndex | undefined;
     maxBodyBytes: () => number;
+    /** Instances that serve traffic. */
+    instances: () => number;
+    random: Random;
     onRequest: (record: RequestRecord) => void;
     /** The server with this id is no longer at its address. */
     onOtherServer: (serverId: string) => void;
@@ -75,7 +78,11 @@
         }
         let split = splits.get(route.name);
         if (split === undefined) {
-            split = createServiceSplit(route.shares);
+            split = createServiceSplit({
+                shares: route.shares,
+                instances: options.instances,
+                random: options.random,
+            });
             splits.set(route.name, split);
         }
         return split;
@@ -427,6 +434,7 @@
         connection.exchange(
             {
                 requestId: info.requestId,
+                hasAnswerBody: req.method !== "HEAD",
                 head: `${head}${protocol.formatAttemptHeaders(leftMs, server.record.id)}\r\n`,
                 body: request.body,
             },
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -35,6 +35,8 @@
     requestId: string | undefined;
     head: string;
     body: Buffer | undefined;
+    /** False for a request whose answer has no body, whatever its headers say. */
+    hasAnswerBody: boolean;
 }
 
 export interface UpstreamConnection {
@@ -153,12 +155,13 @@
             if (isSkipping) {
                 // The next answer on the connection may be out of step as well.
                 isLast ||= head.status >= 200;
-                return;
+                return true;
             }
             exchange!.head = head;
             exchange!.info = info;
             exchange!.firstByteAt = clock.now();
             keepIdleMs = readIdleMs(head.headers.get("keep-alive")) ?? defaultIdleMs;
+            return exchange!.req.hasAnswerBody;
         },
         onBody: chunk => {
             if (isSkipping || exchange === undefined || exchange.isComplete) {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -180,6 +180,8 @@
         pool,
         retries: () => retries,
         routes: () => index,
+        instances: () => 1,
+        random: () => 0,
         maxBodyBytes: () => limits.bodyBytes,
         onRequest: record => records.push(record),
         onOtherServer: id => table.remove(id),
