fix(gateway): look-ups name an instance from the moment at which it is ready

Cause, seen once beside load ('requests are served by servers of the own zone'): readiness was answered at once, and passed on to the directory by the next tick, up to 100 ms later; look-ups named another zone meanwhile. Both now come from one place.

--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -96,6 +96,12 @@
         }
         return config.current() === undefined ? "no configuration" : storeView.missing();
     };
+    /** Look-ups name this instance from the moment at which it says that it is ready. */
+    const updateReadiness = () => {
+        const reason = notReady();
+        membership.setReady(reason === undefined);
+        return reason;
+    };
     const directory = get(tokens.directory);
     const ttlSeconds = Math.min(lookupTtlSeconds, settings.bounds.lookupTtlSeconds);
     const callers = await openListener(settings.listen.callers, (req, res) => relay.handle(req, res));
@@ -107,7 +113,7 @@
         state: () => describeState(get),
     });
     const others = await Promise.all([
-        openListener(settings.listen.readiness, createReadinessHandler(notReady)),
+        openListener(settings.listen.readiness, createReadinessHandler(updateReadiness)),
         openListener(
             settings.listen.directory,
             createDirectoryHandler(({ region, zone }) => {
@@ -127,7 +133,7 @@
     const timers = [
         every(adaptIntervalMs, () => {
             get(tokens.balancer).adapt();
-            membership.setReady(notReady() === undefined);
+            updateReadiness();
         }),
         every(sweepIntervalMs, () => get(tokens.pool).sweep()),
     ];
