--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,6 +1,7 @@
 /** Carries requests between callers and backend servers over HTTP/1.1. */
 export * from "./answer-parser.js";
 export * from "./caller-answer.js";
+export * from "./carry-request.js";
 export * from "./forwarded-headers.js";
 export * from "./relay.js";
 export * from "./request-outcome.js";
