--- a/packages/balancing/src/retry-window.ts
+++ b/packages/balancing/src/retry-window.ts
@@ -15,8 +15,6 @@
     countRequest(now: number): void;
     /** Takes one retry; false when the window has no room. */
     tryRetry(now: number): boolean;
-    /** Part of the allowance that is used, from 0 to 1. */
-    usage(now: number): number;
 }
 
 /**
@@ -39,6 +37,5 @@
             retries.add(now);
             return true;
         },
-        usage: now => Math.min(1, retries.count(now) / Math.max(1, allowance(now))),
     };
 }
--- a/packages/balancing/src/server-health.ts
+++ b/packages/balancing/src/server-health.ts
@@ -23,7 +23,6 @@
     /** Expected share of failed requests, from 0 to 1. */
     failureRate(now: number): number;
     learn(outcome: ServerOutcome, now: number): void;
-    reset(): void;
 }
 
 /** Time in milliseconds without new requests after the first failure to connect. */
@@ -74,10 +73,5 @@
                 unreachableInARow = 0;
             }
         },
-        reset: () => {
-            rate = 0;
-            unreachableInARow = 0;
-            closedUntil = -Infinity;
-        },
     };
 }
--- a/packages/balancing/src/server-load.ts
+++ b/packages/balancing/src/server-load.ts
@@ -19,8 +19,6 @@
     start(): void;
     finish(): void;
     report(load: LoadReport, now: number): void;
-    /** Forgets the reports, for example at a restart of the server. */
-    reset(): void;
 }
 
 /**
@@ -66,9 +64,5 @@
             mean += (reported - mean) * meanWeight;
             reportedAt = now;
         },
-        reset: () => {
-            reported = 0;
-            mean = 0;
-        },
     };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Shared types, enums and small services that every other package builds on. */
+export * from "./add-gauge.js";
 export * from "./clock.js";
 export * from "./errors.js";
 export * from "./fingerprint.js";
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of an entry in Prometheus' format. */
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from "prom-client";
 import type { CarrierMetrics } from "@waxwingdale/carrier";
+import { addGauge } from "@waxwingdale/core";
 import type { Outcome, ReasonCode, RequestClass } from "@waxwingdale/core";
 
 /** Upper bounds in seconds of the latency buckets. */
@@ -57,16 +58,7 @@
         },
         countRetry: service => retries.inc({ service }),
         countLookup: () => lookups.inc(),
-        addGauge: (name, help, read) => {
-            new Gauge({
-                name,
-                help,
-                registers: [registry],
-                collect() {
-                    this.set(read());
-                },
-            });
-        },
+        addGauge: (name, help, read) => addGauge(registry, name, help, read),
         addLabelledGauge: (name, help, label, read) => {
             new Gauge({
                 name,
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of a gateway instance in Prometheus' format. */
+import { addGauge } from "@waxwingdale/core";
 import type { RequestRecord } from "@waxwingdale/relay";
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
 
 /** Upper bounds in seconds of the latency buckets. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5];
@@ -57,15 +58,6 @@
             }
         },
         countLookup: () => lookups.inc(),
-        addGauge: (name, help, read) => {
-            new Gauge({
-                name,
-                help,
-                registers: [registry],
-                collect() {
-                    this.set(read());
-                },
-            });
-        },
+        addGauge: (name, help, read) => addGauge(registry, name, help, read),
     };
 }
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -13,7 +13,6 @@
     /** Closes idle connections that are too old to be used. */
     sweep(): void;
     connections(): number;
-    opened(): number;
     destroy(): void;
 }
 
@@ -40,7 +39,6 @@
 export function createUpstreamPool(options: UpstreamPoolOptions): UpstreamPool {
     const { clock } = options;
     const byServer = new Map<string, ServerConnections>();
-    let opened = 0;
 
     const connectionsOf = (serverId: string): ServerConnections => {
         let found = byServer.get(serverId);
@@ -53,7 +51,6 @@
 
     const open = (server: BackendState): UpstreamConnection => {
         const connections = connectionsOf(server.record.id);
-        opened += 1;
         const connection = openUpstreamConnection({
             address: server.record.address,
             clock,
@@ -101,7 +98,6 @@
             );
         },
         connections: () => [...byServer.values()].reduce((sum, { all }) => sum + all.size, 0),
-        opened: () => opened,
         destroy: () => byServer.forEach(({ all }) => [...all].forEach(connection => connection.destroy())),
     };
 }
