docs(gateway): a reason beside each constant

Constants of the gateway's packages without a line on what they follow from get one; the limit of log lines gets a name.

--- a/packages/balancing/src/placement-costs.ts
+++ b/packages/balancing/src/placement-costs.ts
@@ -41,9 +41,11 @@
  * know their objects, where they take a third of the time, instead of filling the last idle slots with long work.
  */
 const fullSlotPrice = 2;
+/** Highest price, for the use at which requests wait everywhere. */
 const maxSlotPrice = 4;
 /** Weight of one answer in the slowness of a server. */
 const slownessWeight = 0.08;
+/** Bounds of one answer's part in the slowness: a cold object or one lost packet alone must not mark a server as slow. */
 const minSlowness = 0.5;
 const maxSlowness = 12;
 /** Part of the way from cold to warm work for an object that other instances send to the same server. */
--- a/packages/balancing/src/region-spill.ts
+++ b/packages/balancing/src/region-spill.ts
@@ -40,6 +40,7 @@
 const overflowShare = 0.25;
 /** Requests that may leave at once after a time without. */
 const maxOverflow = 6;
+/** Separates the choice of the region from that of the server, which hashes the same keys. */
 const spillSeed = 29;
 const hashRange = 2 ** 32;
 
--- a/packages/balancing/src/work-estimate.ts
+++ b/packages/balancing/src/work-estimate.ts
@@ -20,7 +20,9 @@
 /** Work for an object that a server knows, relative to the target latency, before any answer. */
 const initialWarmPart = 0.4;
 const initialColdPart = 1.1;
+/** Most of the timeout that the first estimate may take. */
 const maxInitialPart = 0.4;
+/** Size of an answer before any is seen. */
 const initialAnswerBytes = 4096;
 
 export function createWorkEstimate({ targetLatencyMs, timeoutMs }: LatencyBounds): WorkEstimate {
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -32,8 +32,11 @@
 
 /** Time in seconds for which clients keep a look-up answer. Shorter ones tell clients sooner of lost instances. */
 const lookupTtlSeconds = 2;
+/** Log lines of one event in a second: more than an instance carries requests on an ordinary day. */
+const logLinesPerSecond = 200;
 /** Time in milliseconds between two adaptations of the balancer. */
 const adaptIntervalMs = 100;
+/** Time in milliseconds between two looks for idle connections that are too old. */
 const sweepIntervalMs = 1000;
 /** Margin in milliseconds by which idle connections of callers outlive the declared time. */
 const idleMarginMs = 1000;
@@ -41,6 +44,7 @@
 const acceptAfterStopMs = (lookupTtlSeconds + 0.5) * 1000;
 /** Margin in milliseconds by which the process ends before it is killed. */
 const stopMarginMs = 700;
+/** Time in milliseconds between two looks for requests in flight while stopping. */
 const stopCheckMs = 50;
 
 /** Starts an instance. It serves once the store has been read, or a peer has told what it knows. */
@@ -51,7 +55,7 @@
         level: settings.logLevel,
         base: { instance: settings.id },
         write: output.write,
-        maxLinesPerSecond: 200,
+        maxLinesPerSecond: logLinesPerSecond,
     });
     const controller = new AbortController();
     const startedAt = clock.wallTime();
--- a/packages/gateway/src/store-view.ts
+++ b/packages/gateway/src/store-view.ts
@@ -38,7 +38,9 @@
 const viewMethod = "backends.view";
 /** Time in milliseconds that the store has after a start before a peer is asked. */
 const storeHeadStartMs = 700;
+/** Time in milliseconds between two peers that are asked; a peer that starts as well has no view yet. */
 const askIntervalMs = 400;
+/** Time in milliseconds that a peer has to answer, several round trips between regions. */
 const askTimeoutMs = 1000;
 
 /** Longest wait of a watch for servers in milliseconds. A connection that went silent is noticed after it. */
--- a/packages/gateway/src/watch-times.ts
+++ b/packages/gateway/src/watch-times.ts
@@ -2,6 +2,7 @@
 import { getErrorMessage } from "@waxwingdale/core";
 import type { Logger } from "@waxwingdale/core";
 
+/** Time in milliseconds before the first call after a failure: most failures are one closed connection. */
 const minBackoffMs = 150;
 /** Longest time in milliseconds between two calls to a store that is away: its return is noticed that much later. */
 const maxBackoffMs = 1000;
--- a/packages/relay/src/carry-request.ts
+++ b/packages/relay/src/carry-request.ts
@@ -38,6 +38,7 @@
 const defaultDeadlineMs = 60_000;
 /** Idle time in milliseconds up to which a connection carries a request that must not run twice: a close by the server that crosses it cannot be told from a lost answer. */
 const nonIdempotentIdleMs = 3000;
+/** The same for a request that may run again, bounded by what the server says. */
 const idempotentIdleMs = 30_000;
 /** A silent attempt gets a second one beside it after this many expected times. */
 const hedgeFactor = 3;
