refactor(relay): one type for a reported load, one place for the time of a refusal

The load that a server reports was a type in balancing and another in relay; the part of the time that a refused caller stays away was a constant in both; the choice between another server and giving up stood twice in carry-request. Each is one piece now. Behaviour is unchanged: types, linter on the packages touched, and the unit tests of relay, balancing, gateway and decoding pass.

--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -59,6 +59,11 @@
 /** Requests that wait at most; beyond it a look for room would take too long. */
 const maxWaiting = 200;
 
+/** Returns the time in milliseconds after which a refused caller may come back. */
+export function getRetryAfterMs({ deadlineAt }: RoutedRequest, now: number): number {
+    return Math.max(0, deadlineAt - now) * retryAfterPart;
+}
+
 export function createAdmissionControl({ clock, balancer }: AdmissionOptions): AdmissionControl {
     const queue: WaitingRequest[] = [];
     let timer: Timer | undefined;
@@ -66,7 +71,7 @@
 
     const refuse = (req: RoutedRequest, reason: RefusalReason): Admission => {
         const now = clock.now();
-        const retryAfterMs = Math.max(0, req.deadlineAt - now) * retryAfterPart;
+        const retryAfterMs = getRetryAfterMs(req, now);
         return { refusal: { reason, retryAfterMs, waitedMs: now - req.arrivedAt } };
     };
 
--- a/packages/relay/src/carry-request.ts
+++ b/packages/relay/src/carry-request.ts
@@ -1,6 +1,6 @@
 /** Carries one request from its body to its answer: admission, attempts at backend servers, what the caller is told. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { ChoiceKind, RequestKind, ServerOutcome } from "@waxwingdale/balancing";
+import { ChoiceKind, RequestKind, ServerOutcome, getRetryAfterMs } from "@waxwingdale/balancing";
 import type {
     AdmissionControl,
     Balancer,
@@ -48,8 +48,6 @@
 const staleSlackMs = 8;
 /** Part of the time left that a second attempt must fit into. */
 const usableTimePart = 0.9;
-/** Part of the time left that a refused caller is asked to stay away; callers follow up to a third. */
-const retryAfterPart = 0.3;
 
 /** A request of a caller with its route and whole body. */
 export interface RelayedRequest {
@@ -211,6 +209,15 @@
         }
     };
 
+    /** A server may have run the request, so only one that may run again goes to another server. */
+    const tryAgainIfRepeatable = (giveUp: () => void) => {
+        if (isRepeatable) {
+            tryAgain(true, giveUp);
+        } else {
+            giveUp();
+        }
+    };
+
     /** A reused connection that breaks within a round trip was closed by the server before. */
     const isStale = ({ isReused, sentAt, placement }: RunningAttempt): boolean =>
         isReused && clock.now() - sentAt < placement.roundTripMs + staleSlackMs;
@@ -234,14 +241,10 @@
         mayHaveRun = true;
         lastFailure = "the backend server's answer was lost";
         const giveUp = () => fail(RequestOutcome.Failed, 502, lastFailure);
-        if (isRepeatable) {
-            tryAgain(true, giveUp);
-        } else {
-            giveUp();
-        }
+        tryAgainIfRepeatable(giveUp);
     };
 
-    const retryDelay = () => Math.max(0, deadlineAt - clock.now()) * retryAfterPart;
+    const retryDelay = () => getRetryAfterMs(routed, clock.now());
 
     const onNotRun = (attempt: RunningAttempt, answer: UpstreamAnswer) => {
         const isOther = answer.info.isOtherServer;
@@ -274,11 +277,7 @@
                 passAnswer(res, answer);
             }
         };
-        if (isRepeatable) {
-            tryAgain(true, giveUp);
-        } else {
-            giveUp();
-        }
+        tryAgainIfRepeatable(giveUp);
     };
 
     const onAnswer = (attempt: RunningAttempt, answer: UpstreamAnswer) => {
--- a/packages/relay/src/wire-protocol.ts
+++ b/packages/relay/src/wire-protocol.ts
@@ -1,5 +1,6 @@
 /** How requests and answers carry what the relay needs to know. The platform's headers are behind this class. */
 import type { IncomingHttpHeaders } from "node:http";
+import type { LoadReport } from "@waxwingdale/balancing";
 
 /** What a caller says about its request. */
 export interface RequestInfo {
@@ -11,13 +12,6 @@
     objectKey: string | undefined;
 }
 
-/** Load that a backend server reports with its answer. */
-export interface ReportedLoad {
-    running: number;
-    waiting: number;
-    slots: number;
-}
-
 /** What a backend server says with its answer. */
 export interface AnswerInfo {
     /** Id of the request that the answer belongs to. */
@@ -28,7 +22,7 @@
     isOtherServer: boolean;
     /** The answer bears the server's signature. */
     isSigned: boolean;
-    load: ReportedLoad | undefined;
+    load: LoadReport | undefined;
 }
 
 export abstract class WireProtocol {
