--- a/packages/gateway/src/watch-times.ts
+++ b/packages/gateway/src/watch-times.ts
@@ -16,8 +16,13 @@
         minIntervalMs,
         minBackoffMs,
         maxBackoffMs,
-        onLost: (err: unknown) =>
-            logger.warn("dependency-lost", { dependency: "store", prefix, error: getErrorMessage(err) }),
+        onLost: (err: unknown, silentMs: number) =>
+            logger.warn("dependency-lost", {
+                dependency: "store",
+                prefix,
+                silentMs: Math.round(silentMs),
+                error: getErrorMessage(err),
+            }),
         onRegained: (awayMs: number) =>
             logger.info("dependency-regained", { dependency: "store", prefix, awayMs: Math.round(awayMs) }),
     };
--- a/packages/store/src/watch-prefix.ts
+++ b/packages/store/src/watch-prefix.ts
@@ -39,8 +39,8 @@
     absentGraceMs?: number;
     /** Called after each complete list. */
     onListed?: () => void;
-    /** Called once when the store stops answering. */
-    onLost?: (error: unknown) => void;
+    /** Called once when the store stops answering, with the time in milliseconds since its last answer. */
+    onLost?: (error: unknown, silentMs: number) => void;
     /** Called when the store answers again, with the time in milliseconds that it was away. */
     onRegained?: (awayMs: number) => void;
     /**
@@ -69,6 +69,7 @@
     /** Whether the store has failed since the last complete read. */
     let wasLost = false;
     let lostAt: number | undefined;
+    let lastAnswerAt = clock.now();
 
     const applyObject = (object: StoredObject) => {
         if (seen.acceptValue(object.key, object.version)) {
@@ -77,6 +78,7 @@
     };
 
     const noteContact = () => {
+        lastAnswerAt = clock.now();
         if (lostAt !== undefined) {
             options.onRegained?.(clock.now() - lostAt);
             lostAt = undefined;
@@ -85,7 +87,7 @@
 
     const noteLoss = (err: unknown) => {
         if (lostAt === undefined) {
-            options.onLost?.(err);
+            options.onLost?.(err, clock.now() - lastAnswerAt);
             lostAt = clock.now();
         }
         wasLost = true;
--- a/packages/store/test/watch-prefix.test.ts
+++ b/packages/store/test/watch-prefix.test.ts
@@ -97,6 +97,31 @@
     assert.deepEqual(seen, ["a/1@1"]);
 });
 
+// Guards against a loss that is reported without the age of what was known before it.
+test("a loss is reported with the time since the last answer", async () => {
+    const clock = createManualClock();
+    const store = new MemoryObjectStore(clock);
+    const controller = new AbortController();
+    const losses: number[] = [];
+    const done = watchPrefix({
+        store,
+        prefix: "a/",
+        clock,
+        random: createRandom(1),
+        logger: createSilentLogger(),
+        signal: controller.signal,
+        waitMs: 4000,
+        onObject: () => undefined,
+        onLost: (_, silentMs) => losses.push(silentMs),
+    });
+    await clock.advance(1000);
+    store.faults.down = true;
+    await clock.advance(9000);
+    controller.abort();
+    await done;
+    assert.deepEqual(losses, [4000]);
+});
+
 /** Answers at once, as a store does that ignores the waiting time or has lost its history for good. */
 class HastyStore extends MemoryObjectStore {
     expired = false;
