feat(store): in a large region a few instances watch the store and the others follow these

Three instances of a region, or one in eight, watch; the others wait at one of these for changes, and ask the store at once when it has not answered their reader for 1.5 s or the reader does not answer. A region of three is as before. Ruled out: longer waits of each watch (a connection that went silent would be noticed too late) and stale reads (seconds old, which the bounds for draining and evacuation do not allow).

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -11,6 +11,7 @@
 import type { Member } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
 import { createRelay, createUpstreamPool } from "@waxwingdale/relay";
+import { createRelayedStore } from "@waxwingdale/store";
 import { container } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
 import { createGatewayMetrics } from "./gateway-metrics.js";
@@ -28,6 +29,9 @@
 /** Longest wait of a watch for the configuration in milliseconds. A connection that went silent is noticed after it. */
 const configWaitMs = 4000;
 
+/** Prefixes of the store that an instance watches at the same time: configuration, servers, evacuations. */
+const followedPrefixes = 3;
+
 /** Creates the container of one instance. Nothing runs yet. */
 export function composeGateway(base: GatewayBase): DependencyContainer {
     const scope = container.createChildContainer();
@@ -68,15 +72,28 @@
     add(tokens.exchange, get =>
         createDocumentExchange({ registry: get(tokens.rpcServer), logger: get(tokens.base).logger }),
     );
+    add(tokens.store, get => {
+        const { store, clock, logger, settings, fleetKey } = get(tokens.base);
+        // Peers that follow hold their calls open, which must not keep other calls to the same peer waiting.
+        const transport = createRpcClient({ id: settings().id, fleetKey, connections: followedPrefixes });
+        return createRelayedStore({
+            store,
+            members: () => get(tokens.membership),
+            transport,
+            rpc: get(tokens.rpcServer),
+            clock,
+            logger,
+        });
+    });
     add(tokens.config, get => {
-        const { store, clock, random, logger } = get(tokens.base);
+        const { clock, random, logger } = get(tokens.base);
         const exchange = get(tokens.exchange);
         get(tokens.membership).addExtension("documents", {
             digest: () => exchange.orders(),
             merge: (digest, peerAddress) => exchange.noteRemoteOrders(peerAddress, digest),
         });
         return createTrafficDocument({
-            store,
+            store: get(tokens.store),
             transport: get(tokens.rpcClient),
             exchange,
             clock,
@@ -104,9 +121,9 @@
         return table;
     });
     add(tokens.storeView, get => {
-        const { store, clock, random, logger, signal } = get(tokens.base);
+        const { clock, random, logger, signal } = get(tokens.base);
         return createStoreView({
-            store,
+            store: get(tokens.store),
             clock,
             random,
             logger,
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -45,6 +45,7 @@
     membership: createToken<Membership>("membership"),
     directory: createToken<InstanceDirectory>("directory"),
     exchange: createToken<DocumentExchange>("exchange"),
+    store: createToken<ObjectStore>("store"),
     config: createToken<TrafficDocument>("config"),
     table: createToken<BackendTable>("table"),
     storeView: createToken<StoreView>("storeView"),
--- /dev/null
+++ b/packages/store/src/change-log.ts
@@ -0,0 +1,83 @@
+/** What this process has heard from the store about one prefix, for peers that follow it. */
+import type { Clock, ObjectChange, WatchResult } from "@waxwingdale/core";
+
+export interface ChangeLog {
+    /** Adds the result of a watch from the position `since`. */
+    add(since: number, result: WatchResult): void;
+    /**
+     * Waits up to `waitMs` for changes after `since`. Undefined when only the store can tell: the log does not reach back
+     * to `since`, or the store has not answered for `maxAgeMs`.
+     */
+    follow(since: number, waitMs: number, maxAgeMs: number): Promise<WatchResult | undefined>;
+}
+
+/** Result of one watch call: all changes after `from`, up to `to`. */
+interface Batch {
+    from: number;
+    to: number;
+    changes: ObjectChange[];
+}
+
+/** Watch results kept. Peers that follow are behind by one or two. */
+const maxBatches = 64;
+
+/** Creates an empty log. */
+export function createChangeLog(clock: Clock): ChangeLog {
+    let batches: Batch[] = [];
+    let answeredAt = -Infinity;
+    const waiters = new Set<() => void>();
+
+    const end = () => batches.at(-1)?.to ?? 0;
+
+    /** Result for a peer at `since`; undefined while there are no changes for it. */
+    const findChanges = (since: number): WatchResult | undefined => {
+        const changes = batches.filter(({ to }) => to > since).flatMap(batch => batch.changes);
+        return changes.length === 0 ? undefined : { changes, version: end(), expired: false };
+    };
+
+    const reachesBackTo = (since: number) => batches.length > 0 && batches[0]!.from <= since;
+
+    const waitForAnswer = (waitMs: number) =>
+        new Promise<void>(resolve => {
+            const wake = () => {
+                timer.cancel();
+                waiters.delete(wake);
+                resolve();
+            };
+            const timer = clock.setTimer(waitMs, wake);
+            waiters.add(wake);
+        });
+
+    return {
+        add: (since, { changes, version, expired }) => {
+            answeredAt = clock.now();
+            // A list that was read in between has brought changes that are not in the log.
+            if (expired || since > end()) {
+                batches = [];
+            }
+            if (!expired) {
+                batches.push({ from: since, to: version, changes });
+                batches = batches.slice(-maxBatches);
+            }
+            [...waiters].forEach(wake => wake());
+        },
+        follow: async (since, waitMs, maxAgeMs) => {
+            const until = clock.now() + waitMs;
+            for (;;) {
+                const now = clock.now();
+                const freshMs = answeredAt + maxAgeMs - now;
+                if (freshMs <= 0 || !reachesBackTo(since)) {
+                    return undefined;
+                }
+                const found = findChanges(since);
+                if (found !== undefined) {
+                    return found;
+                }
+                if (now >= until) {
+                    return { changes: [], version: Math.max(since, end()), expired: false };
+                }
+                await waitForAnswer(Math.min(until - now, freshMs));
+            }
+        },
+    };
+}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -4,4 +4,5 @@
 export * from "./http-object-store.js";
 export * from "./lease.js";
 export * from "./memory-object-store.js";
+export * from "./relayed-store.js";
 export * from "./watch-prefix.js";
--- /dev/null
+++ b/packages/store/src/relayed-store.ts
@@ -0,0 +1,213 @@
+/**
+ * A store whose watches go through peers: a few instances of each region watch the store, and the others follow these.
+ * Each call to the store is charged for, and a watch of every instance wakes up at each change.
+ */
+import { MemberStatus, ObjectStore, getErrorMessage, pickOwner, rankOwners } from "@waxwingdale/core";
+import type {
+    Clock,
+    InstanceRecord,
+    Logger,
+    Member,
+    MemberView,
+    ObjectList,
+    PeerTransport,
+    RpcRegistry,
+    StoredObject,
+    WatchResult,
+} from "@waxwingdale/core";
+import * as v from "valibot";
+import { createChangeLog } from "./change-log.js";
+import type { ChangeLog } from "./change-log.js";
+
+export interface RelayedStoreOptions {
+    store: ObjectStore;
+    members: () => MemberView;
+    transport: PeerTransport;
+    rpc: RpcRegistry;
+    clock: Clock;
+    logger: Logger;
+}
+
+/** JSON-RPC method by which a peer follows a prefix. */
+const followMethod = "store.follow";
+/** Instances of a region that watch the store whatever its size, so that the loss of two leaves one. */
+const minReaders = 3;
+/** Instances of a region for each one that watches: what one of the smallest instances answers at about 1 % of its processor. */
+const instancesPerReader = 8;
+/** Longest watch in milliseconds of an instance that peers follow: they notice within it that it has lost the store. */
+const readerWaitMs = 1000;
+/** Time in milliseconds without an answer of the store after which a reader tells its followers to ask the store. */
+const maxAgeMs = 1500;
+/** Time in milliseconds for which a follower waits at a reader. */
+const followWaitMs = 1000;
+/** Time in milliseconds that the answer may take in addition, many round trips within a region. */
+const answerMarginMs = 400;
+/** Time in milliseconds for which a reader that failed is not asked. */
+const avoidMs = 5000;
+/** Time in milliseconds after its last question for which a follower counts. */
+const followerKeepMs = 5000;
+
+const paramsSchema = v.object({ prefix: v.string(), since: v.number(), waitMs: v.number() });
+const changeSchema = v.object({
+    key: v.string(),
+    version: v.number(),
+    value: v.optional(v.unknown()),
+    deleted: v.boolean(),
+});
+/** Result of `store.follow`; empty when the reader cannot tell. */
+const answerSchema = v.object({
+    result: v.optional(v.object({ changes: v.array(changeSchema), version: v.number() })),
+});
+
+/** Picks the instances of a region that watch the store: few of them change when instances come and go. */
+function pickReaders(ids: readonly string[]): string[] {
+    const count = Math.max(minReaders, Math.ceil(ids.length / instancesPerReader));
+    return rankOwners("store-readers", ids).slice(0, count);
+}
+
+/** Forwards all calls but watches to the store as they are. */
+class RelayedStore extends ObjectStore {
+    private readonly logs = new Map<string, ChangeLog>();
+    private readonly avoidUntil = new Map<string, number>();
+    /** Id of the reader, or "store", that answered the last watch of a prefix. */
+    private readonly sources = new Map<string, string>();
+    private followedAt = -Infinity;
+
+    constructor(private readonly options: RelayedStoreOptions) {
+        super();
+        options.rpc.addMethod(followMethod, params => this.answerFollower(params));
+    }
+
+    override get(key: string, signal?: AbortSignal): Promise<StoredObject | undefined> {
+        return this.options.store.get(key, signal);
+    }
+
+    override list(prefix: string, signal?: AbortSignal): Promise<StoredObject[]> {
+        return this.options.store.list(prefix, signal);
+    }
+
+    override listAt(prefix: string, signal?: AbortSignal): Promise<ObjectList> {
+        return this.options.store.listAt(prefix, signal);
+    }
+
+    override put(
+        key: string,
+        value: unknown,
+        expectedVersion: number,
+        signal?: AbortSignal,
+    ): Promise<number> {
+        return this.options.store.put(key, value, expectedVersion, signal);
+    }
+
+    override delete(key: string, expectedVersion: number, signal?: AbortSignal): Promise<void> {
+        return this.options.store.delete(key, expectedVersion, signal);
+    }
+
+    override listInstances(signal?: AbortSignal): Promise<InstanceRecord[]> {
+        return this.options.store.listInstances(signal);
+    }
+
+    override async watch(
+        prefix: string,
+        sinceVersion: number,
+        waitMs: number,
+        signal?: AbortSignal,
+    ): Promise<WatchResult> {
+        const reader = this.findReader(prefix);
+        const followed = reader && (await this.follow(reader, prefix, sinceVersion, waitMs));
+        if (followed !== undefined) {
+            this.noteSource(prefix, reader!.id);
+            return followed;
+        }
+        this.noteSource(prefix, "store");
+        return this.watchStore(prefix, sinceVersion, waitMs, signal);
+    }
+
+    private async watchStore(
+        prefix: string,
+        sinceVersion: number,
+        waitMs: number,
+        signal?: AbortSignal,
+    ): Promise<WatchResult> {
+        const isFollowed = this.options.clock.now() - this.followedAt < followerKeepMs;
+        const limitMs = isFollowed ? Math.min(waitMs, readerWaitMs) : waitMs;
+        const result = await this.options.store.watch(prefix, sinceVersion, limitMs, signal);
+        this.logOf(prefix).add(sinceVersion, result);
+        return result;
+    }
+
+    /** The instance to follow: one of the own zone if there is one. Undefined for a reader itself. */
+    private findReader(prefix: string): Member | undefined {
+        const view = this.options.members();
+        const self = view.self();
+        const now = this.options.clock.now();
+        const candidates = view
+            .liveInRegion(self.region)
+            .filter(({ id, status, ready }) => id === self.id || (status === MemberStatus.Live && ready));
+        const readers = pickReaders(candidates.map(({ id }) => id));
+        if (readers.includes(self.id)) {
+            return undefined;
+        }
+        const usable = readers.filter(id => (this.avoidUntil.get(id) ?? 0) <= now);
+        const near = usable.filter(id => view.find(id)?.zone === self.zone);
+        const choice = pickOwner(`${prefix}\n${self.id}`, near.length > 0 ? near : usable);
+        return choice === undefined ? undefined : view.find(choice);
+    }
+
+    /** Asks a reader for changes. Undefined when the store has to be asked. */
+    private async follow(
+        reader: Member,
+        prefix: string,
+        since: number,
+        maxWaitMs: number,
+    ): Promise<WatchResult | undefined> {
+        const { transport, clock, logger } = this.options;
+        const waitMs = Math.min(maxWaitMs, followWaitMs);
+        try {
+            const answer = await transport.call<unknown>(
+                reader.peerAddress,
+                followMethod,
+                { prefix, since, waitMs },
+                waitMs + answerMarginMs,
+            );
+            const { result } = v.parse(answerSchema, answer);
+            return (
+                result && {
+                    changes: result.changes.map(change => ({ ...change, value: change.value })),
+                    version: result.version,
+                    expired: false,
+                }
+            );
+        } catch (err) {
+            this.avoidUntil.set(reader.id, clock.now() + avoidMs);
+            logger.warn("store-reader-failed", { prefix, reader: reader.id, error: getErrorMessage(err) });
+            return undefined;
+        }
+    }
+
+    private async answerFollower(params: unknown): Promise<unknown> {
+        const { prefix, since, waitMs } = v.parse(paramsSchema, params);
+        this.followedAt = this.options.clock.now();
+        const result = await this.logOf(prefix).follow(since, Math.min(waitMs, followWaitMs), maxAgeMs);
+        return result === undefined ? {} : { result: { changes: result.changes, version: result.version } };
+    }
+
+    private logOf(prefix: string): ChangeLog {
+        const log = this.logs.get(prefix) ?? createChangeLog(this.options.clock);
+        this.logs.set(prefix, log);
+        return log;
+    }
+
+    private noteSource(prefix: string, source: string): void {
+        const from = this.sources.get(prefix);
+        if (from !== source) {
+            this.sources.set(prefix, source);
+            this.options.logger.info("store-watch-source", { prefix, source, from });
+        }
+    }
+}
+
+/** Creates the store that an instance watches through its peers. */
+export function createRelayedStore(options: RelayedStoreOptions): ObjectStore {
+    return new RelayedStore(options);
+}
--- /dev/null
+++ b/packages/store/test/relayed-store.test.ts
@@ -0,0 +1,199 @@
+/** Watches that go through peers. Pattern: many instances of one region, servers that come and go all the time. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    MemberStatus,
+    PeerTimeoutError,
+    createManualClock,
+    createRandom,
+    createSilentLogger,
+} from "@waxwingdale/core";
+import type { ManualClock, Member, MemberView, RpcHandler, WatchResult } from "@waxwingdale/core";
+import { MemoryObjectStore, createRelayedStore, watchPrefix } from "@waxwingdale/store";
+
+enum Path {
+    Open = "open",
+    /** Calls get no answer. */
+    Silent = "silent",
+}
+
+/** A store that one instance reaches over a path of its own. */
+class PathStore extends MemoryObjectStore {
+    readonly paths = new Map<string, Path>();
+    readonly calls = new Map<string, number>();
+
+    from(id: string): MemoryObjectStore {
+        const count = () => this.calls.set(id, (this.calls.get(id) ?? 0) + 1);
+        const wait = async () => {
+            if (this.paths.get(id) === Path.Silent) {
+                await this.clock.sleep(5500);
+                throw new PeerTimeoutError("the path to the store is silent");
+            }
+        };
+        const { clock } = this;
+        const store = this as MemoryObjectStore;
+        return new (class extends MemoryObjectStore {
+            override async list(...args: Parameters<MemoryObjectStore["list"]>) {
+                count();
+                await wait();
+                return store.list(...args);
+            }
+            override async watch(...args: Parameters<MemoryObjectStore["watch"]>): Promise<WatchResult> {
+                count();
+                await wait();
+                const [prefix, since, waitMs, signal] = args;
+                const result = await store.watch(prefix, since, waitMs, signal);
+                await wait();
+                return result;
+            }
+        })(clock);
+    }
+
+    countCalls(): number {
+        return [...this.calls.values()].reduce((sum, count) => sum + count, 0);
+    }
+}
+
+interface Instance {
+    id: string;
+    /** Keys that the instance takes as existing. */
+    keys: Set<string>;
+    /** When each key arrived. */
+    arrivedAt: Map<string, number>;
+}
+
+function startFleet(size: number) {
+    const clock: ManualClock = createManualClock();
+    const store = new PathStore(clock);
+    const controller = new AbortController();
+    const handlers = new Map<string, RpcHandler>();
+    const frozen = new Set<string>();
+    const members = Array.from({ length: size }, (_, i) => createMember(`gateway-${i}`, `z${i % 3}`));
+    const viewOf = (self: Member): MemberView => ({
+        self: () => self,
+        members: () => members,
+        liveInRegion: () => members,
+        find: id => members.find(member => member.id === id),
+        onChange: () => () => undefined,
+    });
+    const instances = members.map((self): Instance => {
+        const instance = { id: self.id, keys: new Set<string>(), arrivedAt: new Map<string, number>() };
+        const relayed = createRelayedStore({
+            store: store.from(self.id),
+            members: () => viewOf(self),
+            transport: {
+                call: async <Result>(address: string, _: string, params: unknown, timeoutMs: number) => {
+                    if (frozen.has(address)) {
+                        await clock.sleep(timeoutMs);
+                        throw new PeerTimeoutError("no answer");
+                    }
+                    return (await handlers.get(address)!(params, self.id)) as Result;
+                },
+            },
+            rpc: { addMethod: (_, handler) => void handlers.set(self.peerAddress, handler) },
+            clock,
+            logger: createSilentLogger(),
+        });
+        void watchPrefix({
+            store: relayed,
+            prefix: "servers/",
+            clock,
+            random: createRandom(1),
+            logger: createSilentLogger(),
+            signal: controller.signal,
+            waitMs: 4000,
+            minIntervalMs: 200,
+            onObject: ({ key }) => {
+                instance.keys.add(key);
+                instance.arrivedAt.set(key, clock.now());
+            },
+            onDeleted: key => instance.keys.delete(key),
+        });
+        return instance;
+    });
+    const stop = () => {
+        controller.abort();
+        return clock.advance(10_000);
+    };
+    /** Instances that had not heard of the key by the time. */
+    const late = (key: string, at: number) =>
+        instances.filter(({ arrivedAt }) => (arrivedAt.get(key) ?? Infinity) > at).map(({ id }) => id);
+    return { clock, store, frozen, instances, stop, late };
+}
+
+function createMember(id: string, zone: string): Member {
+    const address = `${id}:1`;
+    return {
+        id,
+        incarnation: 1,
+        session: 1,
+        status: MemberStatus.Live,
+        region: "north",
+        zone,
+        callerAddress: address,
+        peerAddress: address,
+        ready: true,
+    };
+}
+
+test("a change reaches all instances of a large region with few calls to the store", async () => {
+    const { clock, store, instances, stop, late } = startFleet(24);
+    await clock.advance(10_000);
+    const before = store.countCalls();
+    for (let i = 0; i < 40; i++) {
+        await store.put(`servers/s${i}`, i, 0);
+        await clock.advance(500);
+    }
+    const calls = store.countCalls() - before;
+    // Three instances watch, each is woken up twice a second; a fleet without relays makes 24 x 40 calls.
+    assert.ok(calls <= 3 * 40 + 24, `${calls} calls in 20 s`);
+    assert.deepEqual(late("servers/s39", clock.now()), []);
+    await store.delete("servers/s3", (await store.get("servers/s3"))!.version);
+    await clock.advance(1000);
+    assert.ok(instances.every(({ keys }) => !keys.has("servers/s3")));
+    await stop();
+});
+
+test("the instances of a small region all watch the store", async () => {
+    const { clock, store, stop } = startFleet(3);
+    await clock.advance(40_000);
+    assert.equal(store.calls.size, 3);
+    for (const [id, calls] of store.calls) {
+        assert.ok(calls >= 8 && calls <= 13, `${id} made ${calls} calls in 40 s with waits of 4 s`);
+    }
+    await stop();
+});
+
+// Guards against followers that trust an instance whose own path to the store is silent.
+test("instances that follow a reader without the store learn of a change in time", async () => {
+    const { clock, store, instances, stop, late } = startFleet(24);
+    await clock.advance(10_000);
+    const readers = findReaders(store);
+    readers.forEach(id => store.paths.set(id, Path.Silent));
+    await clock.advance(100);
+    await store.put("servers/new", 1, 0);
+    await clock.advance(2000);
+    const waiting = late("servers/new", clock.now()).filter(id => !readers.includes(id));
+    assert.deepEqual(waiting, []);
+    assert.equal(instances.length, 24);
+    await stop();
+});
+
+test("instances that follow a reader that hangs learn of a change in time", async () => {
+    const { clock, store, frozen, stop, late } = startFleet(24);
+    await clock.advance(10_000);
+    const readers = findReaders(store);
+    readers.forEach(id => frozen.add(`${id}:1`));
+    await store.put("servers/new", 1, 0);
+    await clock.advance(2000);
+    assert.deepEqual(late("servers/new", clock.now()), []);
+    await stop();
+});
+
+/** Instances with the most calls: those that others follow watch with shorter waits. */
+function findReaders({ calls }: PathStore): string[] {
+    return [...calls]
+        .sort(([, a], [, b]) => b - a)
+        .slice(0, 3)
+        .map(([id]) => id);
+}
