feat(balancing): a further copy of an object in the region is charged for the time to learn it

The cost is the difference between cold and warm work, divided by the requests of the zone that will use the copy, which follow from the route's traffic and its number of objects.

--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -3,6 +3,7 @@
 import type { BackendState } from "./backend-state.js";
 import type { BackendTable } from "./backend-table.js";
 import type { LoadReport } from "./server-load.js";
+import { createCopyUse } from "./copy-use.js";
 import { createObjectRanks } from "./object-ranks.js";
 import type { ZoneRanks } from "./object-ranks.js";
 import { createRegionSpill } from "./region-spill.js";
@@ -48,8 +49,8 @@
     regions: number;
     /** Part of a region's requests that may change their region between windows. */
     maxRegionShift: number;
-    /** Whether an instance serves in the zone; a cold server gets requests from its nearest instances only. */
-    hasInstances: (zone: string) => boolean;
+    /** Instances that serve in the zone; a cold server gets requests from its nearest instances only. */
+    countInstances: (zone: string) => number;
     regionHasInstances: (region: string) => boolean;
 }
 
@@ -64,7 +65,8 @@
     const { clock, table, zone, region } = options;
     const ranks = createObjectRanks(region);
     const distance = createZoneDistance(zone, region);
-    const costs = createPlacementCosts({ zone, region, distance });
+    const copies = createCopyUse({ instancesInZone: () => Math.max(1, options.countInstances(zone)) });
+    const costs = createPlacementCosts({ zone, region, distance, copies });
     const spills = new Map<string, RegionSpill>();
 
     const spillOf = (service: string): RegionSpill => {
@@ -83,7 +85,7 @@
         }
         const isNearest =
             server.record.zone === zone ||
-            (server.region === region && !options.hasInstances(server.record.zone)) ||
+            (server.region === region && options.countInstances(server.record.zone) === 0) ||
             !options.regionHasInstances(server.region);
         return isNearest && server.coldLimit.hasRoom(now);
     };
@@ -120,7 +122,7 @@
     const pickRest = (servers: readonly BackendState[], req: RoutedRequest, now: number) => {
         const alone = servers.map(server => ({
             isOwnRegion: server.region === region,
-            candidates: [{ server, isFirstInZone: false, otherRegionRank: 0 }],
+            candidates: [{ server, isFirstInZone: false, isFirstInRegion: false, otherRegionRank: 0 }],
         }));
         return pickBest(alone, req, now);
     };
@@ -167,6 +169,9 @@
         start: (req, { server }) => {
             const now = clock.now();
             server.load.start();
+            if (req.tried.size === 0) {
+                copies.count(req.route.name, req.objectKey);
+            }
             spillOf(req.service).countRequest();
             if (now < server.coldUntil) {
                 server.coldLimit.countRequest(now);
@@ -194,6 +199,7 @@
         learnConnect: (server, connectMs) => distance.learn(server, connectMs),
         adapt: () => {
             const now = clock.now();
+            copies.adapt(now);
             for (const { name } of table.services()) {
                 const use = useOf(table.usable(name), now);
                 spillOf(name).adapt(use, now);
--- a/packages/balancing/src/index.ts
+++ b/packages/balancing/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./backend-table.js";
 export * from "./balancer.js";
 export * from "./cold-limit.js";
+export * from "./copy-use.js";
 export * from "./object-ranks.js";
 export * from "./placement-costs.js";
 export * from "./placement.js";
--- a/packages/balancing/src/object-ranks.ts
+++ b/packages/balancing/src/object-ranks.ts
@@ -7,6 +7,8 @@
     server: BackendState;
     /** Whether other instances send the object to this server as well: it ranks first in its zone. */
     isFirstInZone: boolean;
+    /** Whether all instances of the own region know it as the object's first server there. */
+    isFirstInRegion: boolean;
     /** Rank among the servers of all other regions; 0 in the own region. */
     otherRegionRank: number;
 }
@@ -55,12 +57,16 @@
 
     const rank = (objectKey: string, servers: readonly BackendState[]): readonly ZoneRanks[] => {
         let otherRegionRank = 0;
+        let isFirstOwnZone = true;
         return scoreByZone(objectKey, servers).map(scored => {
             const isOwnRegion = scored[0]!.server.region === ownRegion;
             const zoneRank = isOwnRegion ? 0 : otherRegionRank++;
+            const isFirstZone = isOwnRegion && isFirstOwnZone;
+            isFirstOwnZone &&= !isOwnRegion;
             const candidates = scored.slice(0, ranksInZone).map(({ server }, index) => ({
                 server,
                 isFirstInZone: index === 0,
+                isFirstInRegion: isFirstZone && index === 0,
                 otherRegionRank: zoneRank,
             }));
             return { isOwnRegion, candidates };
--- a/packages/balancing/src/placement-costs.ts
+++ b/packages/balancing/src/placement-costs.ts
@@ -1,4 +1,5 @@
 /** What a request costs at a backend server: its own time, and the time and bytes that it takes from others. */
+import type { CopyUse } from "./copy-use.js";
 import type { Candidate } from "./object-ranks.js";
 import { ChoiceKind, placementKey } from "./placement.js";
 import type { Placement, RoutedRequest } from "./placement.js";
@@ -19,6 +20,7 @@
     zone: string;
     region: string;
     distance: ZoneDistance;
+    copies: CopyUse;
 }
 
 /** Requests beyond its slots that a server is given, so that a slot is never empty for the time of a round trip. */
@@ -51,7 +53,12 @@
 /** Part of the way from cold to warm work for an object that other instances send to the same server. */
 const likelyWarmPart = 0.5;
 
-export function createPlacementCosts({ zone, region, distance }: PlacementCostsOptions): PlacementCosts {
+export function createPlacementCosts({
+    zone,
+    region,
+    distance,
+    copies,
+}: PlacementCostsOptions): PlacementCosts {
     const estimates = new Map<string, WorkEstimate>();
     const slotPrices = new Map<string, number>();
 
@@ -75,6 +82,20 @@
         return isFirstInZone ? coldMs + (warmMs - coldMs) * likelyWarmPart : coldMs;
     };
 
+    /**
+     * A further copy of an object in the region costs the time that a server needs to learn it, and takes the place of
+     * another object; the requests that will use the copy share this cost.
+     */
+    const copyCost = ({ server, isFirstInRegion }: Candidate, req: RoutedRequest): number => {
+        const isFree = !req.route.hasAffinity || isFirstInRegion || server.region !== region;
+        if (isFree || server.warm.has(placementKey(req))) {
+            return 0;
+        }
+        const estimate = estimateOf(req.route);
+        const learnMs = estimate.expect(false) - estimate.expect(true);
+        return learnMs / Math.max(1, copies.usesPerCopy(req.route.name));
+    };
+
     const crossingCost = ({ server }: Candidate, route: Route): number => {
         if (server.record.zone === zone) {
             return 0;
@@ -106,7 +127,13 @@
                 waitMs,
                 workMs,
                 roundTripMs,
-                costMs: expectedMs + slotMs + failureMs + spreadMs + crossingCost(candidate, req.route),
+                costMs:
+                    expectedMs +
+                    slotMs +
+                    failureMs +
+                    spreadMs +
+                    crossingCost(candidate, req.route) +
+                    copyCost(candidate, req),
             };
         },
         learn: (req, placement, firstByteMs, answerBytes) => {
@@ -127,6 +154,9 @@
             slotPrices.set(service, Math.min(maxSlotPrice, Math.max(0, price)));
         },
         describe: () => ({
+            usesPerCopy: Object.fromEntries(
+                [...estimates.keys()].map(route => [route, copies.usesPerCopy(route)]),
+            ),
             slotPrices: Object.fromEntries(slotPrices),
             routes: Object.fromEntries(
                 [...estimates].map(([name, estimate]) => [
--- a/packages/balancing/test/fixtures.ts
+++ b/packages/balancing/test/fixtures.ts
@@ -50,8 +50,12 @@
     readonly createRequest: (objectKey: string, fields?: Partial<RoutedRequest>) => RoutedRequest;
 }
 
-/** Creates the decisions of one instance in zone n-a. */
-export function createInstance(servers: readonly ServerRecord[], clock = createManualClock(1000)): Instance {
+/** Creates the decisions of one instance in a zone of the region north. */
+export function createInstance(
+    servers: readonly ServerRecord[],
+    clock = createManualClock(1000),
+    zone = "n-a",
+): Instance {
     const table = createBackendTable({
         clock,
         logger: createSilentLogger(),
@@ -73,11 +77,11 @@
     const balancer = createBalancer({
         clock,
         table,
-        zone: "n-a",
+        zone,
         region: "north",
         regions: 2,
         maxRegionShift: 0.15,
-        hasInstances: () => true,
+        countInstances: () => 1,
         regionHasInstances: () => true,
     });
     return {
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -156,7 +156,7 @@
             region: settings().region,
             regions: new Set(Object.values(settings().zones)).size,
             maxRegionShift: settings().bounds.maxRegionShift,
-            hasInstances: zone => members().some(member => member.zone === zone),
+            countInstances: zone => members().filter(member => member.zone === zone).length,
             regionHasInstances: region => members().some(member => member.region === region),
         });
     });
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -159,7 +159,7 @@
         region: "north",
         regions: 1,
         maxRegionShift: 0.15,
-        hasInstances: () => true,
+        countInstances: () => 1,
         regionHasInstances: () => true,
     });
     const retries = createRetryWindow({ windowMs: 10_000, ratio: 0.2, slack: 50, instances: () => 1 });
