feat(cli): explain a request from the log lines of the gateways; bounded metric labels

Found by it: lines of a former process under the same name were taken as belief of the present one, now a test.

--- a/packages/cli/src/bin/waxwingdale.ts
+++ b/packages/cli/src/bin/waxwingdale.ts
@@ -1,5 +1,6 @@
 /** Binary of the operators' command line. */
 import { randomUUID } from "node:crypto";
+import { createInterface } from "node:readline";
 import { readFile, writeFile } from "node:fs/promises";
 import { createSystemClock } from "@waxwingdale/core";
 import { createAskEntry } from "../ask-entry.js";
@@ -24,5 +25,6 @@
     printError: text => void process.stderr.write(`${text}\n`),
     connectStore: address => connectStore(address, clock),
     askEntry: createAskEntry(),
+    readLines: () => createInterface({ input: process.stdin, crlfDelay: Infinity }),
     createPushId: randomUUID,
 });
--- a/packages/cli/src/command-context.ts
+++ b/packages/cli/src/command-context.ts
@@ -32,6 +32,8 @@
     clock: Clock;
     readFile: (path: string) => Promise<string>;
     writeFile: (path: string, text: string) => Promise<void>;
+    /** The lines of standard input. */
+    readLines: () => AsyncIterable<string>;
     /** Writes one text to standard output. */
     print: (text: string) => void;
     /** Writes one text to standard error. */
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -7,6 +7,7 @@
 import type { EntryTarget } from "../entry-directory.js";
 import { askOperators, describeBody, parseBody } from "../entry-page.js";
 import { ExitCode } from "../exit-code.js";
+import { explainRequest, formatExplanation } from "../log-explanation.js";
 import { formatValue } from "../table.js";
 
 const notFound = 404;
@@ -15,8 +16,12 @@
     usage: "explain <request-or-client>",
     describe:
         "Explain a request by its id, or a client by its IPv4 address; without --entry all entries are asked",
+    options: ["logs"],
     example: "explain 10.2.0.17 --entry 10.0.0.7:9300",
     run: async (ctx, subject = "") => {
+        if (ctx.options.logs === true) {
+            return explainFromLogs(ctx, subject);
+        }
         const isClient = parseIpv4(subject) !== undefined;
         const path = `/explain?${isClient ? "client" : "request"}=${encodeURIComponent(subject)}`;
         const targets = await findEntries(ctx, ListenerKind.Operators);
@@ -35,6 +40,19 @@
     },
 };
 
+async function explainFromLogs(ctx: CommandContext, requestId: string): Promise<ExitCode> {
+    const explanations = await explainRequest(requestId, ctx.readLines());
+    if (explanations.length === 0) {
+        throw new CommandError(
+            ExitCode.Refused,
+            `no line tells of request ${requestId}`,
+            "give the lines of all instances; a field `suppressed` says how many lines an event has left out",
+        );
+    }
+    ctx.printResult(explanations, () => explanations.map(formatExplanation).join("\n\n"));
+    return ExitCode.Ok;
+}
+
 /**
  * Returns the first explanation. Entries that do not answer are named on standard error.
  * @throws CommandError when no entry answers
--- a/packages/cli/src/options.ts
+++ b/packages/cli/src/options.ts
@@ -36,6 +36,7 @@
     manifest: { type: "boolean", describe: "Print the manifest in force as JSON, ready to edit" },
     seconds: { type: "string", value: "count", describe: "Length of the recording; default: 60" },
     out: { type: "string", value: "file", describe: "Write the trace to a file; default: standard output" },
+    logs: { type: "boolean", describe: "Read log lines of instances from standard input; nothing is asked" },
 } satisfies Record<string, OptionSpec>;
 
 export type OptionName = keyof typeof optionSpecs;
--- a/packages/cli/test/commands.test.ts
+++ b/packages/cli/test/commands.test.ts
@@ -208,3 +208,36 @@
         assert.match(state.err, /^fix: /m);
     }
 });
+
+const gatewayLines = [
+    "time=2026-05-01T11:59:58.000Z level=info event=server-added instance=g-1 server=i-1 zone=of-the-former-process",
+    "time=2026-05-01T11:59:59.000Z level=info event=started instance=g-1 zone=n-a",
+    "time=2026-05-01T12:00:00.000Z level=info event=document-applied instance=g-1 document=traffic order=4 source=store",
+    'time=2026-05-01T12:00:01.000Z level=warn event=dependency-lost instance=g-1 dependency=store prefix=config/ silentMs=4000 error="no answer"',
+    'time=2026-05-01T12:00:01.000Z level=warn event=dependency-lost instance=g-1 dependency=store prefix=servers/ silentMs=2000 error="no answer"',
+    "time=2026-05-01T12:00:01.500Z level=info event=dependency-regained instance=g-1 dependency=store prefix=servers/ awayMs=500",
+    "time=2026-05-01T12:00:01.700Z level=info event=server-added instance=g-1 server=i-1 zone=n-a",
+    'time=2026-05-01T12:00:02.000Z level=warn event=request-refused instance=g-1 request=aa route=r-1 service=files object=7 status=503 reason="the backend server had no room" config=4 waitedMs=20 tookMs=31 deadlineMs=900 attempts="i-1,not-run 503,expected=80,took=9"',
+    'time=2026-05-01T12:00:02.200Z level=warn event=request-refused instance=g-1 request=bb route=r-1 service=files status=503 reason=overloaded config=4 waitedMs=90 tookMs=90 deadlineMs=900 attempts=""',
+    "time=2026-05-01T12:00:03.000Z level=info event=document-applied instance=g-1 document=traffic order=5 source=peer",
+    "broken line time=x event",
+];
+
+// Guards against a failed request that cannot be explained once the instance that carried it is gone.
+test("explain tells from log lines what became of a request and what the instance believed", async () => {
+    const fake = createFake();
+    fake.lines.push(...gatewayLines.map(line => `12.3 g-1 ${line}`));
+    assert.equal(await fake.run("explain", "aa", "--logs"), ExitCode.Ok);
+    assert.equal(fake.asked.length, 0);
+    assert.match(fake.state.out, /^aa at g-1/);
+    assert.match(fake.state.out, /Refused after 20 ms \(the backend server had no room\)/);
+    assert.match(fake.state.out, /Attempt 1: i-1: the server had no room; it has not run/);
+    assert.match(fake.state.out, /1 others ended alike/);
+    assert.match(fake.state.out, /Lost at that time: .*prefix=config\//);
+    assert.doesNotMatch(fake.state.out, /Lost at that time: .*prefix=servers\//);
+    assert.match(fake.state.out, /Configuration: .*order=4/);
+    assert.match(fake.state.out, /Server: .*event=server-added/);
+    assert.doesNotMatch(fake.state.out, /former-process/);
+    assert.equal(await fake.run("explain", "cc", "--logs"), ExitCode.Refused);
+    assert.match(fake.state.err, /no line tells of request cc/);
+});
--- a/packages/cli/test/fake-surroundings.ts
+++ b/packages/cli/test/fake-surroundings.ts
@@ -18,6 +18,7 @@
     const files: Record<string, string> = { "khata.jsonc": example };
     const pages: Record<string, Partial<EntryAnswer>> = {};
     const asked: string[] = [];
+    const lines: string[] = [];
     const state = { out: "", err: "", openStores: 0, pushes: 0 };
     const surroundings: Surroundings = {
         env: { WAXWINGDALE_STORE: "10.0.0.5:7400", WAXWINGDALE_FLEET_KEY: "key" },
@@ -29,6 +30,9 @@
             return files[path];
         },
         writeFile: async (path, text) => void (files[path] = text),
+        readLines: async function* () {
+            yield* lines;
+        },
         print: text => void (state.out += `${text}\n`),
         printError: text => void (state.err += `${text}\n`),
         connectStore: () => {
@@ -51,5 +55,5 @@
         state.err = "";
         return runCli(argv, surroundings);
     };
-    return { run, store, files, pages, asked, state, surroundings };
+    return { run, store, files, pages, lines, asked, state, surroundings };
 }
--- a/packages/core/src/log.ts
+++ b/packages/core/src/log.ts
@@ -106,3 +106,23 @@
     // eslint-disable-next-line no-control-regex -- a control character in a value could forge a second log line
     return /^[^\s"=\u0000-\u001f\u007f]+$/.test(value) ? value : JSON.stringify(value);
 }
+
+/** Key, and a value as it stands or as a JSON string. */
+const fieldPattern = /([^\s=]+)=("(?:[^"\\]|\\.)*"|[^\s"]*)/g;
+
+/** Reads the fields of a line that `formatFields` wrote. What is not a field is skipped. */
+export function parseFields(line: string): Record<string, string> {
+    const fields: Record<string, string> = {};
+    for (const [, key, value] of line.matchAll(fieldPattern)) {
+        fields[key!] = value!.startsWith('"') ? unquote(value!) : value!;
+    }
+    return fields;
+}
+
+function unquote(value: string): string {
+    try {
+        return JSON.parse(value) as string;
+    } catch {
+        return value;
+    }
+}
--- a/packages/core/test/log.test.ts
+++ b/packages/core/test/log.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createLogger, createManualClock, formatFields } from "@waxwingdale/core";
+import { createLogger, createManualClock, formatFields, parseFields } from "@waxwingdale/core";
+import fc from "fast-check";
 
 test("a value cannot forge a second log line", () => {
     assert.equal(formatFields({ path: "/a\nevent=forged" }), 'path="/a\\nevent=forged"');
@@ -18,3 +19,12 @@
     logger.info("flood");
     assert.match(lines[2]!, /suppressed=3/);
 });
+
+test("the fields of a line are read back as they were written", () => {
+    const key = fc.stringMatching(/^[a-z][A-Za-z]*$/).filter(name => name !== "__proto__");
+    fc.assert(
+        fc.property(fc.dictionary(key, fc.string({ unit: "binary" }), { noNullPrototype: true }), fields => {
+            assert.deepEqual(parseFields(formatFields(fields)), fields);
+        }),
+    );
+});
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,4 +1,7 @@
-/** Metrics of a gateway instance in Prometheus' format. */
+/**
+ * Metrics of a gateway instance in Prometheus' format. Labels are kinds, services, zones and outcomes, which are few; names
+ * of routes are not, since configurations add and rename them.
+ */
 import { addGauge } from "@waxwingdale/core";
 import type { RequestRecord } from "@waxwingdale/relay";
 import { Counter, Histogram, Registry } from "prom-client";
@@ -18,14 +21,14 @@
     const registry = new Registry();
     const requests = new Counter({
         name: "waxwingdale_gateway_requests_total",
-        help: "Requests by route, service, outcome and status",
-        labelNames: ["route", "service", "outcome", "status"],
+        help: "Requests by kind, service, outcome and status",
+        labelNames: ["kind", "service", "outcome", "status"],
         registers: [registry],
     });
     const latency = new Histogram({
         name: "waxwingdale_gateway_request_seconds",
         help: "Time from the head of a request to its answer",
-        labelNames: ["route", "outcome"],
+        labelNames: ["kind", "service", "outcome"],
         buckets: latencyBuckets,
         registers: [registry],
     });
@@ -49,9 +52,9 @@
     });
     return {
         registry,
-        observe: ({ route, service, outcome, status, tookMs, waitedMs, attempts: sends }) => {
-            requests.inc({ route, service, outcome, status });
-            latency.observe({ route, outcome }, tookMs / 1000);
+        observe: ({ kind = "none", service, outcome, status, tookMs, waitedMs, attempts: sends }) => {
+            requests.inc({ kind, service, outcome, status });
+            latency.observe({ kind, service, outcome }, tookMs / 1000);
             waits.observe({ service }, waitedMs / 1000);
             for (const { zone, result } of sends) {
                 attempts.inc({ service, zone, result: result.split(":", 1)[0] });
--- /dev/null
+++ b/packages/gateway/test/gateway-metrics.test.ts
@@ -0,0 +1,63 @@
+/** Metrics of an instance. Guards against series that grow with the routes of the configurations. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RequestKind } from "@waxwingdale/balancing";
+import { RequestOutcome } from "@waxwingdale/relay";
+import type { RequestRecord } from "@waxwingdale/relay";
+import { createGatewayMetrics } from "../src/gateway-metrics.js";
+
+function createRecord(fields: Partial<RequestRecord>): RequestRecord {
+    return {
+        requestId: "aa",
+        route: "r-1",
+        kind: RequestKind.Idempotent,
+        service: "files",
+        object: "",
+        outcome: RequestOutcome.Answered,
+        status: 200,
+        reason: "",
+        configVersion: 1,
+        waitedMs: 0,
+        tookMs: 20,
+        deadlineMs: 1000,
+        attempts: [
+            {
+                server: "i-1",
+                zone: "n-a",
+                result: "status 200",
+                expectedMs: 20,
+                tookMs: 20,
+                isReused: true,
+            },
+        ],
+        ...fields,
+    };
+}
+
+test("the number of series does not grow with routes and servers", async () => {
+    const metrics = createGatewayMetrics();
+    const countSeries = async () =>
+        (await metrics.registry.metrics()).split("\n").filter(line => !line.startsWith("#")).length;
+    metrics.observe(createRecord({}));
+    const before = await countSeries();
+    for (let i = 0; i < 200; i++) {
+        const attempts = createRecord({}).attempts.map(attempt => ({ ...attempt, server: `i-${i}` }));
+        metrics.observe(createRecord({ route: `r-${i}`, object: `o-${i}`, attempts }));
+    }
+    assert.equal(await countSeries(), before);
+});
+
+test("a lost answer counts under its kind of failure, without the detail", async () => {
+    const metrics = createGatewayMetrics();
+    const [attempt] = createRecord({}).attempts;
+    metrics.observe(
+        createRecord({
+            outcome: RequestOutcome.Failed,
+            status: 502,
+            attempts: [{ ...attempt!, result: "cut: read ECONNRESET" }],
+        }),
+    );
+    const text = await metrics.registry.metrics();
+    assert.match(text, /attempts_total\{service="files",zone="n-a",result="cut"\} 1/);
+    assert.match(text, /requests_total\{kind="idempotent",service="files",outcome="failed",status="502"\} 1/);
+});
--- a/packages/relay/src/carry-request.ts
+++ b/packages/relay/src/carry-request.ts
@@ -120,6 +120,7 @@
         options.onRequest({
             requestId: info.requestId ?? "",
             route: route.name,
+            kind: route.kind,
             service,
             object: info.objectKey ?? "",
             outcome,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -59,6 +59,7 @@
         options.onRequest({
             requestId: info.requestId ?? "",
             route: "",
+            kind: undefined,
             service: "",
             object: info.objectKey ?? "",
             outcome: isKnown ? RequestOutcome.NoRoute : RequestOutcome.Refused,
--- a/packages/relay/src/request-outcome.ts
+++ b/packages/relay/src/request-outcome.ts
@@ -1,4 +1,5 @@
 /** How a request of a caller ended, for logs and metrics. */
+import type { RequestKind } from "@waxwingdale/balancing";
 
 export enum RequestOutcome {
     /** The backend server's answer was passed on. */
@@ -26,6 +27,8 @@
 export interface RequestRecord {
     requestId: string;
     route: string;
+    /** Undefined for a request without a route. */
+    kind: RequestKind | undefined;
     service: string;
     /** Object that the request concerns. */
     object: string;
--- a/packages/stand-ins/src/launcher/child-process.ts
+++ b/packages/stand-ins/src/launcher/child-process.ts
@@ -4,6 +4,7 @@
 import { createWriteStream } from "node:fs";
 import { readFile, readdir, readlink } from "node:fs/promises";
 import { fileURLToPath } from "node:url";
+import { parseFields } from "@waxwingdale/core";
 
 export interface LaunchedProcess {
     name: string;
@@ -120,9 +121,3 @@
         );
     });
 }
-
-function parseFields(line: string): Record<string, string> {
-    return Object.fromEntries(
-        line.split(" ").map(pair => [pair.slice(0, pair.indexOf("=")), pair.slice(pair.indexOf("=") + 1)]),
-    );
-}
