--- a/packages/store/test/watch-prefix.test.ts
+++ b/packages/store/test/watch-prefix.test.ts
@@ -4,8 +4,9 @@
 import { createManualClock, createRandom, createSilentLogger } from "@waxwingdale/core";
 import type { ManualClock, StoredObject, WatchResult } from "@waxwingdale/core";
 import { MemoryObjectStore, watchPrefix } from "@waxwingdale/store";
+import type { WatchPrefixOptions } from "@waxwingdale/store";
 
-function start(store: MemoryObjectStore, clock: ManualClock) {
+function start(store: MemoryObjectStore, clock: ManualClock, more: Partial<WatchPrefixOptions> = {}) {
     const controller = new AbortController();
     const seen: string[] = [];
     const done = watchPrefix({
@@ -17,6 +18,7 @@
         signal: controller.signal,
         onObject: ({ key, version }) => seen.push(`${key}@${version}`),
         onDeleted: key => seen.push(`-${key}`),
+        ...more,
     });
     return { seen, stop: () => (controller.abort(), done) };
 }
@@ -101,24 +103,15 @@
 test("a loss is reported with the time since the last answer", async () => {
     const clock = createManualClock();
     const store = new MemoryObjectStore(clock);
-    const controller = new AbortController();
     const losses: number[] = [];
-    const done = watchPrefix({
-        store,
-        prefix: "a/",
-        clock,
-        random: createRandom(1),
-        logger: createSilentLogger(),
-        signal: controller.signal,
+    const { stop } = start(store, clock, {
         waitMs: 4000,
-        onObject: () => undefined,
         onLost: (_, silentMs) => losses.push(silentMs),
     });
     await clock.advance(1000);
     store.faults.down = true;
     await clock.advance(9000);
-    controller.abort();
-    await done;
+    await stop();
     assert.deepEqual(losses, [4000]);
 });
 
