feat(relay): after a kept connection was gone, unsafe requests use fresher ones

Cause: servers may forget idle connections after a third of a second and reset what is sent next. A request that may run again is sent elsewhere at once; one that must not run twice fails with 502, since a reset cannot be told from a lost answer. It was sent on connections that had rested up to 3 s. Now the first connection that is found gone, after a rest of X, limits these requests to connections that rested half as long, for ten seconds. The decision stands in a module of its own (idle-limit). Before: the new test's non-idempotent request gets 502. After: it is answered.

--- a/packages/relay/src/carry-request.ts
+++ b/packages/relay/src/carry-request.ts
@@ -36,10 +36,6 @@
 
 /** Time in milliseconds that a caller waits when it does not say so: the route's timeout decides. */
 const defaultDeadlineMs = 60_000;
-/** Idle time in milliseconds up to which a connection carries a request that must not run twice: a close by the server that crosses it cannot be told from a lost answer. */
-const nonIdempotentIdleMs = 3000;
-/** The same for a request that may run again, bounded by what the server says. */
-const idempotentIdleMs = 30_000;
 /** A silent attempt gets a second one beside it after this many expected times. */
 const hedgeFactor = 3;
 /** Time in milliseconds that is added to it, for the scatter of short work. */
@@ -66,7 +62,8 @@
     placement: Placement;
     connection: UpstreamConnection;
     sentAt: number;
-    isReused: boolean;
+    /** Time in milliseconds for which the connection had rested; undefined for a new one. */
+    restedMs: number | undefined;
 }
 
 /** Carries one request to its answer. Exactly one answer or the end of the caller's connection ends it. */
@@ -184,7 +181,7 @@
             result,
             expectedMs: Math.round(placement.expectedMs),
             tookMs: Math.round(clock.now() - attempt.sentAt),
-            isReused: attempt.isReused,
+            isReused: attempt.restedMs !== undefined,
         });
     };
 
@@ -220,8 +217,8 @@
     };
 
     /** A reused connection that breaks within a round trip was closed by the server before. */
-    const isStale = ({ isReused, sentAt, placement }: RunningAttempt): boolean =>
-        isReused && clock.now() - sentAt < placement.roundTripMs + staleSlackMs;
+    const isStale = ({ restedMs, sentAt, placement }: RunningAttempt): boolean =>
+        restedMs !== undefined && clock.now() - sentAt < placement.roundTripMs + staleSlackMs;
 
     const onFailure = (attempt: RunningAttempt, failure: ExchangeFailure, detail: string) => {
         if (failure === ExchangeFailure.NotConnected) {
@@ -233,6 +230,7 @@
         }
         if (isStale(attempt)) {
             // The connection was gone before the request arrived: the server has hardly begun to run it.
+            pool.noteStale(attempt.restedMs ?? 0);
             sends -= 1;
             endAttempt(attempt, ServerOutcome.Cancelled, `stale: ${detail}`);
             routed.tried.delete(attempt.placement.server.record.id);
@@ -318,11 +316,8 @@
         sends += 1;
         balancer.start(routed, placement);
         const { server } = placement;
-        const { connection, isReused } = pool.take(
-            server,
-            isRepeatable ? idempotentIdleMs : nonIdempotentIdleMs,
-        );
-        const attempt = { placement, connection, sentAt: now, isReused };
+        const { connection, restedMs } = pool.take(server, isRepeatable);
+        const attempt = { placement, connection, sentAt: now, restedMs };
         running.add(attempt);
         const leftMs = Math.max(1, Math.floor(deadlineAt - now));
         connection.exchange(
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./caller-answer.js";
 export * from "./carry-request.js";
 export * from "./forwarded-headers.js";
+export * from "./idle-limit.js";
 export * from "./relay.js";
 export * from "./request-outcome.js";
 export * from "./upstream-connection.js";
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -46,6 +46,8 @@
     destroy(): void;
     /** Whether another request may be sent at this time. */
     canReuse(now: number, maxIdleMs: number): boolean;
+    /** Time in milliseconds since the last answer, or since it was opened. */
+    restedMs(now: number): number;
 }
 
 export interface UpstreamConnectionOptions {
@@ -241,6 +243,7 @@
         },
         canReuse: (now, maxIdleMs) =>
             !isClosed && !isLast && now - idleSince < Math.min(maxIdleMs, keepIdleMs - idleMarginMs),
+        restedMs: now => now - idleSince,
     };
 }
 
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -1,13 +1,16 @@
 /** Connections to all backend servers, reused while the server keeps them. */
 import type { BackendState } from "@waxwingdale/balancing";
 import type { Clock } from "@waxwingdale/core";
+import { createIdleLimit } from "./idle-limit.js";
 import { openUpstreamConnection } from "./upstream-connection.js";
 import type { UpstreamConnection } from "./upstream-connection.js";
 import type { WireProtocol } from "./wire-protocol.js";
 
 export interface UpstreamPool {
-    /** Returns an idle connection that has been used within `maxIdleMs`, or opens a new one. */
-    take(server: BackendState, maxIdleMs: number): { connection: UpstreamConnection; isReused: boolean };
+    /** Returns a kept connection that has not rested too long for the request, or opens a new one. */
+    take(server: BackendState, isRepeatable: boolean): TakenConnection;
+    /** The connection was gone when a request was sent on it. */
+    noteStale(restedMs: number): void;
     /** Closes the idle connections to a server that gets no requests any more. */
     closeIdle(serverId: string): void;
     /** Closes idle connections that are too old to be used. */
@@ -16,6 +19,12 @@
     destroy(): void;
 }
 
+export interface TakenConnection {
+    connection: UpstreamConnection;
+    /** Time in milliseconds since its last use; undefined for a new connection. */
+    restedMs: number | undefined;
+}
+
 export interface UpstreamPoolOptions {
     clock: Clock;
     protocol: WireProtocol;
@@ -39,6 +48,7 @@
 export function createUpstreamPool(options: UpstreamPoolOptions): UpstreamPool {
     const { clock } = options;
     const byServer = new Map<string, ServerConnections>();
+    const idleLimit = createIdleLimit(clock);
 
     const connectionsOf = (serverId: string): ServerConnections => {
         let found = byServer.get(serverId);
@@ -72,18 +82,20 @@
         [...idle].filter(isOld).forEach(connection => connection.destroy());
 
     return {
-        take: (server, idleMs) => {
+        take: (server, isRepeatable) => {
+            const idleMs = idleLimit.limitMs(isRepeatable);
             const { idle } = connectionsOf(server.record.id);
             const now = clock.now();
             // The connection used last is the least likely to have been closed by the server.
             for (let connection = idle.pop(); connection !== undefined; connection = idle.pop()) {
                 if (connection.canReuse(now, idleMs)) {
-                    return { connection, isReused: true };
+                    return { connection, restedMs: connection.restedMs(now) };
                 }
                 connection.destroy();
             }
-            return { connection: open(server), isReused: false };
+            return { connection: open(server), restedMs: undefined };
         },
+        noteStale: restedMs => idleLimit.noteStale(restedMs),
         closeIdle: serverId => {
             const connections = byServer.get(serverId);
             if (connections !== undefined) {
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -214,6 +214,31 @@
     assert.match(await sendRaw(instance.port, formatRequest(Idempotent, "cut"), 1), /body of cut$/);
 });
 
+// Guards against a request that must not run twice on a kept connection of which others have shown that it may be gone.
+test("servers that forget connections soon lose no non-idempotent request once one has shown it", async t => {
+    const forgetMs = 100;
+    const usedAt = new Map<unknown, number>();
+    const script: Script = (text, socket) => {
+        const last = usedAt.get(socket) ?? Date.now();
+        usedAt.set(socket, Date.now());
+        if (Date.now() - last > forgetMs) {
+            socket.resetAndDestroy();
+        } else {
+            socket.write(formatAnswer(text, `body of ${idOf(text)}`));
+        }
+    };
+    const { instance, servers } = await setUp(t, script, script, script, script, script);
+    const send = (kind: RequestKind, id: string) => sendRaw(instance.port, formatRequest(kind, id), 1);
+    await Promise.all([send(Idempotent, "a"), send(NonIdempotent, "b")]);
+    assert.ok(
+        servers.every(({ requests }) => requests.length <= 1),
+        "the two kinds have servers of their own",
+    );
+    await new Promise(resolve => setTimeout(resolve, 2 * forgetMs));
+    assert.match(await send(Idempotent, "c"), /body of c$/);
+    assert.match(await send(NonIdempotent, "d"), /body of d$/);
+});
+
 test("a path without a route gets 404, and no server sees it", async t => {
     const { instance, totalSent } = await setUp(t, answer);
     const text = await sendRaw(instance.port, "GET /none/1 HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n", 1);
