feat(relay): a starting instance holds requests until it can serve

A request now waits up to 0.6 s, or 0.3 of the caller's time, for the start. Ruled out: listening later (callers would find no connection, which takes them as long). Before: the new test gets 503 at once. After: the held request is answered, and one without a start is refused in time.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -10,7 +10,7 @@
 import { MemberStatus, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
-import { createRelay, createUpstreamPool } from "@waxwingdale/relay";
+import { createRelay, createStartGate, createUpstreamPool } from "@waxwingdale/relay";
 import { createRelayedStore } from "@waxwingdale/store";
 import { container } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
@@ -193,6 +193,7 @@
             learnConnect: (server, connectMs) => balancer.learnConnect(server, connectMs),
         });
     });
+    add(tokens.startGate, get => createStartGate(get(tokens.base).clock));
     add(tokens.relay, get => {
         const { clock, protocol, logger, random } = get(tokens.base);
         const config = get(tokens.config);
@@ -207,6 +208,7 @@
             routes: () => config.routes(),
             instances: () => get(tokens.membership).members().length,
             random,
+            startGate: get(tokens.startGate),
             maxBodyBytes: () => config.current()?.limits.bodyBytes ?? defaultBodyBytes,
             onRequest: record => {
                 metrics.observe(record);
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -14,7 +14,7 @@
     Token,
 } from "@waxwingdale/core";
 import type { Membership } from "@waxwingdale/membership";
-import type { Relay, UpstreamPool, WireProtocol } from "@waxwingdale/relay";
+import type { Relay, StartGate, UpstreamPool, WireProtocol } from "@waxwingdale/relay";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import type { InstanceDirectory } from "./instance-directory.js";
 import type { GatewaySettings } from "./settings.js";
@@ -53,6 +53,7 @@
     admission: createToken<AdmissionControl>("admission"),
     retries: createToken<(service: string) => RetryWindow>("retries"),
     pool: createToken<UpstreamPool>("pool"),
+    startGate: createToken<StartGate>("startGate"),
     relay: createToken<Relay>("relay"),
 };
 
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -36,6 +36,8 @@
 const logLinesPerSecond = 200;
 /** Time in milliseconds between two adaptations of the balancer. */
 const adaptIntervalMs = 100;
+/** Time in milliseconds between two looks whether a starting instance can serve: requests wait for it. */
+const startCheckMs = 20;
 /** Time in milliseconds between two looks for idle connections that are too old. */
 const sweepIntervalMs = 1000;
 /** Margin in milliseconds by which idle connections of callers outlive the declared time. */
@@ -59,6 +61,7 @@
     });
     const controller = new AbortController();
     const startedAt = clock.wallTime();
+    const createdAt = clock.now();
     const source = createSettingsSource({
         path: settingsPath,
         initial: settings,
@@ -92,6 +95,7 @@
     const relay = get(tokens.relay);
     const storeView = get(tokens.storeView);
     const config = get(tokens.config);
+    const startGate = get(tokens.startGate);
     let isStopping = false;
 
     const notReady = () => {
@@ -104,8 +108,14 @@
     const updateReadiness = () => {
         const reason = notReady();
         membership.setReady(reason === undefined);
+        if (reason === undefined && !startGate.isOpen()) {
+            logger.info("ready", { tookMs: Math.round(clock.now() - createdAt) });
+            startGate.open();
+            clearInterval(startTimer);
+        }
         return reason;
     };
+    const startTimer = setInterval(updateReadiness, startCheckMs);
     const directory = get(tokens.directory);
     const ttlSeconds = Math.min(lookupTtlSeconds, settings.bounds.lookupTtlSeconds);
     const callers = await openListener(settings.listen.callers, (req, res) => relay.handle(req, res));
@@ -168,7 +178,7 @@
             }
             await Promise.race([membership.stopServing(), clock.sleep(stopCheckMs * 4)]);
             controller.abort();
-            timers.forEach(timer => clearInterval(timer));
+            [startTimer, ...timers].forEach(timer => clearInterval(timer));
             others.forEach(listener => listener.close());
             logger.info("stopped", { active: relay.active() });
             output.flush();
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./idle-limit.js";
 export * from "./relay.js";
 export * from "./request-outcome.js";
+export * from "./start-gate.js";
 export * from "./upstream-connection.js";
 export * from "./upstream-pool.js";
 export * from "./wire-protocol.js";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,6 +8,7 @@
 import type { RequestParts } from "./carry-request.js";
 import { readBody } from "./request-body.js";
 import { RequestOutcome } from "./request-outcome.js";
+import type { StartGate } from "./start-gate.js";
 import type { RequestInfo } from "./wire-protocol.js";
 
 export interface RelayOptions extends RequestParts {
@@ -17,6 +18,7 @@
     /** Instances that serve traffic. */
     instances: () => number;
     random: Random;
+    startGate: StartGate;
 }
 
 export interface Relay {
@@ -27,6 +29,11 @@
 
 /** Time in milliseconds after which a caller may come back to an instance that has no configuration yet. */
 const noConfigRetryMs = 300;
+/** Longest time in milliseconds that a request waits for the start: two round trips to a store in another region, and as much again. */
+const maxStartWaitMs = 600;
+/** Part of the caller's time that the wait may take: the rest is for the work. */
+const startWaitPart = 0.3;
+
 /** Creates the relay of an instance. */
 export function createRelay(options: RelayOptions): Relay {
     const { clock, protocol } = options;
@@ -73,46 +80,65 @@
         });
     };
 
+    const handle = (req: IncomingMessage, res: ServerResponse, info: RequestInfo, arrivedAt: number) => {
+        const index = options.routes();
+        const route = index?.find(req.headers.host ?? "", pathOf(req.url ?? "/"));
+        if (index === undefined || route === undefined) {
+            req.resume();
+            refuseWithoutRoute(res, info, index);
+            return;
+        }
+        active += 1;
+        let isOver = false;
+        const finish = () => {
+            if (!isOver) {
+                isOver = true;
+                active -= 1;
+                req.socket.off("close", finish);
+            }
+        };
+        res.once("close", finish);
+        req.socket.once("close", finish);
+        readBody(req, options.maxBodyBytes(), result => {
+            if ("tooLarge" in result) {
+                sendOwnAnswer(res, 413, "the body is too large", { Connection: "close" });
+                return;
+            }
+            const service = splitOf(route, index.version).next(info.objectKey);
+            carryRequest(options, {
+                req,
+                res,
+                info,
+                route,
+                service,
+                arrivedAt,
+                configVersion: index.version,
+                body: result.body,
+            });
+        });
+    };
+
+    const handleAfterStart = async (
+        req: IncomingMessage,
+        res: ServerResponse,
+        info: RequestInfo,
+        arrivedAt: number,
+    ) => {
+        await options.startGate.wait(Math.min(maxStartWaitMs, (info.deadlineMs ?? Infinity) * startWaitPart));
+        if (!req.socket.destroyed) {
+            handle(req, res, info, arrivedAt);
+        }
+    };
+
     return {
         active: () => active,
         handle: (req, res) => {
-            const arrivedAt = clock.now();
             const info = protocol.readRequest(req.headers);
-            const index = options.routes();
-            const route = index?.find(req.headers.host ?? "", pathOf(req.url ?? "/"));
-            if (index === undefined || route === undefined) {
-                req.resume();
-                refuseWithoutRoute(res, info, index);
-                return;
+            if (options.startGate.isOpen()) {
+                handle(req, res, info, clock.now());
+            } else {
+                void handleAfterStart(req, res, info, clock.now());
             }
-            active += 1;
-            let isOver = false;
-            const finish = () => {
-                if (!isOver) {
-                    isOver = true;
-                    active -= 1;
-                    req.socket.off("close", finish);
-                }
-            };
-            res.once("close", finish);
-            req.socket.once("close", finish);
-            readBody(req, options.maxBodyBytes(), result => {
-                if ("tooLarge" in result) {
-                    sendOwnAnswer(res, 413, "the body is too large", { Connection: "close" });
-                    return;
-                }
-                const service = splitOf(route, index.version).next(info.objectKey);
-                carryRequest(options, {
-                    req,
-                    res,
-                    info,
-                    route,
-                    service,
-                    arrivedAt,
-                    configVersion: index.version,
-                    body: result.body,
-                });
-            });
         },
     };
 }
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -14,7 +14,7 @@
 } from "@waxwingdale/balancing";
 import type { Route } from "@waxwingdale/balancing";
 import { createSilentLogger, createSystemClock } from "@waxwingdale/core";
-import { WireProtocol, createRelay, createUpstreamPool } from "@waxwingdale/relay";
+import { WireProtocol, createRelay, createStartGate, createUpstreamPool } from "@waxwingdale/relay";
 import type { AnswerInfo, RequestInfo, RequestRecord } from "@waxwingdale/relay";
 
 /** A protocol with short header names. */
@@ -104,6 +104,8 @@
 export interface TestInstance {
     port: number;
     records: RequestRecord[];
+    /** Lets requests through in an instance that was started without. */
+    openGate(): void;
     close(): void;
 }
 
@@ -126,7 +128,10 @@
 }
 
 /** Starts an instance that sends to the given servers. */
-export async function startInstance(servers: readonly ScriptedServer[]): Promise<TestInstance> {
+export async function startInstance(
+    servers: readonly ScriptedServer[],
+    { isStarting = false } = {},
+): Promise<TestInstance> {
     const clock = createSystemClock();
     const protocol = new TestProtocol();
     const table = createBackendTable({
@@ -172,6 +177,10 @@
     const routes = [RequestKind.Idempotent, RequestKind.NonIdempotent].map(createTestRoute);
     const index = createRouteIndex({ version: 1, routes, services: [], limits });
     const records: RequestRecord[] = [];
+    const startGate = createStartGate(clock);
+    if (!isStarting) {
+        startGate.open();
+    }
     const relay = createRelay({
         clock,
         protocol,
@@ -179,9 +188,10 @@
         admission: createAdmissionControl({ clock, balancer }),
         pool,
         retries: () => retries,
-        routes: () => index,
+        routes: () => (startGate.isOpen() ? index : undefined),
         instances: () => 1,
         random: () => 0,
+        startGate,
         maxBodyBytes: () => limits.bodyBytes,
         onRequest: record => records.push(record),
         onOtherServer: id => table.remove(id),
@@ -191,6 +201,7 @@
     return {
         port: (server.address() as AddressInfo).port,
         records,
+        openGate: () => startGate.open(),
         close: () => {
             server.closeAllConnections();
             server.close();
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -239,6 +239,23 @@
     assert.match(await send(NonIdempotent, "d"), /body of d$/);
 });
 
+// Pattern: all instances are killed at once, and callers come back before the new processes have read the store.
+test("a request that reaches a starting instance waits for the start, and is refused after a bounded time", async t => {
+    const server = await startServer(answer);
+    const instance = await startInstance([server], { isStarting: true });
+    t.after(() => {
+        instance.close();
+        server.close();
+    });
+    const startedAt = Date.now();
+    assert.match(await sendRaw(instance.port, formatRequest(Idempotent, "early"), 1), /^HTTP\/1.1 503/);
+    assert.ok(Date.now() - startedAt < 700, "longer than the caller could wait");
+    assert.equal(server.requests.length, 0);
+    setTimeout(() => instance.openGate(), 100);
+    assert.match(await sendRaw(instance.port, formatRequest(NonIdempotent, "held"), 1), /body of held$/);
+    assert.equal(server.requests.length, 1);
+});
+
 test("a path without a route gets 404, and no server sees it", async t => {
     const { instance, totalSent } = await setUp(t, answer);
     const text = await sendRaw(instance.port, "GET /none/1 HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n", 1);
