--- a/packages/limits/src/slot-broker.ts
+++ b/packages/limits/src/slot-broker.ts
@@ -390,7 +390,12 @@
         const leftMs = req.deadlineAt - clock.now();
         const waitMs = estimateWaitMs(pool, req.requestClass);
         if (waitMs > cfg.maxWaitShare * leftMs) {
-            throw refuse(ReasonCode.Overloaded, pool, `the estimated wait is ${Math.round(waitMs)} ms`);
+            const inputs = `${pool.queue.size()} requests wait, ${table.countHeld(pool.service)} slots are held`;
+            throw refuse(
+                ReasonCode.Overloaded,
+                pool,
+                `the estimated wait is ${Math.round(waitMs)} ms: ${inputs}`,
+            );
         }
         if (pool.queue.size() >= cfg.queueLength) {
             const victim = pool.queue.findEvictable(req.requestClass);
