fix(balancing): a server that works several times as long loses its objects

Cause: the slowness of a server is forgiven by 2 % at each adaptation, so with the answers that one instance sees it settles between 3 and 3.7 for a server that is five times as slow, about the bound of 3.5 from which objects leave. Before: the new test of a slow upstream finds 6 of 6 objects still there, with 3.5 and with 3. After, with 2.5: it passes. Also tests for a lossy link, the loss of a zone and repeated requests, which passed at once.

--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -54,8 +54,8 @@
     regionHasInstances: (region: string) => boolean;
 }
 
-/** Slowness from which a server is sick: cold work, which is about three times as long as warm work, must not look like it. */
-const sickSlowness = 3.5;
+/** Slowness from which a server is sick: its objects are learned by the next one, which takes about three times as long once. */
+const sickSlowness = 2.5;
 /** Share of failed requests from which a server is sick; one failure alone is not enough. */
 const sickFailureRate = 0.2;
 /** Part of a server's slowness that is forgiven at each adaptation, so that a server which is no longer used is tried again. */
--- /dev/null
+++ b/packages/balancing/test/load-patterns.test.ts
@@ -0,0 +1,113 @@
+/** Troubles that come with load: slow servers, a lossy link, the loss of a zone, callers that repeat their requests. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ChoiceKind, ServerOutcome, createAdmissionControl } from "@waxwingdale/balancing";
+import type { Admission, Placement } from "@waxwingdale/balancing";
+import { createInstance, createServer } from "./fixtures.js";
+import type { Instance } from "./fixtures.js";
+
+const warmMs = 60;
+
+/** Serves one request and returns where it ran. `workMs` gives the time of the work on the server. */
+function serve(instance: Instance, object: string, workMs: (server: string) => number): Placement {
+    const { balancer, createRequest, clock } = instance;
+    const req = createRequest(object);
+    const choice = balancer.choose(req);
+    assert.equal(choice.kind, ChoiceKind.Send);
+    balancer.start(req, choice);
+    const firstByteMs = choice.roundTripMs + workMs(choice.server.record.id);
+    clock.jump(firstByteMs);
+    balancer.adapt();
+    balancer.finish(req, choice, { outcome: ServerOutcome.Success, firstByteMs });
+    return choice;
+}
+
+const idOf = ({ server }: Placement) => server.record.id;
+
+// Guards against objects that stay with a server on which everything takes several times as long.
+test("slow upstream: a server that works five times as long loses its objects, and gets some again later", () => {
+    const instance = createInstance(["i-1", "i-2", "i-3"].map(id => createServer(id, "n-a")));
+    const objects = Array.from({ length: 12 }, (_, i) => `o-${i}`);
+    const serveAll = (workMs: (id: string) => number) =>
+        objects.map(object => idOf(serve(instance, object, workMs)));
+    for (let round = 0; round < 6; round++) {
+        serveAll(() => warmMs);
+    }
+    const homes = serveAll(() => warmMs);
+    const slow = homes[0]!;
+    for (let round = 0; round < 25; round++) {
+        serveAll(id => (id === slow ? 5 : 1) * warmMs);
+    }
+    const later = serveAll(id => (id === slow ? 5 : 1) * warmMs);
+    const countAt = (ids: string[]) => ids.filter(id => id === slow).length;
+    assert.ok(
+        countAt(later) <= countAt(homes) / 2,
+        `${countAt(later)} of ${countAt(homes)} objects are still there`,
+    );
+    for (let round = 0; round < 25; round++) {
+        serveAll(() => warmMs);
+    }
+    const fresh = Array.from({ length: 60 }, (_, i) => idOf(serve(instance, `new-${i}`, () => warmMs)));
+    assert.ok(
+        countAt(fresh) >= 10,
+        `${countAt(fresh)} of 60 new objects go to the server that is well again`,
+    );
+});
+
+// Guards against objects that move to cold servers because some answers came late by a retransmission.
+test("lossy link: a few late answers do not move objects", () => {
+    const instance = createInstance(["i-1", "i-2"].map(id => createServer(id, "n-a")));
+    const home = idOf(serve(instance, "1", () => 3 * warmMs));
+    for (let index = 0; index < 300; index++) {
+        const isLate = index % 33 === 32;
+        assert.equal(idOf(serve(instance, "1", () => warmMs + (isLate ? 250 : 0))), home, `request ${index}`);
+    }
+});
+
+// Guards against requests for servers that are gone, and against a wave of them into the other region.
+test("loss of a zone: its requests go to the other zone of the region, and few leave the region", () => {
+    const zones = { "n-a": 3, "n-b": 3, "s-a": 6 };
+    const servers = Object.entries(zones).flatMap(([zone, count]) =>
+        Array.from({ length: count }, (_, i) =>
+            createServer(`i-${zone.charCodeAt(0)}${zone.charCodeAt(2)}${i}`, zone),
+        ),
+    );
+    const instance = createInstance(servers);
+    const { table, balancer } = instance;
+    const objects = Array.from({ length: 40 }, (_, i) => `o-${i}`);
+    objects.forEach(object => serve(instance, object, () => warmMs));
+    servers.filter(({ zone }) => zone === "n-a").forEach(({ id }) => table.remove(id));
+    balancer.adapt();
+    const places = objects.map(object => serve(instance, object, () => warmMs).server.record.zone);
+    assert.ok(!places.includes("n-a"));
+    const left = places.filter(zone => zone === "s-a").length;
+    // Half of the region's servers are gone: half of the objects may leave with them.
+    assert.ok(left >= 5 && left <= 28, `${left} of 40 objects left the region`);
+});
+
+// Guards against a queue that grows with the repeated requests until nobody is answered in time.
+test("retry abuse: requests that are repeated many times leave no long queue, and each gets a decision", async () => {
+    const instance = createInstance([createServer("i-1", "n-a"), createServer("i-2", "n-a")]);
+    const { balancer, createRequest, clock } = instance;
+    const admission = createAdmissionControl({ clock, balancer });
+    const decisions: Admission[] = [];
+    let longest = 0;
+    for (let caller = 0; caller < 60; caller++) {
+        for (let copy = 0; copy < 10; copy++) {
+            const req = createRequest(`o-${caller}`);
+            admission.request(req, decision => {
+                decisions.push(decision);
+                if ("placement" in decision) {
+                    balancer.start(req, decision.placement);
+                }
+            });
+        }
+        longest = Math.max(longest, admission.waiting());
+    }
+    assert.ok(longest <= 200, `${longest} requests wait`);
+    await clock.advance(400);
+    assert.equal(decisions.length, 600);
+    assert.equal(admission.waiting(), 0);
+    const refused = decisions.filter(decision => "refusal" in decision);
+    assert.ok(refused.length >= 580 && refused.every(({ refusal }) => refusal.retryAfterMs > 0));
+});
