fix(relay): an answer whose header HTTP does not allow is malformed

Cause: the parser takes header names and values with any bytes, and Node throws when they are passed on: one damaged answer of a backend server ended the process with all its requests.

--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -256,6 +256,17 @@
     assert.equal(server.requests.length, 1);
 });
 
+// Guards against a damaged answer that ended the process when it was passed on (FUZZ_SEED=2 of the fuzz test).
+for (const damaged of ["X-Na@me: 1", "X-Value: a\u0001b"]) {
+    test(`an answer with the header ${JSON.stringify(damaged)} is not passed on`, async t => {
+        const script: Script = (text, socket) =>
+            void socket.write(formatAnswer(text, "body", { extra: `${damaged}\r\n` }));
+        const { instance } = await setUp(t, script);
+        assert.match(await sendRaw(instance.port, formatRequest(NonIdempotent, "a"), 1), /^HTTP\/1.1 502/);
+        assert.match(instance.records[0]!.attempts[0]!.result, /^malformed/);
+    });
+}
+
 test("a path without a route gets 404, and no server sees it", async t => {
     const { instance, totalSent } = await setUp(t, answer);
     const text = await sendRaw(instance.port, "GET /none/1 HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n", 1);
