--- a/packages/balancing/src/copy-use.ts
+++ b/packages/balancing/src/copy-use.ts
@@ -50,7 +50,7 @@
 export function createCopyUse({ instancesInZone }: CopyUseOptions): CopyUse {
     let current = new Map<string, RouteCounts>();
     let previous = new Map<string, RouteCounts>();
-    const uses = new Map<string, number>();
+    let uses = new Map<string, number>();
     let countedMs = 0;
     let startedAt: number | undefined;
     let previousMs = 0;
@@ -81,9 +81,9 @@
             }
             estimatedAt = now;
             countedMs = previousMs + now - startedAt;
-            for (const route of new Set([...current.keys(), ...previous.keys()])) {
-                uses.set(route, estimate(route) ?? uses.get(route) ?? initialUses);
-            }
+            // Routes without traffic are forgotten, since configurations rename them.
+            const routes = [...current.keys(), ...previous.keys()];
+            uses = new Map(routes.map(route => [route, estimate(route) ?? uses.get(route) ?? initialUses]));
             if (now - startedAt >= periodMs) {
                 previous = current;
                 previousMs = now - startedAt;
--- a/packages/store/src/relayed-store.ts
+++ b/packages/store/src/relayed-store.ts
@@ -117,7 +117,7 @@
         signal?: AbortSignal,
     ): Promise<WatchResult> {
         const reader = this.findReader(prefix);
-        const followed = reader && (await this.follow(reader, prefix, sinceVersion, waitMs));
+        const followed = reader && (await this.askReader(reader, prefix, sinceVersion, waitMs));
         if (followed !== undefined) {
             this.noteSource(prefix, reader!.id);
             return followed;
@@ -164,7 +164,7 @@
     }
 
     /** Asks a reader for changes. Undefined when the store has to be asked. */
-    private async follow(
+    private async askReader(
         reader: Member,
         prefix: string,
         since: number,
@@ -182,6 +182,7 @@
             const { result } = v.parse(answerSchema, answer);
             return (
                 result && {
+                    // JSON leaves out the value that a removed object does not have.
                     changes: result.changes.map(change => ({ ...change, value: change.value })),
                     version: result.version,
                     expired: false,
