--- a/packages/cli/src/log-explanation.ts
+++ b/packages/cli/src/log-explanation.ts
@@ -170,7 +170,7 @@
         `${request.fields.request} at ${request.instance}, ${request.fields.time}`,
         cause,
         `Route ${request.fields.route}, service ${request.fields.service}, object ${request.fields.object ?? "none"}, ` +
-            `configuration ${request.fields.config}. ${alike} others ended alike within a second.`,
+            `configuration ${request.fields.config}. Others that ended alike within a second: ${alike}.`,
         ...attempts.map(
             ({ server, result, meaning }, i) => `Attempt ${i + 1}: ${server}: ${meaning} (${result})`,
         ),
