fix(store): a few entries that are missing after the store was away are gone at once

Three instances were cut off from the store for 12 s; the store itself worked. The first list after the cut lacked the server, and a second list two seconds later had to confirm it, 12 ms too late. Entries lapse together when their owners lose the store as well. So only a large part that is missing (a third, as for removals in the sight of a watch) has the two seconds; a few are gone with the first list.

--- a/packages/store/src/version-filter.ts
+++ b/packages/store/src/version-filter.ts
@@ -13,6 +13,8 @@
      * from a state that is older than the object.
      */
     takeMissing(listed: ReadonlySet<string>): string[];
+    /** Objects not known to be gone that a complete list lacks. */
+    countAbsent(listed: ReadonlySet<string>): number;
     /** Takes the keys that a complete and current list lacks: their objects are gone. */
     takeAbsent(listed: ReadonlySet<string>): string[];
     /** Whether the last list lacked objects that may come back. */
@@ -69,6 +71,7 @@
             gone.forEach(key => bury(key, live.get(key)! - 1));
             return gone;
         },
+        countAbsent: listed => [...live.keys()].filter(key => !listed.has(key)).length,
         takeAbsent: listed => {
             const absent = [...live.keys()].filter(key => !listed.has(key));
             suspects = new Set();
--- a/packages/store/src/watch-prefix.ts
+++ b/packages/store/src/watch-prefix.ts
@@ -32,8 +32,9 @@
      */
     minIntervalMs?: number;
     /**
-     * Lists of this store are current. An object that a list lacks is gone at once; after a time without the store it is
-     * gone when a second list lacks it as well, this many milliseconds later, since its owner may have to write it again.
+     * Lists of this store are current. An object that a list lacks is gone at once. When many are missing after a time
+     * without the store, they are gone when a second list lacks them as well, this many milliseconds later, since their
+     * owners may have lost the store too and have to write them again.
      * Without it, two lists decide in any case.
      */
     absentGraceMs?: number;
@@ -55,7 +56,7 @@
     maxBackoffMs?: number;
 }
 
-/** Objects that are removed at once, as a number and as a part of all, for which a list has to confirm the removal. */
+/** Objects that are removed together, as a number and as a part of all, for which a list has to confirm the removal. */
 const massRemovalCount = 3;
 const massRemovalPart = 0.34;
 
@@ -93,13 +94,17 @@
         wasLost = true;
     };
 
+    /** Owners that could not reach the store lose their entries together, and write them again when it is back. */
+    const isLargePart = (removed: number) => removed > seen.size() * massRemovalPart;
+
     /** Reads all objects. Returns whether some are missing that may come back. */
     const readAll = async (): Promise<boolean> => {
         const { objects, version } = await store.listAt(prefix, signal);
         noteContact();
         objects.forEach(applyObject);
         const listed = new Set(objects.map(({ key }) => key));
-        const isTrusted = options.absentGraceMs !== undefined && !wasLost;
+        const mayComeBack = wasLost && isLargePart(seen.countAbsent(listed));
+        const isTrusted = options.absentGraceMs !== undefined && !mayComeBack;
         const gone = isTrusted ? seen.takeAbsent(listed) : seen.takeMissing(listed);
         gone.forEach(key => options.onDeleted?.(key));
         position = Math.max(position, version, seen.highest());
@@ -107,14 +112,9 @@
         return seen.hasSuspects();
     };
 
-    /** Owners that could not reach the store lose their entries together, and write them again when it is back. */
     const isMassRemoval = ({ changes }: WatchResult) => {
         const removed = changes.filter(({ deleted }) => deleted).length;
-        return (
-            options.absentGraceMs !== undefined &&
-            removed >= massRemovalCount &&
-            removed > seen.size() * massRemovalPart
-        );
+        return options.absentGraceMs !== undefined && removed >= massRemovalCount && isLargePart(removed);
     };
 
     const applyChanges = ({ changes }: WatchResult) => {
