refactor: one notifier for tasks that wait; one way to find absent keys

Cause: the start gate and the change log each held a set of waiting tasks with a timer, and the version filter wrote the same search three times. The notifier stands in core and both use it. Behaviour and tests are unchanged.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./log-output.js";
 export * from "./log.js";
 export * from "./object-store.js";
+export * from "./notifier.js";
 export * from "./outcome.js";
 export * from "./peer.js";
 export * from "./random.js";
--- a/packages/relay/src/start-gate.ts
+++ b/packages/relay/src/start-gate.ts
@@ -1,4 +1,5 @@
 /** Holds requests of callers that reach an instance while it starts: it cannot tell yet whether it can serve them. */
+import { createNotifier } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
 
 export interface StartGate {
@@ -11,23 +12,14 @@
 
 /** Creates a closed gate. */
 export function createStartGate(clock: Clock): StartGate {
+    const opening = createNotifier(clock);
     let isOpen = false;
-    const waiting = new Set<() => void>();
     return {
         open: () => {
             isOpen = true;
-            [...waiting].forEach(letThrough => letThrough());
+            opening.notify();
         },
         isOpen: () => isOpen,
-        wait: maxMs =>
-            new Promise(resolve => {
-                const letThrough = () => {
-                    timer.cancel();
-                    waiting.delete(letThrough);
-                    resolve();
-                };
-                const timer = clock.setTimer(maxMs, letThrough);
-                waiting.add(letThrough);
-            }),
+        wait: maxMs => opening.wait(maxMs),
     };
 }
--- a/packages/store/src/change-log.ts
+++ b/packages/store/src/change-log.ts
@@ -1,4 +1,5 @@
 /** What this process has heard from the store about one prefix, for peers that follow it. */
+import { createNotifier } from "@waxwingdale/core";
 import type { Clock, ObjectChange, WatchResult } from "@waxwingdale/core";
 
 export interface ChangeLog {
@@ -25,7 +26,7 @@
 export function createChangeLog(clock: Clock): ChangeLog {
     let batches: Batch[] = [];
     let answeredAt = -Infinity;
-    const waiters = new Set<() => void>();
+    const answers = createNotifier(clock);
 
     const end = () => batches.at(-1)?.to ?? 0;
 
@@ -37,17 +38,6 @@
 
     const reachesBackTo = (since: number) => batches.length > 0 && batches[0]!.from <= since;
 
-    const waitForAnswer = (waitMs: number) =>
-        new Promise<void>(resolve => {
-            const wake = () => {
-                timer.cancel();
-                waiters.delete(wake);
-                resolve();
-            };
-            const timer = clock.setTimer(waitMs, wake);
-            waiters.add(wake);
-        });
-
     return {
         add: (since, { changes, version, expired }) => {
             answeredAt = clock.now();
@@ -59,7 +49,7 @@
                 batches.push({ from: since, to: version, changes });
                 batches = batches.slice(-maxBatches);
             }
-            [...waiters].forEach(wake => wake());
+            answers.notify();
         },
         follow: async (since, waitMs, maxAgeMs) => {
             const until = clock.now() + waitMs;
@@ -76,7 +66,7 @@
                 if (now >= until) {
                     return { changes: [], version: Math.max(since, end()), expired: false };
                 }
-                await waitForAnswer(Math.min(until - now, freshMs));
+                await answers.wait(Math.min(until - now, freshMs));
             }
         },
     };
--- a/packages/store/src/version-filter.ts
+++ b/packages/store/src/version-filter.ts
@@ -35,6 +35,8 @@
     const isNewer = (key: string, version: number) =>
         version > (live.get(key) ?? 0) && version > (deleted.get(key) ?? 0);
 
+    const findAbsent = (listed: ReadonlySet<string>) => [...live.keys()].filter(key => !listed.has(key));
+
     const bury = (key: string, version: number) => {
         live.delete(key);
         deleted.delete(key);
@@ -64,16 +66,16 @@
             return known;
         },
         takeMissing: listed => {
-            const missing = [...live.keys()].filter(key => !listed.has(key));
+            const missing = findAbsent(listed);
             const gone = missing.filter(key => suspects.has(key));
             suspects = new Set(missing);
             // The same version is accepted again if both lists came from a state older than the object.
             gone.forEach(key => bury(key, live.get(key)! - 1));
             return gone;
         },
-        countAbsent: listed => [...live.keys()].filter(key => !listed.has(key)).length,
+        countAbsent: listed => findAbsent(listed).length,
         takeAbsent: listed => {
-            const absent = [...live.keys()].filter(key => !listed.has(key));
+            const absent = findAbsent(listed);
             suspects = new Set();
             absent.forEach(key => bury(key, live.get(key)!));
             return absent;
