--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./clock.js";
 export * from "./errors.js";
 export * from "./fingerprint.js";
+export * from "./http-call.js";
 export * from "./http-limits.js";
 export * from "./log-output.js";
 export * from "./log.js";
--- a/packages/core/src/rpc-client.ts
+++ b/packages/core/src/rpc-client.ts
@@ -1,9 +1,9 @@
 /** JSON-RPC 2.0 calls to peers over HTTP keep-alive connections. */
 import { JSONRPCErrorException } from "json-rpc-2.0";
 import type { JSONRPCResponse } from "json-rpc-2.0";
-import { Agent, request } from "undici";
 import { WaxwingdaleError, getErrorCode } from "./errors.js";
 import type { ErrorOptions } from "./errors.js";
+import { connectTimeoutCode, createHttpCaller } from "./http-call.js";
 import { maxRpcBodyBytes } from "./http-limits.js";
 import type { PeerTransport } from "./peer.js";
 
@@ -44,17 +44,22 @@
 }
 
 export interface RpcClient extends PeerTransport {
-    close(): Promise<void>;
+    close(): void;
 }
 
-const unreachableCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+/** Connections to each peer when the options do not say otherwise. */
+const defaultConnections = 32;
+/** Time in milliseconds for opening a connection. */
+const connectTimeoutMs = 1000;
+
+const unreachableCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", connectTimeoutCode]);
 
 /** Creates the transport that peers call each other by. */
 export function createRpcClient(options: RpcClientOptions): RpcClient {
-    const agent = new Agent({
-        connections: options.connections ?? 32,
-        connect: { timeout: 1000 },
-        pipelining: 1,
+    const caller = createHttpCaller({
+        connections: options.connections ?? defaultConnections,
+        connectTimeoutMs,
+        maxAnswerBytes: maxRpcBodyBytes,
     });
     const headers = {
         authorization: `Bearer ${options.fleetKey}`,
@@ -66,15 +71,14 @@
     const send = async (peerAddress: string, method: string, params: unknown, timeoutMs: number) => {
         const body = JSON.stringify({ jsonrpc: "2.0", id: nextId++, method, params });
         try {
-            const res = await request(`http://${peerAddress}/rpc`, {
+            return await caller.call({
                 method: "POST",
+                address: peerAddress,
+                path: "/rpc",
                 headers,
                 body,
-                dispatcher: agent,
-                signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+                timeoutMs,
             });
-            const text = await res.body.text();
-            return { status: res.statusCode, text };
         } catch (err) {
             const message = `cannot call ${method} of peer ${peerAddress}`;
             if (unreachableCodes.has(getErrorCode(err) ?? "")) {
@@ -87,7 +91,7 @@
     return {
         call: async <Result>(peerAddress: string, method: string, params: unknown, timeoutMs: number) => {
             const { status, text } = await send(peerAddress, method, params, timeoutMs);
-            if (status !== 200 || text.length > maxRpcBodyBytes) {
+            if (status !== 200) {
                 throw new PeerRejectedError(
                     `peer ${peerAddress} answered ${method} with status ${status}`,
                     status,
@@ -102,7 +106,7 @@
             }
             return res.result as Result;
         },
-        close: () => agent.destroy(),
+        close: () => caller.close(),
     };
 }
 
