refactor(gateway): one fixture for members; closing the peers' client is synchronous

Cause: the tests of places and look-ups each made their members; two callers awaited a close that returns no promise since the peers' client uses Node's own. Run: types, lint, unit tests of gateway and entry.

--- a/packages/bench/src/capacity/membership-node.ts
+++ b/packages/bench/src/capacity/membership-node.ts
@@ -175,7 +175,7 @@
             abort.abort();
             server.close();
             server.closeAllConnections();
-            await client.close();
+            client.close();
             await running;
         },
     };
--- a/packages/entry/src/shut-down.ts
+++ b/packages/entry/src/shut-down.ts
@@ -42,6 +42,7 @@
     resolve(tokens.crashGuard).close();
     resolve(tokens.lookups).close();
     await Promise.all([listeners.callers.close(), listeners.peers.close(), listeners.operators.close()]);
-    await Promise.all([resolve(tokens.pools).close(), resolve(tokens.rpcClient).close(), store.close()]);
+    resolve(tokens.rpcClient).close();
+    await Promise.all([resolve(tokens.pools).close(), store.close()]);
     logger.info("shutdown-finished", { ms: Math.round(clock.now() - startedAt), cut });
 }
--- a/packages/gateway/test/instance-directory.test.ts
+++ b/packages/gateway/test/instance-directory.test.ts
@@ -1,23 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemberStatus } from "@waxwingdale/core";
-import type { Member } from "@waxwingdale/core";
 import { createInstanceDirectory } from "@waxwingdale/gateway";
-
-function createMember(id: string, zone: string, region: string, fields: Partial<Member> = {}): Member {
-    return {
-        id,
-        incarnation: 1,
-        session: 1,
-        status: MemberStatus.Live,
-        region,
-        zone,
-        callerAddress: `${id}:1`,
-        peerAddress: `${id}:2`,
-        ready: true,
-        ...fields,
-    };
-}
+import { createMember } from "./fixtures.js";
 
 test("clients get the instances of their zone, else of their region, else any", () => {
     let members = [
--- a/packages/gateway/test/instance-places.test.ts
+++ b/packages/gateway/test/instance-places.test.ts
@@ -1,27 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemberStatus } from "@waxwingdale/core";
-import type { Member } from "@waxwingdale/core";
 import { createInstancePlaces } from "../src/instance-places.js";
-
-function createMember(id: string, zone: string, region: string, status = MemberStatus.Live): Member {
-    return {
-        id,
-        zone,
-        region,
-        status,
-        incarnation: 1,
-        session: 1,
-        callerAddress: "10.0.0.1:1",
-        peerAddress: "10.0.0.1:2",
-        ready: true,
-    };
-}
+import { createMember } from "./fixtures.js";
 
 const members = [
     createMember("g-1", "n-a", "north"),
     createMember("g-2", "n-b", "north"),
-    createMember("g-3", "n-b", "north", MemberStatus.Dead),
+    createMember("g-3", "n-b", "north", { status: MemberStatus.Dead }),
     createMember("g-4", "s-a", "south"),
 ];
 
