fix(store): a fleet that starts follows its readers from the beginning

Cause: an instance counted as a reader only when it was ready, so that in a fleet that starts as a whole each instance watched the store by itself. Afterwards a reader could not tell about positions before its first watch had ended, four seconds later, and a follower that was sent to the store stayed there for a whole wait. Change: while nobody is ready the live instances are candidates; a list begins a reader's log; a reader watches with short waits from the start; a follower that the reader could not tell fetches the newest position without a wait. After: at most 147, its bound (a list and two watches each, three readers that watch twice a second).

--- a/packages/store/src/change-log.ts
+++ b/packages/store/src/change-log.ts
@@ -3,6 +3,8 @@
 import type { Clock, ObjectChange, WatchResult } from "@waxwingdale/core";
 
 export interface ChangeLog {
+    /** Begins with a complete list at a position, unless the log goes on from an earlier one. */
+    begin(position: number): void;
     /** Adds the result of a watch from the position `since`. */
     add(since: number, result: WatchResult): void;
     /**
@@ -39,6 +41,13 @@
     const reachesBackTo = (since: number) => batches.length > 0 && batches[0]!.from <= since;
 
     return {
+        begin: position => {
+            answeredAt = clock.now();
+            if (batches.length === 0) {
+                batches = [{ from: position, to: position, changes: [] }];
+            }
+            answers.notify();
+        },
         add: (since, { changes, version, expired }) => {
             answeredAt = clock.now();
             // A list that was read in between has brought changes that are not in the log.
--- a/packages/store/src/relayed-store.ts
+++ b/packages/store/src/relayed-store.ts
@@ -28,6 +28,8 @@
     logger: Logger;
 }
 
+/** Source of the watches that go to the store itself. */
+const storeSource = "store";
 /** JSON-RPC method by which a peer follows a prefix. */
 const followMethod = "store.follow";
 /** Instances of a region that watch the store whatever its size, so that the loss of two leaves one. */
@@ -61,6 +63,15 @@
     result: v.optional(v.object({ changes: v.array(changeSchema), version: v.number() })),
 });
 
+/** Instances that can be followed. In a fleet that starts as a whole nobody is ready, and all have read as much. */
+function findCandidates(live: readonly Member[], selfId: string): string[] {
+    const serving = live.filter(({ status }) => status === MemberStatus.Live);
+    const ready = serving.filter(member => member.ready);
+    const candidates = ready.length > 0 ? ready : serving;
+    const ids = candidates.map(({ id }) => id);
+    return ids.includes(selfId) ? ids : [...ids, selfId];
+}
+
 /** Picks the instances of a region that watch the store: few of them change when instances come and go. */
 function pickReaders(ids: readonly string[]): string[] {
     const count = Math.max(minReaders, Math.ceil(ids.length / instancesPerReader));
@@ -71,7 +82,7 @@
 class RelayedStore extends ObjectStore {
     private readonly logs = new Map<string, ChangeLog>();
     private readonly avoidUntil = new Map<string, number>();
-    /** Id of the reader, or "store", that answered the last watch of a prefix. */
+    /** Id of the reader, or the store, that answered the last watch of a prefix. */
     private readonly sources = new Map<string, string>();
     private readonly watchedAt = new Map<string, number>();
     private followedAt = -Infinity;
@@ -90,8 +101,10 @@
         return this.options.store.list(prefix, signal);
     }
 
-    override listAt(prefix: string, signal?: AbortSignal): Promise<ObjectList> {
-        return this.options.store.listAt(prefix, signal);
+    override async listAt(prefix: string, signal?: AbortSignal): Promise<ObjectList> {
+        const list = await this.options.store.listAt(prefix, signal);
+        this.logOf(prefix).begin(list.version);
+        return list;
     }
 
     override put(
@@ -123,8 +136,11 @@
             this.noteSource(prefix, reader!.id);
             return followed;
         }
-        this.noteSource(prefix, "store");
-        return this.watchStore(prefix, sinceVersion, waitMs, signal);
+        const wasFollowing = this.sources.get(prefix) !== storeSource;
+        this.noteSource(prefix, storeSource);
+        // Once the newest position is known, the reader can tell what comes after it.
+        const isCatchingUp = reader !== undefined && wasFollowing;
+        return this.watchStore(prefix, sinceVersion, isCatchingUp ? 0 : waitMs, signal);
     }
 
     private async watchStore(
@@ -134,7 +150,7 @@
         signal?: AbortSignal,
     ): Promise<WatchResult> {
         const { clock } = this.options;
-        const isFollowed = clock.now() - this.followedAt < followerKeepMs;
+        const isFollowed = this.isReader() || clock.now() - this.followedAt < followerKeepMs;
         const limitMs = isFollowed ? Math.min(waitMs, readerWaitMs) : waitMs;
         if (isFollowed) {
             const nextAt = (this.watchedAt.get(prefix) ?? -Infinity) + readerIntervalMs;
@@ -161,14 +177,18 @@
         return choice === undefined ? undefined : view.find(choice);
     }
 
+    /** Whether other instances of the region are to follow this one. */
+    private isReader(): boolean {
+        const self = this.options.members().self();
+        const readers = this.findReaders(self);
+        return readers.includes(self.id) && readers.length < this.ranked!.live.length;
+    }
+
     /** Ids of the readers of the own region, ranked again only when its instances have changed. */
     private findReaders(self: Member): readonly string[] {
         const live = this.options.members().liveInRegion(self.region);
         if (this.ranked?.live !== live) {
-            const candidates = live.filter(
-                ({ id, status, ready }) => id === self.id || (status === MemberStatus.Live && ready),
-            );
-            this.ranked = { live, readers: pickReaders(candidates.map(({ id }) => id)) };
+            this.ranked = { live, readers: pickReaders(findCandidates(live, self.id)) };
         }
         return this.ranked.readers;
     }
--- a/packages/store/test/relayed-store.test.ts
+++ b/packages/store/test/relayed-store.test.ts
@@ -62,15 +62,16 @@
     arrivedAt: Map<string, number>;
 }
 
-function startFleet(size: number) {
+function startFleet(size: number, { ready = true } = {}) {
     const clock: ManualClock = createManualClock();
     const store = new PathStore(clock);
     const controller = new AbortController();
     const handlers = new Map<string, RpcHandler>();
     const frozen = new Set<string>();
-    const members = Array.from({ length: size }, (_, i) => createMember(`gateway-${i}`, `z${i % 3}`));
+    let members = Array.from({ length: size }, (_, i) => createMember(`gateway-${i}`, `z${i % 3}`, ready));
+    const becomeReady = () => (members = members.map(member => ({ ...member, ready: true })));
     const viewOf = (self: Member): MemberView => ({
-        self: () => self,
+        self: () => members.find(({ id }) => id === self.id)!,
         members: () => members,
         liveInRegion: () => members,
         find: id => members.find(member => member.id === id),
@@ -118,10 +119,10 @@
     /** Instances that had not heard of the key by the time. */
     const late = (key: string, at: number) =>
         instances.filter(({ arrivedAt }) => (arrivedAt.get(key) ?? Infinity) > at).map(({ id }) => id);
-    return { clock, store, frozen, instances, stop, late };
+    return { clock, store, frozen, instances, stop, late, becomeReady };
 }
 
-function createMember(id: string, zone: string): Member {
+function createMember(id: string, zone: string, ready: boolean): Member {
     const address = `${id}:1`;
     return {
         id,
@@ -132,7 +133,7 @@
         zone,
         callerAddress: address,
         peerAddress: address,
-        ready: true,
+        ready,
     };
 }
 
@@ -157,6 +158,23 @@
     await stop();
 });
 
+// Guards against a start at which each instance watches the store by itself until the first ones are ready.
+test("start of a large fleet: the instances follow readers while the servers register", async () => {
+    const { clock, store, stop, late, becomeReady } = startFleet(24, { ready: false });
+    for (let i = 0; i < 40; i++) {
+        await store.put(`servers/s${i}`, i, 0);
+        await clock.advance(250);
+        if (i === 20) {
+            becomeReady();
+        }
+    }
+    await clock.advance(1000);
+    assert.deepEqual(late("servers/s39", clock.now()), []);
+    // A list and two watches for each instance, beside the watches of three readers twice a second.
+    assert.ok(store.countCalls() <= 24 * 3 + 3 * 25, `${store.countCalls()} calls in 11 s`);
+    await stop();
+});
+
 test("the instances of a small region all watch the store", async () => {
     const { clock, store, stop } = startFleet(3);
     await clock.advance(40_000);
