feat(gateway): the large instances of a zone carry its requests

Cause: a directory answer named all instances of a zone, of which two or three have 1.35 cores and 200 Mbit/s and up to 22 have 0.27 cores and 10 or 20 Mbit/s. Most requests went over links that one file of 100 KB fills for 80 ms, and every instance saw a hundredth of the traffic: what it knew of the load and the objects of servers came from one answer in half a minute. Change: instances tell their capacity with their membership row. A zone's large ones (half of the largest or more) carry its requests if there are two of them, else all do. Retry budgets, shares of a split and cold limits are divided between the carrying instances; one that gets few requests takes its part of the whole fleet. Sites of equal instances are as before.

--- a/packages/balancing/src/cold-limit.ts
+++ b/packages/balancing/src/cold-limit.ts
@@ -34,7 +34,7 @@
 ): number {
     const usable = usablePart * requestsPerSecond;
     const count = Math.min(senders.length, Math.max(1, Math.floor(usable)));
-    const isSender = count === senders.length || rankOwners(serverId, senders).slice(0, count).includes(self);
+    const isSender = rankOwners(serverId, senders).slice(0, count).includes(self);
     return isSender ? usable / Math.max(1, count) : 0;
 }
 
--- a/packages/core/src/peer.ts
+++ b/packages/core/src/peer.ts
@@ -28,6 +28,8 @@
     peerAddress: string;
     /** False while the entry cannot serve, for example before it has a manifest. */
     ready: boolean;
+    /** Requests a second that the instance can carry; undefined when it does not say. */
+    capacity?: number;
 }
 
 /** Result of a JSON-RPC method: a JSON value. */
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -116,7 +116,7 @@
                 return (service?.coldRequestsPerSecond ?? 0) * coldFactor + coldSlack;
             },
             self: settings().id,
-            coldSenders: (zone, region) => get(tokens.places).sendersNear(zone, region),
+            coldSenders: (zone, region) => get(tokens.places).nearest(zone, region),
             onGone: ({ record }) => get(tokens.pool).closeIdle(record.id),
         });
         config.onChange(({ services }) => table.setServices(services));
@@ -166,7 +166,7 @@
                     windowMs: retryWindowSeconds * 1000,
                     ratio: retryRatio,
                     slack: retrySlack,
-                    instances: () => get(tokens.membership).members().length,
+                    instances: () => get(tokens.places).countSharers(get(tokens.base).self.id),
                 });
                 windows.set(service, window);
             }
@@ -199,7 +199,7 @@
             pool: get(tokens.pool),
             retries: get(tokens.retries),
             routes: () => config.routes(),
-            instances: () => get(tokens.membership).members().length,
+            instances: () => get(tokens.places).countSharers(get(tokens.base).self.id),
             random,
             startGate: get(tokens.startGate),
             maxBodyBytes: () => config.current()?.limits.bodyBytes ?? defaultBodyBytes,
--- a/packages/gateway/src/instance-places.ts
+++ b/packages/gateway/src/instance-places.ts
@@ -1,16 +1,24 @@
-/** Live instances by availability zone and region, sorted anew only when the members have changed. */
+/** Instances that carry requests, by availability zone and region, sorted anew only when the members have changed. */
 import { MemberStatus } from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
+import { pickCarriers } from "./carriers.js";
 
+/** The arrays that the methods return stay the same while no member changes. */
 export interface InstancePlaces {
-    /** Ids of the instances of a zone. The array stays the same while no member changes, as for the other methods. */
+    /** Ids of the instances that carry the requests of a zone. */
     inZone(zone: string): readonly string[];
     inRegion(region: string): readonly string[];
-    /** Ids of the instances that are nearest to a zone: those of the zone, else of its region, else all. */
-    sendersNear(zone: string, region: string): readonly string[];
+    /** Ids of the carrying instances that are nearest to a zone: those of the zone, else of its region, else all. */
+    nearest(zone: string, region: string): readonly string[];
+    /**
+     * Instances between which what the fleet may do is divided, as one of them sees it. An instance that gets few requests
+     * takes its part of the whole fleet.
+     */
+    countSharers(selfId: string): number;
 }
 
 interface Places {
+    instances: number;
     all: readonly string[];
     byZone: ReadonlyMap<string, readonly string[]>;
     byRegion: ReadonlyMap<string, readonly string[]>;
@@ -18,31 +26,42 @@
 
 const none: readonly string[] = [];
 
-function groupIds(members: readonly Member[], placeOf: (member: Member) => string): Map<string, string[]> {
-    const groups = new Map<string, string[]>();
-    for (const member of members) {
-        const ids = groups.get(placeOf(member)) ?? [];
-        groups.set(placeOf(member), ids);
-        ids.push(member.id);
+function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
+    const groups = new Map<string, T[]>();
+    for (const item of items) {
+        const group = groups.get(keyOf(item)) ?? [];
+        groups.set(keyOf(item), group);
+        group.push(item);
     }
     return groups;
 }
 
+function toIds(groups: ReadonlyMap<string, readonly Member[]>): Map<string, readonly string[]> {
+    return new Map([...groups].map(([key, members]) => [key, members.map(({ id }) => id)]));
+}
+
+function sortByPlace(members: readonly Member[]): Places {
+    const live = members.filter(({ status }) => status !== MemberStatus.Dead);
+    const zones = [...groupBy(live, ({ zone }) => zone).values()];
+    const carriers = zones.flatMap(pickCarriers);
+    return {
+        instances: live.length,
+        all: carriers.map(({ id }) => id),
+        byZone: toIds(groupBy(carriers, ({ zone }) => zone)),
+        byRegion: toIds(groupBy(carriers, ({ region }) => region)),
+    };
+}
+
 /** `members` returns another array whenever a member has changed. */
 export function createInstancePlaces(members: () => readonly Member[]): InstancePlaces {
     let sortedFrom: readonly Member[] | undefined;
-    let places: Places = { all: none, byZone: new Map(), byRegion: new Map() };
+    let places = sortByPlace([]);
 
     const current = () => {
         const list = members();
         if (list !== sortedFrom) {
             sortedFrom = list;
-            const live = list.filter(({ status }) => status !== MemberStatus.Dead);
-            places = {
-                all: live.map(({ id }) => id),
-                byZone: groupIds(live, ({ zone }) => zone),
-                byRegion: groupIds(live, ({ region }) => region),
-            };
+            places = sortByPlace(list);
         }
         return places;
     };
@@ -52,7 +71,11 @@
     return {
         inZone,
         inRegion,
-        sendersNear: (zone, region) =>
+        nearest: (zone, region) =>
             [inZone(zone), inRegion(region)].find(ids => ids.length > 0) ?? current().all,
+        countSharers: selfId => {
+            const { all, instances } = current();
+            return Math.max(1, all.includes(selfId) ? all.length : instances);
+        },
     };
 }
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -15,6 +15,7 @@
     createDirectoryHandler,
     createReadinessHandler,
 } from "@waxwingdale/platform";
+import { estimateCapacity } from "./carriers.js";
 import { composeGateway } from "./compose-gateway.js";
 import { tokens } from "./gateway-tokens.js";
 import { createPeerHandler, openListener } from "./listeners.js";
@@ -80,6 +81,7 @@
             callerAddress: settings.listen.callers,
             peerAddress: settings.listen.peers,
             ready: false,
+            capacity: estimateCapacity(settings.machine),
         },
         clock,
         random: createRandom(startedAt % 2 ** 31),
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -26,6 +26,16 @@
     /** Address of the platform's store. */
     store: addressSchema,
     logLevel: v.optional(v.enum(LogLevel, "must be debug, info, warn or error"), LogLevel.Info),
+    /** What the instance has for its work. */
+    machine: v.optional(
+        v.object({
+            cores: amount,
+            /** Part of the cores' time that the instance has. */
+            coreShare: amount,
+            /** Rate of its link, each way. */
+            linkMbps: amount,
+        }),
+    ),
     /** Bounds that are declared for the deployment. */
     bounds: v.object({
         /** Time from SIGTERM to the end of the process. */
--- a/packages/membership/src/member-row.ts
+++ b/packages/membership/src/member-row.ts
@@ -13,6 +13,7 @@
     peerAddress: string,
     ready: number,
     session: number,
+    capacity?: number,
 ];
 
 /** At equal incarnations the later status of this list wins. The index is the status on the wire: only append. */
@@ -46,9 +47,13 @@
 }
 
 export function encodeRow(member: Member): MemberRow {
-    const { id, incarnation, status, region, zone, callerAddress, peerAddress, ready, session } = member;
+    const { id, incarnation, status, region, zone, callerAddress, peerAddress, session, capacity } = member;
     const statusIndex = statusOrder.indexOf(status);
-    return [id, incarnation, statusIndex, region, zone, callerAddress, peerAddress, ready ? 1 : 0, session];
+    const ready = member.ready ? 1 : 0;
+    const place = [region, zone, callerAddress, peerAddress] as const;
+    return capacity === undefined
+        ? [id, incarnation, statusIndex, ...place, ready, session]
+        : [id, incarnation, statusIndex, ...place, ready, session, capacity];
 }
 
 /** Returns the member of a row from the network, or undefined when it is not usable. Extra fields are ignored. */
@@ -56,7 +61,7 @@
     if (!Array.isArray(value)) {
         return undefined;
     }
-    const [id, incarnation, statusIndex, region, zone, callerAddress, peerAddress, ready, session] =
+    const [id, incarnation, statusIndex, region, zone, callerAddress, peerAddress, ready, session, capacity] =
         value as Partial<MemberRow>;
     const status = typeof statusIndex === "number" ? statusOrder[statusIndex] : undefined;
     if (
@@ -68,11 +73,13 @@
         !isIncarnation(incarnation) ||
         !isIncarnation(session) ||
         status === undefined ||
-        (ready !== 0 && ready !== 1)
+        (ready !== 0 && ready !== 1) ||
+        !isCapacity(capacity)
     ) {
         return undefined;
     }
-    return { id, incarnation, status, region, zone, callerAddress, peerAddress, ready: ready === 1, session };
+    const member = { id, incarnation, status, region, zone, callerAddress, peerAddress, session };
+    return { ...member, ready: ready === 1, ...(capacity === undefined ? {} : { capacity }) };
 }
 
 function isText(value: unknown): value is string {
@@ -83,6 +90,10 @@
     return isText(value) && addressPattern.test(value);
 }
 
+function isCapacity(value: unknown): value is number | undefined {
+    return value === undefined || (Number.isSafeInteger(value) && (value as number) >= 0);
+}
+
 function isIncarnation(value: unknown): value is number {
     return Number.isSafeInteger(value) && (value as number) >= 0 && (value as number) < maxIncarnation;
 }
--- a/packages/membership/test/merge.test.ts
+++ b/packages/membership/test/merge.test.ts
@@ -127,7 +127,7 @@
 });
 
 test("a row with one bad field is rejected", () => {
-    const good = encodeRow(makeMember("a"));
+    const good = encodeRow({ ...makeMember("a"), capacity: 60 });
     assert.ok(decodeRow([...good, "a later field"]));
     const bad = [
         [0, ""],
@@ -139,9 +139,11 @@
         [5, "x"],
         [6, "a/b:1"],
         [7, 2],
+        [9, -1],
+        [9, "x"],
     ];
     for (const [index, value] of bad) {
-        assert.equal(decodeRow(good.with(index as number, value!)), undefined, `field ${index}`);
+        assert.equal(decodeRow(good.with(index as number, value)), undefined, `field ${index}`);
     }
 });
 
