fix(store): readers do not change with each start; a new reader knows what it heard as a follower

A new reader's log began with its own first watch and could tell nothing about earlier positions. Change: all live instances are ranked; a reader that has not read the store says so when it is asked. A follower keeps what it hears in its log, which does not count as an answer of the store.

--- a/packages/store/src/change-log.ts
+++ b/packages/store/src/change-log.ts
@@ -5,8 +5,13 @@
 export interface ChangeLog {
     /** Begins with a complete list at a position, unless the log goes on from an earlier one. */
     begin(position: number): void;
-    /** Adds the result of a watch from the position `since`. */
-    add(since: number, result: WatchResult): void;
+    /** Adds an answer of the store to a watch from the position `since`. */
+    addAnswer(since: number, result: WatchResult): void;
+    /**
+     * Adds what another instance has told. The store may have answered that one some time ago, so this does not count as an
+     * answer; the log reaches back to it when this instance begins to ask the store.
+     */
+    append(since: number, result: WatchResult): void;
     /**
      * Waits up to `waitMs` for changes after `since`. Undefined when only the store can tell: the log does not reach back
      * to `since`, or the store has not answered for `maxAgeMs`.
@@ -40,6 +45,18 @@
 
     const reachesBackTo = (since: number) => batches.length > 0 && batches[0]!.from <= since;
 
+    const append = (since: number, { changes, version, expired }: WatchResult) => {
+        // A list that was read in between has brought changes that are not in the log.
+        if (expired || since > end()) {
+            batches = [];
+        }
+        if (!expired) {
+            batches.push({ from: since, to: version, changes });
+            batches = batches.slice(-maxBatches);
+        }
+        answers.notify();
+    };
+
     return {
         begin: position => {
             answeredAt = clock.now();
@@ -48,17 +65,10 @@
             }
             answers.notify();
         },
-        add: (since, { changes, version, expired }) => {
+        append,
+        addAnswer: (since, result) => {
             answeredAt = clock.now();
-            // A list that was read in between has brought changes that are not in the log.
-            if (expired || since > end()) {
-                batches = [];
-            }
-            if (!expired) {
-                batches.push({ from: since, to: version, changes });
-                batches = batches.slice(-maxBatches);
-            }
-            answers.notify();
+            append(since, result);
         },
         follow: async (since, waitMs, maxAgeMs) => {
             const until = clock.now() + waitMs;
--- a/packages/store/src/relayed-store.ts
+++ b/packages/store/src/relayed-store.ts
@@ -63,15 +63,6 @@
     result: v.optional(v.object({ changes: v.array(changeSchema), version: v.number() })),
 });
 
-/** Instances that can be followed. In a fleet that starts as a whole nobody is ready, and all have read as much. */
-function findCandidates(live: readonly Member[], selfId: string): string[] {
-    const serving = live.filter(({ status }) => status === MemberStatus.Live);
-    const ready = serving.filter(member => member.ready);
-    const candidates = ready.length > 0 ? ready : serving;
-    const ids = candidates.map(({ id }) => id);
-    return ids.includes(selfId) ? ids : [...ids, selfId];
-}
-
 /** Picks the instances of a region that watch the store: few of them change when instances come and go. */
 function pickReaders(ids: readonly string[]): string[] {
     const count = Math.max(minReaders, Math.ceil(ids.length / instancesPerReader));
@@ -134,6 +125,7 @@
         const followed = reader && (await this.askReader(reader, prefix, sinceVersion, waitMs));
         if (followed !== undefined) {
             this.noteSource(prefix, reader!.id);
+            this.logOf(prefix).append(sinceVersion, followed);
             return followed;
         }
         const wasFollowing = this.sources.get(prefix) !== storeSource;
@@ -158,7 +150,7 @@
         }
         this.watchedAt.set(prefix, clock.now());
         const result = await this.options.store.watch(prefix, sinceVersion, limitMs, signal);
-        this.logOf(prefix).add(sinceVersion, result);
+        this.logOf(prefix).addAnswer(sinceVersion, result);
         return result;
     }
 
@@ -188,7 +180,12 @@
     private findReaders(self: Member): readonly string[] {
         const live = this.options.members().liveInRegion(self.region);
         if (this.ranked?.live !== live) {
-            this.ranked = { live, readers: pickReaders(findCandidates(live, self.id)) };
+            // Whether an instance has read the store already does not count: it says so when it is asked, and a set of
+            // readers that changes with each start would send all followers to the store.
+            const candidates = live.filter(
+                ({ id, status }) => id === self.id || status === MemberStatus.Live,
+            );
+            this.ranked = { live, readers: pickReaders(candidates.map(({ id }) => id)) };
         }
         return this.ranked.readers;
     }
