fix(gateway): an evacuation is known within its bound when a watch goes silent

Change: a watch of evacuations waits two seconds. With the time limit of a call and a list that is under the bound. Cost: a quarter of a call a second for each reader.

--- a/packages/gateway/src/store-view.ts
+++ b/packages/gateway/src/store-view.ts
@@ -45,8 +45,8 @@
 
 /** Longest wait of a watch for servers in milliseconds. A connection that went silent is noticed after it. */
 const serversWaitMs = 2000;
-/** The same for evacuations, whose changes have a longer bound. */
-const evacuationsWaitMs = 4000;
+/** The same for evacuations. With the time limit of a call and a new list it stays under the five seconds of an evacuation. */
+const evacuationsWaitMs = 2000;
 /** Time in milliseconds after the return of the store in which servers write entries again that lapsed meanwhile. */
 const lapsedEntriesMs = 2000;
 
