perf(balancing): a server that refuses everything is asked ever less often

Cause: a refusal for lack of room closed a server for 60 ms, however many came in a row. Change: the time doubles with each refusal in a row, up to one second, and begins anew with any other outcome. Before: the new test counts more than 15 requests in 8 s. After: at most 15, and the server is used within its second again.

--- a/packages/balancing/src/server-health.ts
+++ b/packages/balancing/src/server-health.ts
@@ -30,7 +30,9 @@
 /** Longest such time; a server that is back gets requests at most this much later. */
 const maxBackoffMs = 2000;
 /** Time in milliseconds without new requests after the server refused one for lack of room: about the work of one request. */
-const shedBackoffMs = 60;
+const minShedBackoffMs = 60;
+/** Longest such time: a server may refuse everything for seconds, and each refusal takes a retry of the request. */
+const maxShedBackoffMs = 1000;
 /** Weight of one outcome: the last ten or so decide. */
 const failureWeight = 0.12;
 /** Time constant in milliseconds by which the failure rate falls without new outcomes, so that the server is tried again. */
@@ -50,6 +52,7 @@
     let rate = 0;
     let learnedAt = 0;
     let unreachableInARow = 0;
+    let shedsInARow = 0;
     let closedUntil = -Infinity;
 
     const currentRate = (now: number) =>
@@ -64,11 +67,13 @@
             }
             rate = currentRate(now) * (1 - failureWeight) + severity[outcome] * failureWeight;
             learnedAt = now;
+            shedsInARow = outcome === ServerOutcome.Shed ? shedsInARow + 1 : 0;
             if (outcome === ServerOutcome.Unreachable) {
                 unreachableInARow += 1;
                 closedUntil = now + Math.min(maxBackoffMs, minBackoffMs * 2 ** (unreachableInARow - 1));
             } else if (outcome === ServerOutcome.Shed) {
-                closedUntil = Math.max(closedUntil, now + shedBackoffMs);
+                const backoffMs = Math.min(maxShedBackoffMs, minShedBackoffMs * 2 ** (shedsInARow - 1));
+                closedUntil = Math.max(closedUntil, now + backoffMs);
             } else if (outcome !== ServerOutcome.Silent) {
                 unreachableInARow = 0;
             }
--- a/packages/balancing/test/load-patterns.test.ts
+++ b/packages/balancing/test/load-patterns.test.ts
@@ -64,6 +64,30 @@
     }
 });
 
+// Guards against a retry of nearly every request, since a server that refuses everything looks idle and is asked again at once.
+test("grey upstream that sheds all: it is asked a few times a second, and used again soon after it is well", () => {
+    const instance = createInstance(["i-1", "i-2"].map(id => createServer(id, "n-a")));
+    const { balancer, clock, createRequest } = instance;
+    const home = idOf(serve(instance, "1", () => warmMs));
+    const askFor = (durationMs: number, outcome: ServerOutcome) => {
+        let asked = 0;
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 20) {
+            const req = createRequest("1");
+            const choice = balancer.choose(req);
+            if (choice.kind === ChoiceKind.Send) {
+                const isHome = idOf(choice) === home;
+                asked += isHome ? 1 : 0;
+                balancer.start(req, choice);
+                balancer.finish(req, choice, { outcome: isHome ? outcome : ServerOutcome.Success });
+            }
+            clock.jump(20);
+        }
+        return asked;
+    };
+    assert.ok(askFor(8000, ServerOutcome.Shed) <= 15);
+    assert.ok(askFor(2000, ServerOutcome.Success) >= 40);
+});
+
 // Guards against requests for servers that are gone, and against a wave of them into the other region.
 test("loss of a zone: its requests go to the other zone of the region, and few leave the region", () => {
     const zones = { "n-a": 3, "n-b": 3, "s-a": 6 };
