perf(store): fewer readers, and longer watches where the bound allows

Change: a reader for 32 instances instead of 16 (three in a region of 65 as of 9); readers watch configuration and evacuations for two seconds. A configuration also spreads by gossip, and an evacuation has five seconds (new test with silent readers).

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -9,6 +9,7 @@
 import { createDocumentExchange } from "@waxwingdale/config";
 import { createRpcClient, createRpcServer, register } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
+import { serversPrefix } from "@waxwingdale/platform";
 import { createRelay, createStartGate, createUpstreamPool } from "@waxwingdale/relay";
 import { createRelayedStore } from "@waxwingdale/store";
 import { container } from "tsyringe";
@@ -32,6 +33,14 @@
 /** Prefixes of the store that an instance watches at the same time: configuration, servers, evacuations. */
 const followedPrefixes = 3;
 
+/**
+ * Longest watch in milliseconds of an instance that peers follow. A server that leaves has the shortest bound; a configuration
+ * spreads between peers as well, and an evacuation has five seconds.
+ */
+function readerWaitMs(prefix: string): number {
+    return prefix === serversPrefix ? 1000 : 2000;
+}
+
 /** Creates the container of one instance. Nothing runs yet. */
 export function composeGateway(base: GatewayBase): DependencyContainer {
     const scope = container.createChildContainer();
@@ -82,6 +91,7 @@
             members: () => get(tokens.membership),
             transport,
             rpc: get(tokens.rpcServer),
+            readerWaitMs,
             clock,
             logger,
         });
--- a/packages/store/src/relayed-store.ts
+++ b/packages/store/src/relayed-store.ts
@@ -24,6 +24,12 @@
     members: () => MemberView;
     transport: PeerTransport;
     rpc: RpcRegistry;
+    /**
+     * Longest watch in milliseconds of an instance that peers follow, by prefix: they notice within it that it has lost the
+     * store.
+     * @default 1000
+     */
+    readerWaitMs?: (prefix: string) => number;
     clock: Clock;
     logger: Logger;
 }
@@ -34,16 +40,13 @@
 const followMethod = "store.follow";
 /** Instances of a region that watch the store whatever its size, so that the loss of two leaves one. */
 const minReaders = 3;
-/** Instances of a region for each one that watches: their questions are about 50 a second, some percent of the smallest processor. */
-const instancesPerReader = 16;
-/** Longest watch in milliseconds of an instance that peers follow: they notice within it that it has lost the store. */
-const readerWaitMs = 1000;
+/** Instances of a region for each one that watches: their questions are about 100 a second, a tenth of the smallest processor. */
+const instancesPerReader = 32;
+const defaultReaderWaitMs = 1000;
 /** Least time in milliseconds between two watches of a prefix by an instance that peers follow: in a large fleet some server changes all the time. */
 const readerIntervalMs = 500;
-/** Time in milliseconds without an answer of the store after which a reader tells its followers to ask the store. */
-const maxAgeMs = 1500;
-/** Time in milliseconds for which a follower waits at a reader. */
-const followWaitMs = 1000;
+/** Time in milliseconds beyond its longest watch without an answer of the store after which a reader sends its followers there. */
+const ageMarginMs = 500;
 /** Time in milliseconds that the answer may take in addition, many round trips within a region. */
 const answerMarginMs = 400;
 /** Time in milliseconds for which a reader that failed is not asked. */
@@ -143,7 +146,7 @@
     ): Promise<WatchResult> {
         const { clock } = this.options;
         const isFollowed = this.isReader() || clock.now() - this.followedAt < followerKeepMs;
-        const limitMs = isFollowed ? Math.min(waitMs, readerWaitMs) : waitMs;
+        const limitMs = isFollowed ? Math.min(waitMs, this.readerWaitMs(prefix)) : waitMs;
         if (isFollowed) {
             const nextAt = (this.watchedAt.get(prefix) ?? -Infinity) + readerIntervalMs;
             await clock.sleep(Math.max(0, nextAt - clock.now()), signal);
@@ -198,7 +201,7 @@
         maxWaitMs: number,
     ): Promise<WatchResult | undefined> {
         const { transport, clock, logger } = this.options;
-        const waitMs = Math.min(maxWaitMs, followWaitMs);
+        const waitMs = Math.min(maxWaitMs, this.readerWaitMs(prefix));
         try {
             const answer = await transport.call<unknown>(
                 reader.peerAddress,
@@ -225,10 +228,19 @@
     private async answerFollower(params: unknown): Promise<unknown> {
         const { prefix, since, waitMs } = v.parse(paramsSchema, params);
         this.followedAt = this.options.clock.now();
-        const result = await this.logOf(prefix).follow(since, Math.min(waitMs, followWaitMs), maxAgeMs);
+        const limitMs = this.readerWaitMs(prefix);
+        const result = await this.logOf(prefix).follow(
+            since,
+            Math.min(waitMs, limitMs),
+            limitMs + ageMarginMs,
+        );
         return result === undefined ? {} : { result: { changes: result.changes, version: result.version } };
     }
 
+    private readerWaitMs(prefix: string): number {
+        return this.options.readerWaitMs?.(prefix) ?? defaultReaderWaitMs;
+    }
+
     private logOf(prefix: string): ChangeLog {
         const log = this.logs.get(prefix) ?? createChangeLog(this.options.clock);
         this.logs.set(prefix, log);
--- a/packages/store/test/relayed-store.test.ts
+++ b/packages/store/test/relayed-store.test.ts
@@ -62,7 +62,7 @@
     arrivedAt: Map<string, number>;
 }
 
-function startFleet(size: number, { ready = true } = {}) {
+function startFleet(size: number, { ready = true, readerWaitMs = 1000 } = {}) {
     const clock: ManualClock = createManualClock();
     const store = new PathStore(clock);
     const controller = new AbortController();
@@ -91,6 +91,7 @@
                     return (await handlers.get(address)!(params, self.id)) as Result;
                 },
             },
+            readerWaitMs: () => readerWaitMs,
             rpc: { addMethod: (_, handler) => void handlers.set(self.peerAddress, handler) },
             clock,
             logger: createSilentLogger(),
@@ -200,6 +201,22 @@
     await stop();
 });
 
+// Guards against an evacuation that followers of a reader with long watches hear of too late.
+test("followers of readers with longer watches learn of a change within five seconds", async () => {
+    const { clock, store, stop, late } = startFleet(24, { readerWaitMs: 2000 });
+    await clock.advance(10_000);
+    const readers = findReaders(store);
+    readers.forEach(id => store.paths.set(id, Path.Silent));
+    await clock.advance(100);
+    await store.put("servers/new", 1, 0);
+    await clock.advance(4500);
+    assert.deepEqual(
+        late("servers/new", clock.now()).filter(id => !readers.includes(id)),
+        [],
+    );
+    await stop();
+});
+
 test("instances that follow a reader that hangs learn of a change in time", async () => {
     const { clock, store, frozen, stop, late } = startFleet(24);
     await clock.advance(10_000);
