fix(relay): bytes without end beside an answer's body close the connection

Cause: only the head, by the parser, and the body were bounded. Bytes without end in a chunk's size, in trailers, in interim answers or in an answer that belongs to another request were read until the deadline, and the first two were kept. Change: what comes beside the body is bounded by a megabyte and eight bytes for each byte of the body, which leaves room for small chunks; beyond it the answer counts as malformed. Ruled out: a bound of the parser, which covers heads only.

--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -69,6 +69,13 @@
 /** Time in milliseconds for which a server is taken to keep an idle connection when it does not say so. */
 const defaultIdleMs = 5000;
 
+/**
+ * Bytes that may come beside an answer's body: its head, an answer that belongs to nobody, and the frames of small chunks. A
+ * server in trouble may send bytes that are no answer without end.
+ */
+const maxOverheadBytes = 1024 * 1024;
+const maxOverheadPerBodyByte = 8;
+
 interface Exchange {
     req: UpstreamRequest;
     events: ExchangeEvents;
@@ -77,7 +84,10 @@
     info?: AnswerInfo;
     firstByteAt?: number;
     chunks: Buffer[];
+    /** Bytes of the body. */
     bytes: number;
+    /** All bytes that came since the request was sent. */
+    receivedBytes: number;
     isComplete: boolean;
 }
 
@@ -197,6 +207,7 @@
             close(ExchangeFailure.Malformed, "the server sent bytes that no request asked for");
             return;
         }
+        exchange.receivedBytes += chunk.length;
         const isValid = parser.read(chunk);
         if (exchange.isComplete) {
             complete(exchange, isValid);
@@ -204,6 +215,8 @@
             close(ExchangeFailure.Malformed, "the server sent bytes that are no answer");
         } else if (exchange.bytes > options.maxAnswerBytes) {
             close(ExchangeFailure.TooLarge, `the answer has more than ${options.maxAnswerBytes} bytes`);
+        } else if (getOverhead(exchange) > maxOverheadBytes) {
+            close(ExchangeFailure.Malformed, "the server sends bytes that are no answer without end");
         }
     });
     /**
@@ -232,7 +245,15 @@
 
     return {
         exchange: (req, events) => {
-            exchange = { req, events, sentAt: clock.now(), chunks: [], bytes: 0, isComplete: false };
+            exchange = {
+                req,
+                events,
+                sentAt: clock.now(),
+                chunks: [],
+                bytes: 0,
+                receivedBytes: 0,
+                isComplete: false,
+            };
             if (isConnected) {
                 write(req);
             }
@@ -247,6 +268,11 @@
     };
 }
 
+/** Bytes beyond the body and the frames that its chunks may have. */
+function getOverhead({ receivedBytes, bytes }: Exchange): number {
+    return receivedBytes - bytes * (1 + maxOverheadPerBodyByte);
+}
+
 /** An answer without an id belongs to a request that has none. */
 function isAnswerTo(req: UpstreamRequest, info: AnswerInfo): boolean {
     return (
