--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -22,6 +22,8 @@
     /** Time in milliseconds after which the caller may come back. */
     retryAfterMs: number;
     waitedMs: number;
+    /** What was known of the server for which the request waited. */
+    detail?: string;
 }
 
 export type Admission = { placement: Placement } | { refusal: Refusal };
@@ -69,12 +71,15 @@
     let timer: Timer | undefined;
     let isLooking = false;
 
-    const refuse = (req: RoutedRequest, reason: RefusalReason): Admission => {
+    const refuse = (req: RoutedRequest, reason: RefusalReason, detail?: string): Admission => {
         const now = clock.now();
         const retryAfterMs = getRetryAfterMs(req, now);
-        return { refusal: { reason, retryAfterMs, waitedMs: now - req.arrivedAt } };
+        return { refusal: { reason, retryAfterMs, waitedMs: now - req.arrivedAt, detail } };
     };
 
+    const describeRoom = ({ record, load }: BackendState): string =>
+        `${record.id} has ${load.expected(clock.now()).toFixed(1)} requests for ${record.slots} slots, ${load.inFlight()} from here; ${load.waiting()} wait`;
+
     /** Returns the decision, or the server for which the request has to wait. */
     const decide = (req: RoutedRequest): Admission | { waitFor: BackendState } => {
         const choice = balancer.choose(req);
@@ -123,7 +128,9 @@
         if (!("waitFor" in decision)) {
             return decision;
         }
-        return clock.now() >= waiting.giveUpAt ? refuse(waiting.req, RefusalReason.Overloaded) : undefined;
+        return clock.now() >= waiting.giveUpAt
+            ? refuse(waiting.req, RefusalReason.Overloaded, describeRoom(waiting.server))
+            : undefined;
     };
 
     /** A decision may end another request at once, and so lead back here: the loop in progress sees the new room as well. */
@@ -162,7 +169,7 @@
             const target = req.route.targetLatencyMs;
             const giveUpAt = Math.max(now + target * minWaitPart, req.arrivedAt + target * maxWaitPart);
             if (queue.length >= maxWaiting) {
-                onDecision(refuse(req, RefusalReason.Overloaded));
+                onDecision(refuse(req, RefusalReason.Overloaded, `${maxWaiting} requests wait`));
                 return () => undefined;
             }
             const waiting = { req, giveUpAt, settle: onDecision, server: decision.waitFor };
--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -52,8 +52,12 @@
     /** Instances that serve in the zone; a cold server gets requests from its nearest instances only. */
     countInstances: (zone: string) => number;
     regionHasInstances: (region: string) => boolean;
+    /** Called when the part of a service's objects that leave the region has changed by a step. */
+    onSpillChange?: (service: string, part: number, use: RegionUse) => void;
 }
 
+/** Change of the part of objects that leave the region from which it is reported. */
+const reportedSpillStep = 0.1;
 /** Slowness from which a server is sick: its objects are learned by the next one, which takes about three times as long once. */
 const sickSlowness = 2.5;
 /** Share of failed requests from which a server is sick; one failure alone is not enough. */
@@ -68,6 +72,7 @@
     const copies = createCopyUse({ instancesInZone: () => Math.max(1, options.countInstances(zone)) });
     const costs = createPlacementCosts({ zone, region, distance, copies });
     const spills = new Map<string, RegionSpill>();
+    const reportedParts = new Map<string, number>();
 
     const spillOf = (service: string): RegionSpill => {
         let spill = spills.get(service);
@@ -127,6 +132,16 @@
         return pickBest(alone, req, now);
     };
 
+    const useOf = (servers: readonly BackendState[], now: number): RegionUse => {
+        const own = servers.filter(server => server.region === region);
+        return {
+            slots: countSlots(own),
+            busy: own.reduce((sum, { load }) => sum + load.expected(now), 0),
+            allSlots: countSlots(servers),
+            regions: options.regions,
+        };
+    };
+
     const pick = (req: RoutedRequest, now: number): Placement | undefined => {
         const servers = table.usable(req.service);
         const key = placementKey(req);
@@ -134,6 +149,10 @@
         const own = zones.filter(({ isOwnRegion }) => isOwnRegion);
         const others = zones.filter(({ isOwnRegion }) => !isOwnRegion);
         const spill = spillOf(req.service);
+        if (!spill.hasTraffic()) {
+            // After a restart requests wait for the list of servers, and come before the next adaptation.
+            spill.adapt(useOf(servers, now), now);
+        }
         const leaves = own.length === 0 || (others.length > 0 && spill.leaves(key));
         const first = pickBest(leaves ? others : own, req, now);
         if (first?.waitMs === 0) {
@@ -154,14 +173,12 @@
         return best.hasRoom ? best : { kind: ChoiceKind.Full, server: best.server };
     };
 
-    const useOf = (servers: readonly BackendState[], now: number): RegionUse => {
-        const own = servers.filter(server => server.region === region);
-        return {
-            slots: countSlots(own),
-            busy: own.reduce((sum, { load }) => sum + load.expected(now), 0),
-            allSlots: countSlots(servers),
-            regions: options.regions,
-        };
+    const reportSpill = (service: string, use: RegionUse) => {
+        const part = spillOf(service).part();
+        if (Math.abs(part - (reportedParts.get(service) ?? 0)) >= reportedSpillStep) {
+            reportedParts.set(service, part);
+            options.onSpillChange?.(service, part, use);
+        }
     };
 
     return {
@@ -203,6 +220,7 @@
             for (const { name } of table.services()) {
                 const use = useOf(table.usable(name), now);
                 spillOf(name).adapt(use, now);
+                reportSpill(name, use);
                 costs.setUse(name, use.busy / Math.max(1, use.slots));
             }
             for (const server of table.all()) {
--- a/packages/balancing/src/region-spill.ts
+++ b/packages/balancing/src/region-spill.ts
@@ -10,6 +10,8 @@
     /** Takes from the allowance of single requests that leave beyond the part; false when it is used up. */
     tryOverflow(): boolean;
     countRequest(): void;
+    /** Whether a request has been counted; until then the part follows from the slots alone. */
+    hasTraffic(): boolean;
     /** Adapts the part to the use of the region's slots. */
     adapt(use: RegionUse, now: number): void;
     part(): number;
@@ -72,6 +74,7 @@
             hasTraffic = true;
             overflow = Math.min(maxOverflow, overflow + maxShift * overflowShare);
         },
+        hasTraffic: () => hasTraffic,
         adapt: ({ slots, busy, allSlots, regions }, now) => {
             const elapsedMs = adaptedAt === undefined ? 0 : Math.min(shiftWindowMs, now - adaptedAt);
             adaptedAt = now;
--- a/packages/balancing/src/server-health.ts
+++ b/packages/balancing/src/server-health.ts
@@ -18,7 +18,7 @@
 }
 
 export interface ServerHealth {
-    /** Whether new requests may go there. After a failure to connect, one request at a time tries again. */
+    /** Whether new requests may go there. After a failure to connect, or several refusals, one request at a time tries again. */
     isUsable(now: number, inFlight: number): boolean;
     /** Expected share of failed requests, from 0 to 1. */
     failureRate(now: number): number;
@@ -33,6 +33,8 @@
 const minShedBackoffMs = 60;
 /** Longest such time: a server may refuse everything for seconds, and each refusal takes a retry of the request. */
 const maxShedBackoffMs = 1000;
+/** Refusals in a row from which one request at a time asks whether the server takes work again. */
+const shedsBeforeProbe = 3;
 /** Weight of one outcome: the last ten or so decide. */
 const failureWeight = 0.12;
 /** Time constant in milliseconds by which the failure rate falls without new outcomes, so that the server is tried again. */
@@ -59,7 +61,10 @@
         rate === 0 ? 0 : rate * Math.exp(-(now - learnedAt) / forgivenessMs);
 
     return {
-        isUsable: (now, inFlight) => now >= closedUntil && (unreachableInARow === 0 || inFlight === 0),
+        isUsable: (now, inFlight) => {
+            const isProbed = unreachableInARow > 0 || shedsInARow >= shedsBeforeProbe;
+            return now >= closedUntil && (!isProbed || inFlight === 0);
+        },
         failureRate: currentRate,
         learn: (outcome, now) => {
             if (outcome === ServerOutcome.Cancelled) {
--- a/packages/balancing/test/admission.test.ts
+++ b/packages/balancing/test/admission.test.ts
@@ -10,12 +10,12 @@
     RoutedRequest,
 } from "@waxwingdale/balancing";
 import { createManualClock } from "@waxwingdale/core";
-import { createRoute } from "./fixtures.js";
+import { createRoute, createServer } from "./fixtures.js";
 
 function setUp() {
     const clock = createManualClock(1000);
     let room = 0;
-    const server = { load: createServerLoad() } as BackendState;
+    const server = { record: createServer("i-1", "n-a"), load: createServerLoad() } as BackendState;
     const placement = { kind: ChoiceKind.Send, expectedMs: 50 } as Placement;
     const choose = (): Choice => (room > 0 ? placement : { kind: ChoiceKind.Full, server });
     const admission = createAdmissionControl({ clock, balancer: { choose } as unknown as Balancer });
--- a/packages/balancing/test/load-patterns.test.ts
+++ b/packages/balancing/test/load-patterns.test.ts
@@ -88,6 +88,30 @@
     assert.ok(askFor(2000, ServerOutcome.Success) >= 40);
 });
 
+// Guards against an instance that starts under load and keeps all objects in a region which has hardly any servers.
+test("restart under load: objects leave a region with few servers from the first request on", () => {
+    const southern = ["i-2", "i-3", "i-4", "i-5", "i-6", "i-7"].map(id => createServer(id, "s-a"));
+    const instance = createInstance([]);
+    const { balancer, table, clock, createRequest } = instance;
+    // The services are known before the list of servers is read, and no adaptation falls between the list and the requests.
+    balancer.adapt();
+    [createServer("i-1", "n-a"), ...southern].forEach(server => table.apply(server, false));
+    const objects = Array.from({ length: 200 }, (_, i) => `o-${i}`);
+    const leaving = objects.filter(object => {
+        const req = createRequest(object);
+        const choice = balancer.choose(req);
+        if (choice.kind !== ChoiceKind.Send) {
+            return false;
+        }
+        balancer.start(req, choice);
+        clock.jump(1);
+        balancer.finish(req, choice, { outcome: ServerOutcome.Success, firstByteMs: warmMs });
+        return choice.server.region === "south";
+    });
+    // With equal demand in both regions 1 - 2 x 3 / 21 of the objects leave.
+    assert.ok(leaving.length >= 120 && leaving.length <= 165, `${leaving.length} of 200 objects leave`);
+});
+
 // Guards against requests for servers that are gone, and against a wave of them into the other region.
 test("loss of a zone: its requests go to the other zone of the region, and few leave the region", () => {
     const zones = { "n-a": 3, "n-b": 3, "s-a": 6 };
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -150,7 +150,7 @@
 
 function composeBalancing(add: AddPart): void {
     add(tokens.balancer, get => {
-        const { clock, settings } = get(tokens.base);
+        const { clock, settings, logger } = get(tokens.base);
         const places = get(tokens.places);
         return createBalancer({
             clock,
@@ -161,6 +161,14 @@
             maxRegionShift: settings().bounds.maxRegionShift,
             countInstances: zone => places.inZone(zone).length,
             regionHasInstances: region => places.inRegion(region).length > 0,
+            onSpillChange: (service, part, { slots, busy, allSlots }) =>
+                logger.info("region-spill", {
+                    service,
+                    part: part.toFixed(2),
+                    slots,
+                    busy: busy.toFixed(1),
+                    allSlots,
+                }),
         });
     });
     add(tokens.admission, get =>
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -12,6 +12,7 @@
         object: record.object || undefined,
         status: record.status,
         reason: record.reason || undefined,
+        detail: record.detail,
         config: record.configVersion,
         waitedMs: Math.round(record.waitedMs),
         tookMs: Math.round(record.tookMs),
--- a/packages/relay/src/carry-request.ts
+++ b/packages/relay/src/carry-request.ts
@@ -91,6 +91,7 @@
     /** Whether a server may have run the request without an answer. */
     let mayHaveRun = false;
     let lastFailure = "";
+    let detail: string | undefined;
     let withdraw: () => void = () => undefined;
 
     const deadlineTimer = clock.setTimer(deadlineAt - clock.now(), () => onDeadline());
@@ -123,6 +124,7 @@
             outcome,
             status,
             reason,
+            detail,
             configVersion: request.configVersion,
             waitedMs,
             tookMs: clock.now() - arrivedAt,
@@ -339,6 +341,7 @@
     withdraw = admission.request(routed, admitted => {
         waitedMs = clock.now() - arrivedAt;
         if ("refusal" in admitted) {
+            detail = admitted.refusal.detail;
             refuse(admitted.refusal);
         } else {
             send(admitted.placement);
--- a/packages/relay/src/request-outcome.ts
+++ b/packages/relay/src/request-outcome.ts
@@ -35,6 +35,8 @@
     outcome: RequestOutcome;
     status: number;
     reason: string;
+    /** What was known of the server for which a refused request waited. */
+    detail?: string;
     configVersion: number;
     waitedMs: number;
     tookMs: number;
