feat(balancing): a restarted instance follows the load of its region faster; idle instances know what leaves

The new region-spill lines: the part of a service's objects that leaves the region was 1.00 before, began at 0.77 and took seven seconds to 0.97, at half of the bound of a shift. An instance without traffic, which takes over when the large ones stop, let its part fall to 0, since it saw no use. Change: for four seconds after the first request of a restarted process (the settings tell a first start) the part and the single requests beyond it follow at four times the pace. With fewer than ten requests in five seconds the part goes to that of the slots. Ruled out: a record of the part in the store, since a start would have to wait for it and the load tells within seconds.

--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -49,6 +49,8 @@
     regions: number;
     /** Part of a region's requests that may change their region between windows. */
     maxRegionShift: number;
+    /** Whether the system ran before this process started. */
+    isRestart?: boolean;
     /** Instances that serve in the zone; a cold server gets requests from its nearest instances only. */
     countInstances: (zone: string) => number;
     regionHasInstances: (region: string) => boolean;
@@ -77,7 +79,7 @@
     const spillOf = (service: string): RegionSpill => {
         let spill = spills.get(service);
         if (spill === undefined) {
-            spill = createRegionSpill({ maxShift: options.maxRegionShift });
+            spill = createRegionSpill({ maxShift: options.maxRegionShift, isRestart: options.isRestart });
             spills.set(service, spill);
         }
         return spill;
@@ -189,7 +191,7 @@
             if (req.tried.size === 0) {
                 copies.count(req.route.name, req.objectKey);
             }
-            spillOf(req.service).countRequest();
+            spillOf(req.service).countRequest(now);
             if (now < server.coldUntil) {
                 server.coldLimit.countRequest(now);
             }
--- a/packages/balancing/src/region-spill.ts
+++ b/packages/balancing/src/region-spill.ts
@@ -3,13 +3,14 @@
  * servers are short, and the part changes slowly, since objects that change their region meet cold servers.
  */
 import { hash32 } from "@waxwingdale/core";
+import { createSlidingCount } from "./sliding-count.js";
 
 export interface RegionSpill {
     /** Whether requests for the object leave the region. */
     leaves(objectKey: string): boolean;
     /** Takes from the allowance of single requests that leave beyond the part; false when it is used up. */
     tryOverflow(): boolean;
-    countRequest(): void;
+    countRequest(now: number): void;
     /** Whether a request has been counted; until then the part follows from the slots alone. */
     hasTraffic(): boolean;
     /** Adapts the part to the use of the region's slots. */
@@ -29,6 +30,8 @@
 export interface RegionSpillOptions {
     /** Part of a region's requests that may change their region from one window to the next. */
     maxShift: number;
+    /** Whether other processes of the system ran before this one, so that its region may be short from its first request on. */
+    isRestart?: boolean;
 }
 
 /** Length in milliseconds of the windows between which shifts are bounded. */
@@ -42,12 +45,23 @@
 const overflowShare = 0.25;
 /** Requests that may leave at once after a time without. */
 const maxOverflow = 6;
+/**
+ * Time in milliseconds after the first request of a restarted process in which it follows the load faster: it has forgotten what
+ * its region needs, and its requests had no region before.
+ */
+const settleMs = 4000;
+const settleFactor = 4;
+/** Requests in a time below which an instance knows too little of the load of its region, and takes the slots instead. */
+const evidenceMs = 5000;
+const minEvidence = 10;
 /** Separates the choice of the region from that of the server, which hashes the same keys. */
 const spillSeed = 29;
 const hashRange = 2 ** 32;
 
-export function createRegionSpill({ maxShift }: RegionSpillOptions): RegionSpill {
+export function createRegionSpill({ maxShift, isRestart = false }: RegionSpillOptions): RegionSpill {
+    const recent = createSlidingCount(evidenceMs);
     let part = 0;
+    let settlesUntil = -Infinity;
     let hasTraffic = false;
     let overflow = maxOverflow;
     let adaptedAt: number | undefined;
@@ -61,6 +75,12 @@
         lastCapacity = capacity;
     };
 
+    /** Regions are taken to have equal demand where their traffic is not seen. */
+    const partBySlots = ({ slots, regions, allSlots }: RegionUse) =>
+        Math.max(0, 1 - (slots * regions) / Math.max(1, allSlots));
+
+    const speed = (now: number) => (now < settlesUntil ? settleFactor : 1);
+
     return {
         leaves: objectKey => part > 0 && hash32(objectKey, spillSeed) / hashRange < part,
         tryOverflow: () => {
@@ -70,25 +90,30 @@
             overflow -= 1;
             return true;
         },
-        countRequest: () => {
+        countRequest: now => {
+            if (!hasTraffic && isRestart) {
+                settlesUntil = now + settleMs;
+            }
             hasTraffic = true;
-            overflow = Math.min(maxOverflow, overflow + maxShift * overflowShare);
+            recent.add(now);
+            overflow = Math.min(maxOverflow, overflow + maxShift * overflowShare * speed(now));
         },
         hasTraffic: () => hasTraffic,
-        adapt: ({ slots, busy, allSlots, regions }, now) => {
+        adapt: (use, now) => {
             const elapsedMs = adaptedAt === undefined ? 0 : Math.min(shiftWindowMs, now - adaptedAt);
             adaptedAt = now;
             if (!hasTraffic) {
-                // Regions are taken to have equal demand until their traffic is seen.
-                part = Math.max(0, 1 - (slots * regions) / Math.max(1, allSlots));
-                lastCapacity = slots;
+                part = partBySlots(use);
+                lastCapacity = use.slots;
                 return;
             }
-            followLoss(slots);
-            const step = (maxShift * rampShare * elapsedMs) / shiftWindowMs;
-            if (busy > slots * highUtilization) {
+            followLoss(use.slots);
+            const step = ((maxShift * rampShare * elapsedMs) / shiftWindowMs) * speed(now);
+            if (recent.count(now) < minEvidence) {
+                part += Math.min(step, Math.max(-step, partBySlots(use) - part));
+            } else if (use.busy > use.slots * highUtilization) {
                 part = Math.min(1, part + step);
-            } else if (busy < slots * lowUtilization) {
+            } else if (use.busy < use.slots * lowUtilization) {
                 part = Math.max(0, part - step);
             }
         },
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -159,6 +159,7 @@
             region: settings().region,
             regions: new Set(Object.values(settings().zones)).size,
             maxRegionShift: settings().bounds.maxRegionShift,
+            isRestart: !settings().isFirstStart,
             countInstances: zone => places.inZone(zone).length,
             regionHasInstances: region => places.inRegion(region).length > 0,
             onSpillChange: (service, part, { slots, busy, allSlots }) =>
