refactor(gateway): active and standby instances

Cause: the package carrier of the older daemon carries requests, and the new module used the same word for instances that clients are told of. The field's words are active and standby. Behaviour and tests are unchanged. Run: types, lint, unit tests of the gateway.

--- a/packages/gateway/src/carriers.ts
+++ b/packages/gateway/src/active-instances.ts
@@ -1,6 +1,7 @@
 /**
- * Which instances of a zone carry its clients' requests. In a zone with large and small instances the large ones do: what an
- * instance learns of servers and objects comes from its own requests, and one answer fills a slow link for a long time.
+ * Which instances of a zone are active, that is, named to clients; the others stand by. In a zone with large and small instances
+ * the large ones are: what an instance learns of servers and objects comes from its own requests, and one answer fills a slow
+ * link for a long time.
  */
 import type { Member } from "@waxwingdale/core";
 import type { GatewaySettings } from "./settings.js";
@@ -23,8 +24,8 @@
     return Math.floor(Math.min((cores * coreShare) / coreSecondsPerRequest, linkMbps / megabitsPerRequest));
 }
 
-/** Returns the members of a group that carry its requests: the large ones, or all when there are too few of these. */
-export function pickCarriers(group: readonly Member[]): readonly Member[] {
+/** Returns the active members of a group: the large ones, or all when there are too few of these. */
+export function pickActive(group: readonly Member[]): readonly Member[] {
     const capacityOf = ({ capacity = 0 }: Member) => capacity;
     const largest = Math.max(0, ...group.map(capacityOf));
     const large = group.filter(member => capacityOf(member) >= largest * largePart);
--- a/packages/gateway/src/instance-directory.ts
+++ b/packages/gateway/src/instance-directory.ts
@@ -1,7 +1,7 @@
-/** Tells clients which instances to use: those that carry requests in their availability zone, else in their region, else any. */
+/** Tells clients which instances to use: the active ones of their availability zone, else of their region, else any. */
 import { MemberStatus } from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
-import { pickCarriers } from "./carriers.js";
+import { pickActive } from "./active-instances.js";
 
 export interface InstanceDirectory {
     /** Addresses of the nearest instances that serve. */
@@ -19,7 +19,7 @@
             const inZone = serving.filter(member => member.zone === zone);
             const inRegion = serving.filter(member => member.region === region);
             const nearest = [inZone, inRegion, serving].find(list => list.length > 0) ?? [];
-            return pickCarriers(nearest)
+            return pickActive(nearest)
                 .slice(0, maxAddresses)
                 .map(({ callerAddress }) => callerAddress);
         },
--- a/packages/gateway/src/instance-places.ts
+++ b/packages/gateway/src/instance-places.ts
@@ -1,14 +1,14 @@
-/** Instances that carry requests, by availability zone and region, sorted anew only when the members have changed. */
+/** Active instances by availability zone and region, sorted anew only when the members have changed. */
 import { MemberStatus } from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
-import { pickCarriers } from "./carriers.js";
+import { pickActive } from "./active-instances.js";
 
 /** The arrays that the methods return stay the same while no member changes. */
 export interface InstancePlaces {
-    /** Ids of the instances that carry the requests of a zone. */
+    /** Ids of the active instances of a zone. */
     inZone(zone: string): readonly string[];
     inRegion(region: string): readonly string[];
-    /** Ids of the carrying instances that are nearest to a zone: those of the zone, else of its region, else all. */
+    /** Ids of the active instances that are nearest to a zone: those of the zone, else of its region, else all. */
     nearest(zone: string, region: string): readonly string[];
     /**
      * Instances between which what the fleet may do is divided, as one of them sees it. An instance that gets few requests
@@ -43,12 +43,12 @@
 function sortByPlace(members: readonly Member[]): Places {
     const live = members.filter(({ status }) => status !== MemberStatus.Dead);
     const zones = [...groupBy(live, ({ zone }) => zone).values()];
-    const carriers = zones.flatMap(pickCarriers);
+    const active = zones.flatMap(pickActive);
     return {
         instances: live.length,
-        all: carriers.map(({ id }) => id),
-        byZone: toIds(groupBy(carriers, ({ zone }) => zone)),
-        byRegion: toIds(groupBy(carriers, ({ region }) => region)),
+        all: active.map(({ id }) => id),
+        byZone: toIds(groupBy(active, ({ zone }) => zone)),
+        byRegion: toIds(groupBy(active, ({ region }) => region)),
     };
 }
 
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -15,7 +15,7 @@
     createDirectoryHandler,
     createReadinessHandler,
 } from "@waxwingdale/platform";
-import { estimateCapacity } from "./carriers.js";
+import { estimateCapacity } from "./active-instances.js";
 import { composeGateway } from "./compose-gateway.js";
 import { tokens } from "./gateway-tokens.js";
 import { createPeerHandler, openListener } from "./listeners.js";
--- a/packages/gateway/test/instance-places.test.ts
+++ b/packages/gateway/test/instance-places.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemberStatus } from "@waxwingdale/core";
-import { estimateCapacity } from "../src/carriers.js";
+import { estimateCapacity } from "../src/active-instances.js";
 import { createInstancePlaces } from "../src/instance-places.js";
 import { createMember } from "./fixtures.js";
 
@@ -44,14 +44,14 @@
 ];
 
 // Guards against small instances that carry as much as large ones, and so fill their links.
-test("the large instances of a zone carry its requests", () => {
+test("the large instances of a zone are active", () => {
     const places = createInstancePlaces(() => mixedZone);
     assert.deepEqual(places.inZone("n-a"), ["big-1", "big-2"]);
     assert.deepEqual(places.inZone("s-a"), ["small-4", "small-5"]);
 });
 
 // Guards against a zone whose clients know one address.
-test("all instances of a zone carry its requests when one large one is left", () => {
+test("all instances of a zone are active when one large one is left", () => {
     const zone = mixedZone.slice(1);
     const places = createInstancePlaces(() => zone);
     assert.deepEqual(places.inZone("n-a"), ["big-2", "small-1", "small-2", "small-3"]);
@@ -63,7 +63,7 @@
 });
 
 // Guards against budgets that instances without traffic hold and those with traffic lack.
-test("the carrying instances share what the fleet may do", () => {
+test("the active instances share what the fleet may do", () => {
     const places = createInstancePlaces(() => mixedZone);
     assert.equal(places.countSharers("big-1"), 4);
     assert.equal(places.countSharers("small-1"), 7);
