--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -49,8 +49,6 @@
     regions: number;
     /** Part of a region's requests that may change their region between windows. */
     maxRegionShift: number;
-    /** Whether the system ran before this process started. */
-    isRestart?: boolean;
     /** Instances that serve in the zone; a cold server gets requests from its nearest instances only. */
     countInstances: (zone: string) => number;
     regionHasInstances: (region: string) => boolean;
@@ -79,7 +77,7 @@
     const spillOf = (service: string): RegionSpill => {
         let spill = spills.get(service);
         if (spill === undefined) {
-            spill = createRegionSpill({ maxShift: options.maxRegionShift, isRestart: options.isRestart });
+            spill = createRegionSpill({ maxShift: options.maxRegionShift });
             spills.set(service, spill);
         }
         return spill;
--- a/packages/balancing/src/region-spill.ts
+++ b/packages/balancing/src/region-spill.ts
@@ -30,8 +30,6 @@
 export interface RegionSpillOptions {
     /** Part of a region's requests that may change their region from one window to the next. */
     maxShift: number;
-    /** Whether other processes of the system ran before this one, so that its region may be short from its first request on. */
-    isRestart?: boolean;
 }
 
 /** Length in milliseconds of the windows between which shifts are bounded. */
@@ -45,12 +43,6 @@
 const overflowShare = 0.25;
 /** Requests that may leave at once after a time without. */
 const maxOverflow = 6;
-/**
- * Time in milliseconds after the first request of a restarted process in which it follows the load faster: it has forgotten what
- * its region needs, and its requests had no region before.
- */
-const settleMs = 4000;
-const settleFactor = 4;
 /** Requests in a time below which an instance knows too little of the load of its region, and takes the slots instead. */
 const evidenceMs = 5000;
 const minEvidence = 10;
@@ -58,10 +50,9 @@
 const spillSeed = 29;
 const hashRange = 2 ** 32;
 
-export function createRegionSpill({ maxShift, isRestart = false }: RegionSpillOptions): RegionSpill {
+export function createRegionSpill({ maxShift }: RegionSpillOptions): RegionSpill {
     const recent = createSlidingCount(evidenceMs);
     let part = 0;
-    let settlesUntil = -Infinity;
     let hasTraffic = false;
     let overflow = maxOverflow;
     let adaptedAt: number | undefined;
@@ -79,8 +70,6 @@
     const partBySlots = ({ slots, regions, allSlots }: RegionUse) =>
         Math.max(0, 1 - (slots * regions) / Math.max(1, allSlots));
 
-    const speed = (now: number) => (now < settlesUntil ? settleFactor : 1);
-
     return {
         leaves: objectKey => part > 0 && hash32(objectKey, spillSeed) / hashRange < part,
         tryOverflow: () => {
@@ -91,12 +80,9 @@
             return true;
         },
         countRequest: now => {
-            if (!hasTraffic && isRestart) {
-                settlesUntil = now + settleMs;
-            }
             hasTraffic = true;
             recent.add(now);
-            overflow = Math.min(maxOverflow, overflow + maxShift * overflowShare * speed(now));
+            overflow = Math.min(maxOverflow, overflow + maxShift * overflowShare);
         },
         hasTraffic: () => hasTraffic,
         adapt: (use, now) => {
@@ -108,7 +94,7 @@
                 return;
             }
             followLoss(use.slots);
-            const step = ((maxShift * rampShare * elapsedMs) / shiftWindowMs) * speed(now);
+            const step = (maxShift * rampShare * elapsedMs) / shiftWindowMs;
             if (recent.count(now) < minEvidence) {
                 part += Math.min(step, Math.max(-step, partBySlots(use) - part));
             } else if (use.busy > use.slots * highUtilization) {
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -159,7 +159,6 @@
             region: settings().region,
             regions: new Set(Object.values(settings().zones)).size,
             maxRegionShift: settings().bounds.maxRegionShift,
-            isRestart: !settings().isFirstStart,
             countInstances: zone => places.inZone(zone).length,
             regionHasInstances: region => places.inRegion(region).length > 0,
             onSpillChange: (service, part, { slots, busy, allSlots }) =>
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -26,8 +26,6 @@
     /** Address of the platform's store. */
     store: addressSchema,
     logLevel: v.optional(v.enum(LogLevel, "must be debug, info, warn or error"), LogLevel.Info),
-    /** Whether the whole system starts for the first time. */
-    isFirstStart: v.optional(v.boolean(), false),
     /** What the instance has for its work. */
     machine: v.optional(
         v.object({
