--- a/packages/store/test/relayed-store.test.ts
+++ b/packages/store/test/relayed-store.test.ts
@@ -186,35 +186,31 @@
     await stop();
 });
 
-// Guards against followers that trust an instance whose own path to the store is silent.
-test("instances that follow a reader without the store learn of a change in time", async () => {
-    const { clock, store, instances, stop, late } = startFleet(24);
+/** Silences the paths of the readers to the store, and returns the other instances that miss a change after some time. */
+async function missAfterSilence(fleet: ReturnType<typeof startFleet>, timeMs: number): Promise<string[]> {
+    const { clock, store, late } = fleet;
     await clock.advance(10_000);
     const readers = findReaders(store);
     readers.forEach(id => store.paths.set(id, Path.Silent));
     await clock.advance(100);
     await store.put("servers/new", 1, 0);
-    await clock.advance(2000);
-    const waiting = late("servers/new", clock.now()).filter(id => !readers.includes(id));
-    assert.deepEqual(waiting, []);
-    assert.equal(instances.length, 24);
-    await stop();
+    await clock.advance(timeMs);
+    return late("servers/new", clock.now()).filter(id => !readers.includes(id));
+}
+
+// Guards against followers that trust an instance whose own path to the store is silent.
+test("instances that follow a reader without the store learn of a change in time", async () => {
+    const fleet = startFleet(24);
+    assert.deepEqual(await missAfterSilence(fleet, 2000), []);
+    assert.equal(fleet.instances.length, 24);
+    await fleet.stop();
 });
 
 // Guards against an evacuation that followers of a reader with long watches hear of too late.
 test("followers of readers with longer watches learn of a change within five seconds", async () => {
-    const { clock, store, stop, late } = startFleet(24, { readerWaitMs: 2000 });
-    await clock.advance(10_000);
-    const readers = findReaders(store);
-    readers.forEach(id => store.paths.set(id, Path.Silent));
-    await clock.advance(100);
-    await store.put("servers/new", 1, 0);
-    await clock.advance(4500);
-    assert.deepEqual(
-        late("servers/new", clock.now()).filter(id => !readers.includes(id)),
-        [],
-    );
-    await stop();
+    const fleet = startFleet(24, { readerWaitMs: 2000 });
+    assert.deepEqual(await missAfterSilence(fleet, 4500), []);
+    await fleet.stop();
 });
 
 test("instances that follow a reader that hangs learn of a change in time", async () => {
