refactor(store): a reader that watches with short waits has followers or is to have some

Cause: the variable still said that the instance is followed, while a reader counts from its start. Behaviour unchanged; tests of the relayed store pass.

--- a/packages/store/src/relayed-store.ts
+++ b/packages/store/src/relayed-store.ts
@@ -145,9 +145,9 @@
         signal?: AbortSignal,
     ): Promise<WatchResult> {
         const { clock } = this.options;
-        const isFollowed = this.isReader() || clock.now() - this.followedAt < followerKeepMs;
-        const limitMs = isFollowed ? Math.min(waitMs, this.readerWaitMs(prefix)) : waitMs;
-        if (isFollowed) {
+        const hasFollowers = this.isReader() || clock.now() - this.followedAt < followerKeepMs;
+        const limitMs = hasFollowers ? Math.min(waitMs, this.readerWaitMs(prefix)) : waitMs;
+        if (hasFollowers) {
             const nextAt = (this.watchedAt.get(prefix) ?? -Infinity) + readerIntervalMs;
             await clock.sleep(Math.max(0, nextAt - clock.now()), signal);
         }
