fix(core): a call that is withdrawn before it begins leaves no error event

Cause: found while reading the change. With a signal that had already aborted the request was made and destroyed before anything listened to its errors, and Node reports such a request as "socket hang up": an uncaught error, which ends a process that is just stopping, in the moment in which its watches are withdrawn. Change: the call is refused before a request is made. The address is split by the function that the listeners use. Before: the new test fails with the uncaught error. After: it passes.

--- a/packages/core/src/http-call.ts
+++ b/packages/core/src/http-call.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import { WaxwingdaleError } from "./errors.js";
 import type { ErrorOptions } from "./errors.js";
+import { splitAddress } from "./settings-file.js";
 
 /** Code of an `HttpCallError` whose connection did not open in time. */
 export const connectTimeoutCode = "CONNECT_TIMEOUT";
@@ -72,13 +73,16 @@
 
 function send(call: HttpCall, agent: Agent, options: HttpCallerOptions): Promise<HttpAnswer> {
     const { method, address, path, headers, body, signal } = call;
-    const colon = address.lastIndexOf(":");
+    const describe = (detail: string) => `${method} ${address}${path}: ${detail}`;
     return new Promise((resolve, reject) => {
+        if (signal?.aborted) {
+            reject(new HttpCallError(describe("the call was withdrawn"), undefined));
+            return;
+        }
         const req = request({
+            ...splitAddress(address),
             agent,
             method,
-            host: address.slice(0, colon),
-            port: Number(address.slice(colon + 1)),
             path,
             headers: body === undefined ? headers : { ...headers, "content-length": Buffer.byteLength(body) },
         });
@@ -86,7 +90,7 @@
         const fail = (detail: string, code: string | undefined, cause?: unknown) => {
             release();
             req.destroy();
-            reject(new HttpCallError(`${method} ${address}${path}: ${detail}`, code, { cause }));
+            reject(new HttpCallError(describe(detail), code, { cause }));
         };
         const onAbort = () => fail("the call was withdrawn", undefined);
         const timer = setTimeout(
@@ -98,10 +102,6 @@
             signal?.removeEventListener("abort", onAbort);
         };
 
-        if (signal?.aborted) {
-            onAbort();
-            return;
-        }
         signal?.addEventListener("abort", onAbort, { once: true });
         req.on("error", (err: NodeJS.ErrnoException) => fail("the connection failed", err.code, err));
         boundConnectTime(req, options.connectTimeoutMs, () =>
--- a/packages/core/test/http-call.test.ts
+++ b/packages/core/test/http-call.test.ts
@@ -112,6 +112,14 @@
     await assert.rejects(answer, /withdrawn/);
 });
 
+// Guards against an error event that nobody hears of, which ends a process that is stopping.
+test("a call that is withdrawn before it begins fails and opens no connection", async () => {
+    const address = await listen(() => undefined);
+    await assert.rejects(call(address, { signal: AbortSignal.abort() }), /withdrawn/);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    assert.equal(sockets.size, 0);
+});
+
 function keepWriting(socket: Socket, text: string): void {
     const timer = setInterval(() => socket.write(text), 1);
     socket.on("close", () => clearInterval(timer));
