refactor(balancing): the rule of who sends to a cold server stands once

Cause, found while reading the change: the balancer asked whether an instance is the nearest to a cold server, and the cold limit asks the same of the list of senders that it gets: zone, else region, else all. The list decides alone, and an option of the balancer goes. Also: the places of instances know the own one, so that two callers do not pass its id and the divisor is worked out once for each change of the members; the two waits of readers are named constants with units; connections to backend servers split addresses by the function of core; one table for the tests of decisions. Behaviour is meant to be unchanged, and the tests keep their assertions.

--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -49,9 +49,8 @@
     regions: number;
     /** Part of a region's requests that may change their region between windows. */
     maxRegionShift: number;
-    /** Instances that serve in the zone; a cold server gets requests from its nearest instances only. */
-    countInstances: (zone: string) => number;
-    regionHasInstances: (region: string) => boolean;
+    /** Instances that get about as many requests of the zone as this one. */
+    countInstances: () => number;
     /** Called when the part of a service's objects that leave the region has changed by a step. */
     onSpillChange?: (service: string, part: number, use: RegionUse) => void;
 }
@@ -69,7 +68,7 @@
     const { clock, table, zone, region } = options;
     const ranks = createObjectRanks(region);
     const distance = createZoneDistance(zone, region);
-    const copies = createCopyUse({ instancesInZone: () => Math.max(1, options.countInstances(zone)) });
+    const copies = createCopyUse({ instancesInZone: () => Math.max(1, options.countInstances()) });
     const costs = createPlacementCosts({ zone, region, distance, copies });
     const spills = new Map<string, RegionSpill>();
     const reportedParts = new Map<string, number>();
@@ -83,17 +82,8 @@
         return spill;
     };
 
-    /** A cold server gets requests from the nearest instances only, which share its limit. */
-    const takesCold = (server: BackendState, now: number): boolean => {
-        if (now >= server.coldUntil) {
-            return true;
-        }
-        const isNearest =
-            server.record.zone === zone ||
-            (server.region === region && options.countInstances(server.record.zone) === 0) ||
-            !options.regionHasInstances(server.region);
-        return isNearest && server.coldLimit.hasRoom(now);
-    };
+    const takesCold = (server: BackendState, now: number): boolean =>
+        now >= server.coldUntil || server.coldLimit.hasRoom(now);
 
     const isOpen = (server: BackendState, req: RoutedRequest, now: number): boolean =>
         !server.isLeaving &&
--- a/packages/balancing/src/cold-limit.ts
+++ b/packages/balancing/src/cold-limit.ts
@@ -26,7 +26,7 @@
  * Requests a second that one instance may send to a cold server. Where a share of all instances would be below one request,
  * a few instances, the same in every view, have it among themselves, so that the server is used at all.
  */
-export function getColdShare(
+function getColdShare(
     serverId: string,
     requestsPerSecond: number,
     self: string,
--- a/packages/balancing/test/fixtures.ts
+++ b/packages/balancing/test/fixtures.ts
@@ -2,7 +2,7 @@
 import { RequestKind, ServerPhase, createBackendTable, createBalancer } from "@waxwingdale/balancing";
 import type { BackendTable, Balancer, Route, RoutedRequest, ServerRecord } from "@waxwingdale/balancing";
 import { createManualClock, createSilentLogger } from "@waxwingdale/core";
-import type { ManualClock } from "@waxwingdale/core";
+import type { Clock, ManualClock } from "@waxwingdale/core";
 
 export const zones: Record<string, string> = {
     "n-a": "north",
@@ -12,7 +12,8 @@
 };
 export const coldStartMs = 3000;
 /** Senders to cold servers of a fleet of one instance. */
-export const soleSender: readonly string[] = ["g-1"];
+const soleSender: readonly string[] = ["g-1"];
+const noSender: readonly string[] = [];
 
 export function createRoute(fields: Partial<Route> = {}): Route {
     return {
@@ -45,6 +46,19 @@
     };
 }
 
+/** Creates an empty table of the instance "g-1". */
+export function createTable(clock: Clock, coldSenders: (zone: string) => readonly string[]): BackendTable {
+    return createBackendTable({
+        clock,
+        logger: createSilentLogger(),
+        regionOf: zone => zones[zone],
+        coldRequestsPerSecond: () => 20,
+        self: "g-1",
+        coldSenders,
+        onGone: () => undefined,
+    });
+}
+
 export interface Instance {
     clock: ManualClock;
     table: BackendTable;
@@ -58,15 +72,8 @@
     clock = createManualClock(1000),
     zone = "n-a",
 ): Instance {
-    const table = createBackendTable({
-        clock,
-        logger: createSilentLogger(),
-        regionOf: zone => zones[zone],
-        coldRequestsPerSecond: () => 20,
-        self: "g-1",
-        coldSenders: () => soleSender,
-        onGone: () => undefined,
-    });
+    // The server's nearest instances are those of its zone.
+    const table = createTable(clock, serverZone => (serverZone === zone ? soleSender : noSender));
     table.setServices([
         {
             name: "files",
@@ -85,7 +92,6 @@
         regions: 2,
         maxRegionShift: 0.15,
         countInstances: () => 1,
-        regionHasInstances: () => true,
     });
     return {
         clock,
--- a/packages/balancing/test/object-ranks.test.ts
+++ b/packages/balancing/test/object-ranks.test.ts
@@ -1,21 +1,13 @@
 /** Ranks of servers for objects. Guards against servers that get more objects than others, and against objects that move. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createBackendTable, createObjectRanks, mixHashes } from "@waxwingdale/balancing";
+import { createObjectRanks, mixHashes } from "@waxwingdale/balancing";
 import type { BackendState } from "@waxwingdale/balancing";
-import { createManualClock, createSilentLogger, hash32 } from "@waxwingdale/core";
-import { createServer, soleSender, zones } from "./fixtures.js";
+import { createManualClock, hash32 } from "@waxwingdale/core";
+import { createServer, createTable } from "./fixtures.js";
 
 function createServers(count: number): readonly BackendState[] {
-    const table = createBackendTable({
-        clock: createManualClock(),
-        logger: createSilentLogger(),
-        regionOf: zone => zones[zone],
-        coldRequestsPerSecond: () => 20,
-        self: "g-1",
-        coldSenders: () => soleSender,
-        onGone: () => undefined,
-    });
+    const table = createTable(createManualClock(), () => []);
     for (let i = 0; i < count; i++) {
         table.apply(createServer(`i-${i}`, "n-a"), false);
     }
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -33,13 +33,10 @@
 /** Prefixes of the store that an instance watches at the same time: configuration, servers, evacuations. */
 const followedPrefixes = 3;
 
-/**
- * Longest watch in milliseconds of an instance that peers follow. A server that leaves has the shortest bound; a configuration
- * spreads between peers as well, and an evacuation has five seconds.
- */
-function readerWaitMs(prefix: string): number {
-    return prefix === serversPrefix ? 1000 : 2000;
-}
+/** Longest watch for servers in milliseconds of an instance that peers follow: a server that leaves has the shortest bound. */
+const serversReaderWaitMs = 1000;
+/** The same for the rest: a configuration spreads between peers as well, and an evacuation has five seconds. */
+const otherReaderWaitMs = 2000;
 
 /** Creates the container of one instance. Nothing runs yet. */
 export function composeGateway(base: GatewayBase): DependencyContainer {
@@ -73,7 +70,12 @@
             findSeeds: async () => settings().seeds,
         });
     });
-    add(tokens.places, get => createInstancePlaces(() => get(tokens.membership).members()));
+    add(tokens.places, get =>
+        createInstancePlaces({
+            selfId: get(tokens.base).self.id,
+            members: () => get(tokens.membership).members(),
+        }),
+    );
     add(tokens.directory, get => createInstanceDirectory(() => get(tokens.membership).members()));
 }
 
@@ -91,7 +93,7 @@
             members: () => get(tokens.membership),
             transport,
             rpc: get(tokens.rpcServer),
-            readerWaitMs,
+            readerWaitMs: prefix => (prefix === serversPrefix ? serversReaderWaitMs : otherReaderWaitMs),
             clock,
             logger,
         });
@@ -159,8 +161,7 @@
             region: settings().region,
             regions: new Set(Object.values(settings().zones)).size,
             maxRegionShift: settings().bounds.maxRegionShift,
-            countInstances: zone => places.inZone(zone).length,
-            regionHasInstances: region => places.inRegion(region).length > 0,
+            countInstances: () => places.inZone(settings().zone).length,
             onSpillChange: (service, part, { slots, busy, allSlots }) =>
                 logger.info("region-spill", {
                     service,
@@ -184,7 +185,7 @@
                     windowMs: retryWindowSeconds * 1000,
                     ratio: retryRatio,
                     slack: retrySlack,
-                    instances: () => get(tokens.places).countSharers(get(tokens.base).self.id),
+                    instances: () => get(tokens.places).sharers(),
                 });
                 windows.set(service, window);
             }
@@ -217,7 +218,7 @@
             pool: get(tokens.pool),
             retries: get(tokens.retries),
             routes: () => config.routes(),
-            instances: () => get(tokens.places).countSharers(get(tokens.base).self.id),
+            instances: () => get(tokens.places).sharers(),
             random,
             startGate: get(tokens.startGate),
             maxBodyBytes: () => config.current()?.limits.bodyBytes ?? defaultBodyBytes,
--- a/packages/gateway/src/instance-places.ts
+++ b/packages/gateway/src/instance-places.ts
@@ -11,14 +11,20 @@
     /** Ids of the active instances that are nearest to a zone: those of the zone, else of its region, else all. */
     nearest(zone: string, region: string): readonly string[];
     /**
-     * Instances between which what the fleet may do is divided, as one of them sees it. An instance that gets few requests
-     * takes its part of the whole fleet.
+     * Instances between which what the fleet may do is divided: the active ones. An instance that stands by takes its part of
+     * the whole fleet.
      */
-    countSharers(selfId: string): number;
+    sharers(): number;
+}
+
+export interface InstancePlacesOptions {
+    selfId: string;
+    /** Returns another array whenever a member has changed. */
+    members: () => readonly Member[];
 }
 
 interface Places {
-    instances: number;
+    sharers: number;
     all: readonly string[];
     byZone: ReadonlyMap<string, readonly string[]>;
     byRegion: ReadonlyMap<string, readonly string[]>;
@@ -40,28 +46,28 @@
     return new Map([...groups].map(([key, members]) => [key, members.map(({ id }) => id)]));
 }
 
-function sortByPlace(members: readonly Member[]): Places {
+function sortByPlace(members: readonly Member[], selfId: string): Places {
     const live = members.filter(({ status }) => status !== MemberStatus.Dead);
     const zones = [...groupBy(live, ({ zone }) => zone).values()];
     const active = zones.flatMap(pickActive);
+    const isActive = active.some(({ id }) => id === selfId);
     return {
-        instances: live.length,
+        sharers: Math.max(1, isActive ? active.length : live.length),
         all: active.map(({ id }) => id),
         byZone: toIds(groupBy(active, ({ zone }) => zone)),
         byRegion: toIds(groupBy(active, ({ region }) => region)),
     };
 }
 
-/** `members` returns another array whenever a member has changed. */
-export function createInstancePlaces(members: () => readonly Member[]): InstancePlaces {
+export function createInstancePlaces({ selfId, members }: InstancePlacesOptions): InstancePlaces {
     let sortedFrom: readonly Member[] | undefined;
-    let places = sortByPlace([]);
+    let places = sortByPlace([], selfId);
 
     const current = () => {
         const list = members();
         if (list !== sortedFrom) {
             sortedFrom = list;
-            places = sortByPlace(list);
+            places = sortByPlace(list, selfId);
         }
         return places;
     };
@@ -73,9 +79,6 @@
         inRegion,
         nearest: (zone, region) =>
             [inZone(zone), inRegion(region)].find(ids => ids.length > 0) ?? current().all,
-        countSharers: selfId => {
-            const { all, instances } = current();
-            return Math.max(1, all.includes(selfId) ? all.length : instances);
-        },
+        sharers: () => current().sharers,
     };
 }
--- a/packages/gateway/test/instance-places.test.ts
+++ b/packages/gateway/test/instance-places.test.ts
@@ -1,10 +1,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemberStatus } from "@waxwingdale/core";
+import type { Member } from "@waxwingdale/core";
 import { estimateCapacity } from "../src/active-instances.js";
 import { createInstancePlaces } from "../src/instance-places.js";
 import { createMember } from "./fixtures.js";
 
+function createPlaces(members: () => readonly Member[], selfId = "g-1") {
+    return createInstancePlaces({ selfId, members });
+}
+
 const members = [
     createMember("g-1", "n-a", "north"),
     createMember("g-2", "n-b", "north"),
@@ -13,13 +18,13 @@
 ];
 
 test("dead instances count nowhere", () => {
-    const places = createInstancePlaces(() => members);
+    const places = createPlaces(() => members);
     assert.deepEqual(places.inZone("n-b"), ["g-2"]);
     assert.deepEqual(places.inRegion("north"), ["g-1", "g-2"]);
 });
 
 test("the nearest instances are those of the zone, else of the region, else all", () => {
-    const places = createInstancePlaces(() => members);
+    const places = createPlaces(() => members);
     assert.deepEqual(places.nearest("n-a", "north"), ["g-1"]);
     assert.deepEqual(places.nearest("s-b", "south"), ["g-4"]);
     assert.deepEqual(places.nearest("c-a", "central"), ["g-1", "g-2", "g-4"]);
@@ -28,7 +33,7 @@
 // Guards against ranking all instances again for each request.
 test("the arrays stay the same until a member changes", () => {
     let list = members;
-    const places = createInstancePlaces(() => list);
+    const places = createPlaces(() => list);
     const before = places.inZone("n-a");
     assert.equal(places.inZone("n-a"), before);
     list = [...members, createMember("g-5", "n-a", "north")];
@@ -45,7 +50,7 @@
 
 // Guards against small instances that carry as much as large ones, and so fill their links.
 test("the large instances of a zone are active", () => {
-    const places = createInstancePlaces(() => mixedZone);
+    const places = createPlaces(() => mixedZone);
     assert.deepEqual(places.inZone("n-a"), ["big-1", "big-2"]);
     assert.deepEqual(places.inZone("s-a"), ["small-4", "small-5"]);
 });
@@ -53,20 +58,19 @@
 // Guards against a zone whose clients know one address.
 test("all instances of a zone are active when one large one is left", () => {
     const zone = mixedZone.slice(1);
-    const places = createInstancePlaces(() => zone);
+    const places = createPlaces(() => zone);
     assert.deepEqual(places.inZone("n-a"), ["big-2", "small-1", "small-2", "small-3"]);
 });
 
 test("instances without a known capacity are alike", () => {
-    const places = createInstancePlaces(() => members);
+    const places = createPlaces(() => members);
     assert.deepEqual(places.inRegion("north"), ["g-1", "g-2"]);
 });
 
 // Guards against budgets that instances without traffic hold and those with traffic lack.
 test("the active instances share what the fleet may do", () => {
-    const places = createInstancePlaces(() => mixedZone);
-    assert.equal(places.countSharers("big-1"), 4);
-    assert.equal(places.countSharers("small-1"), 7);
+    assert.equal(createPlaces(() => mixedZone, "big-1").sharers(), 4);
+    assert.equal(createPlaces(() => mixedZone, "small-1").sharers(), 7);
 });
 
 test("the capacity follows from the scarcer of processor and link", () => {
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -1,5 +1,6 @@
 /** One connection to a backend server. It carries one request at a time and checks that the answer belongs to it. */
 import { connect } from "node:net";
+import { splitAddress } from "@waxwingdale/core";
 import type { Clock, Timer } from "@waxwingdale/core";
 import { createAnswerParser } from "./answer-parser.js";
 import type { AnswerHead } from "./answer-parser.js";
@@ -94,11 +95,9 @@
 /** Opens a connection. */
 export function openUpstreamConnection(options: UpstreamConnectionOptions): UpstreamConnection {
     const { clock, protocol } = options;
-    const colon = options.address.lastIndexOf(":");
     const openedAt = clock.now();
     const socket = connect({
-        host: options.address.slice(0, colon),
-        port: Number(options.address.slice(colon + 1)),
+        ...splitAddress(options.address),
         noDelay: true,
         allowHalfOpen: true,
     });
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -168,7 +168,6 @@
         regions: 1,
         maxRegionShift: 0.15,
         countInstances: () => 1,
-        regionHasInstances: () => true,
     });
     const retries = createRetryWindow({ windowMs: 10_000, ratio: 0.2, slack: 50, instances: () => 1 });
     const pool = createUpstreamPool({
