fix(store): followers hear at once of what their reader has read in a list

What callers may see: a change of a server, a configuration or an evacuation that an instance learns up to a whole wait late. Cause: after a lost watch a reader reads a list. The list counted as an answer of the store, but brought nothing into what followers are told: they heard "no changes" until the next watch of the reader ended, a wait of one to two seconds. Evidence: "followers learn at once of a change that their readers have read in a list" (relayed-store) and "a list beyond the end of the log begins it anew" (change-log) fail without the change and pass with it. Change: a list beyond the end of the log begins the log anew, so followers at an earlier position are sent to the store for one call. Ruled out: passing the list on to followers, which is larger than the changes and needed once in a while only.

--- a/packages/store/src/change-log.ts
+++ b/packages/store/src/change-log.ts
@@ -4,8 +4,8 @@
 
 export interface ChangeLog {
     /**
-     * Notes that a complete list was read at a position, complete up to the time `asOf` of the clock. The log begins with it,
-     * unless it goes on from an earlier position.
+     * Notes that a complete list was read at a position, complete up to the time `asOf` of the clock. A list beyond the end
+     * of the log has brought changes that the log lacks, so the log begins anew.
      */
     begin(position: number, asOf: number): void;
     /** Adds the result of a watch from the position `since`, complete up to the time `asOf` of the clock. */
@@ -53,7 +53,7 @@
 
     return {
         begin: (position, asOf) => {
-            if (batches.length === 0) {
+            if (batches.length === 0 || position > end()) {
                 batches = [{ from: position, to: position, changes: [] }];
             }
             noteCurrent(asOf);
--- a/packages/store/test/change-log.test.ts
+++ b/packages/store/test/change-log.test.ts
@@ -52,6 +52,16 @@
     });
 });
 
+// Guards against a reader that says "no changes" to its followers after a list has told it of some.
+test("a list beyond the end of the log begins it anew", async () => {
+    const log = createChangeLog(createManualClock());
+    log.append(1, createResult(2), 0);
+    const waiting = log.follow(2, 1000, maxAgeMs);
+    log.begin(5, 0);
+    assert.equal(await log.follow(2, 0, maxAgeMs), undefined);
+    assert.equal(await waiting, undefined);
+});
+
 // Guards against a late answer that takes the end of the log back.
 test("an answer that a later one has overtaken changes nothing", async () => {
     const log = createChangeLog(createManualClock());
--- a/packages/store/test/relayed-store.test.ts
+++ b/packages/store/test/relayed-store.test.ts
@@ -266,6 +266,20 @@
     }
 });
 
+// Guards against followers that hear "no changes" of a reader which has learned of one by a list.
+test("followers learn at once of a change that their readers have read in a list", async () => {
+    const { clock, store, stop, late } = startFleet(24, { boundMs: 3000 });
+    await clock.advance(10_000);
+    const readers = findReaders(store);
+    readers.forEach(id => store.paths.set(id, Path.Refusing));
+    await store.put("servers/new", 1, 0);
+    await clock.advance(10);
+    readers.forEach(id => store.paths.set(id, Path.Open));
+    await clock.advance(600);
+    assert.deepEqual(late("servers/new", clock.now()), []);
+    await stop();
+});
+
 // Guards against followers that ask the store beside their readers while nothing is wrong.
 test("in a calm fleet only the readers ask the store", async () => {
     const { clock, store, stop } = startFleet(24, { boundMs: 3000 });
