fix(store): an instance that the store does not answer learns of changes from a peer

What callers may see: requests to a server that has left, or to an evacuated zone, from an instance that the store turns away, while its peers know better for as long as that lasts. Cause: after a failure only a list of the store counts. A reader is followed by nobody but itself, and a follower whose regular list fails is not told anything any more, although the instance that it follows still watches the store. Evidence: the three tests "... that the store turns away ..." of relayed-store fail without the change (a reader, an instance of a small region, followers) and pass with it. Change: in the pause between two calls an instance asks a peer that watches the store. What it hears counts with the age that the peer tells. The store is asked as often as before, and a peer that hangs does not hold it up. Ruled out: to watch again from the old position in place of the list.

--- a/packages/claims/test/claims-harness.ts
+++ b/packages/claims/test/claims-harness.ts
@@ -261,6 +261,7 @@
         delete: (key, version) => guard(store.delete(key, version)),
         watch: () => store.watch(),
         poll: () => store.watch(),
+        watchPeers: async () => undefined,
         listInstances: () => store.listInstances(),
     };
 }
--- a/packages/core/src/object-store.ts
+++ b/packages/core/src/object-store.ts
@@ -142,6 +142,18 @@
         return this.watch(prefix, sinceVersion, 0, signal);
     }
 
+    /**
+     * Waits up to `waitMs` for what a peer knows of changes after `sinceVersion`, without a call to the store, for an instance
+     * that the store does not answer. Undefined when no peer can tell.
+     */
+    async watchPeers(
+        _prefix: string,
+        _sinceVersion: number,
+        _waitMs: number,
+    ): Promise<WatchResult | undefined> {
+        return undefined;
+    }
+
     /** Reads the platform's list of instances. */
     abstract listInstances(signal?: AbortSignal): Promise<InstanceRecord[]>;
 }
--- a/packages/store/src/refresh-schedule.ts
+++ b/packages/store/src/refresh-schedule.ts
@@ -10,7 +10,7 @@
 
 export interface RefreshSchedule {
     /** Notes that the view is complete up to a time of the clock. */
-    noteCurrent(asOf: number): void;
+    noteCurrent: (asOf: number) => void;
     /** Notes that a call to the store was sent. */
     noteCall(): void;
     /** Notes a further call beside a pending one. Returns how many there are for the view as it is. */
--- a/packages/store/src/relayed-store.ts
+++ b/packages/store/src/relayed-store.ts
@@ -153,7 +153,8 @@
         signal?: AbortSignal,
     ): Promise<WatchResult> {
         const reader = this.findReader(prefix);
-        const followed = reader && (await this.askReader(reader, prefix, sinceVersion, waitMs));
+        const followed =
+            reader && (await this.askReader(reader, prefix, sinceVersion, waitMs, followSlackMs));
         checkNotWithdrawn(signal);
         if (followed !== undefined) {
             this.noteSource(prefix, reader!.id);
@@ -167,6 +168,21 @@
         return this.watchStore(prefix, sinceVersion, isCatchingUp ? 0 : waitMs, signal);
     }
 
+    override async watchPeers(
+        prefix: string,
+        sinceVersion: number,
+        waitMs: number,
+    ): Promise<WatchResult | undefined> {
+        const self = this.options.members().self();
+        const others = this.findReaders(self).filter(id => id !== self.id);
+        const reader = this.pickReader(prefix, self, others);
+        const followed = reader && (await this.askReader(reader, prefix, sinceVersion, waitMs));
+        if (followed !== undefined) {
+            this.logOf(prefix).append(sinceVersion, followed, followed.asOf);
+        }
+        return followed;
+    }
+
     override async poll(prefix: string, sinceVersion: number, signal?: AbortSignal): Promise<WatchResult> {
         const sentAt = this.options.clock.now();
         const result = await this.options.store.poll(prefix, sinceVersion, signal);
@@ -209,13 +225,15 @@
 
     /** The instance to follow: one of the own zone if there is one. Undefined for a reader itself. */
     private findReader(prefix: string): Member | undefined {
+        const self = this.options.members().self();
+        const readers = this.findReaders(self);
+        return readers.includes(self.id) ? undefined : this.pickReader(prefix, self, readers);
+    }
+
+    /** Picks one of the readers that answer, if there is one: of the own zone if possible. */
+    private pickReader(prefix: string, self: Member, readers: readonly string[]): Member | undefined {
         const view = this.options.members();
-        const self = view.self();
         const now = this.options.clock.now();
-        const readers = this.findReaders(self);
-        if (readers.includes(self.id)) {
-            return undefined;
-        }
         const usable = readers.filter(id => (this.avoidUntil.get(id) ?? 0) <= now);
         const near = usable.filter(id => view.find(id)?.zone === self.zone);
         const choice = pickOwner(`${prefix}\n${self.id}`, near.length > 0 ? near : usable);
@@ -249,9 +267,10 @@
         prefix: string,
         since: number,
         maxWaitMs: number,
+        slackMs = 0,
     ): Promise<FollowResult | undefined> {
         const { transport, clock, logger } = this.options;
-        const waitMs = Math.min(maxWaitMs, this.readerWaitMs(prefix)) + followSlackMs;
+        const waitMs = Math.min(maxWaitMs, this.readerWaitMs(prefix)) + slackMs;
         const sentAt = clock.now();
         try {
             const answer = await transport.call<unknown>(
--- a/packages/store/src/view-calls.ts
+++ b/packages/store/src/view-calls.ts
@@ -26,6 +26,8 @@
     list(): Promise<ObjectList>;
     /** Waits for changes after a position. A further call may bring a list instead, when the changes are not to be had. */
     changes(position: number, waitMs: number): Promise<ViewAnswer>;
+    /** Notes that the view is complete up to a time of the clock, as a peer has told. */
+    noteCurrent: (asOf: number) => void;
     /** Time of the clock up to which the view is complete. */
     currentAt(): number;
 }
@@ -92,6 +94,7 @@
             // A store whose watches get no answer may still answer lists, which are larger.
             return ask(watch, refreshes => (refreshes % 2 === 1 ? poll : listInstead));
         },
+        noteCurrent: schedule.noteCurrent,
         currentAt: schedule.currentAt,
     };
 }
--- a/packages/store/src/watch-prefix.ts
+++ b/packages/store/src/watch-prefix.ts
@@ -75,6 +75,8 @@
     maxBackoffMs?: number;
 }
 
+/** Part of a pause that a peer may wait for changes; the rest is for its answer. */
+const peerWaitPart = 0.5;
 /** Objects that are removed together, as a number and as a part of all, for which a list has to confirm the removal. */
 const massRemovalCount = 3;
 const massRemovalPart = 0.34;
@@ -84,9 +86,11 @@
     const { store, prefix, clock, random, logger, signal } = options;
     const backoff = { minMs: options.minBackoffMs ?? 200, maxMs: options.maxBackoffMs ?? 3000 };
     const waitMs = options.waitMs ?? 10_000;
+    const minIntervalMs = options.minIntervalMs ?? 100;
     const seen = createVersionFilter();
     let position = 0;
     let failures = 0;
+    let hasRead = false;
     /** Whether the store has failed since the last complete read. */
     let wasLost = false;
     let lostAt: number | undefined;
@@ -142,6 +146,7 @@
         // The jitter spreads the reads of a fleet that started together.
         const usualMs = (options.relistMs ?? 60_000) * (0.75 + random() / 2);
         relistAt = clock.now() + (isConfirming() ? options.absentGraceMs! : usualMs);
+        hasRead = true;
         options.onListed?.();
     };
 
@@ -150,14 +155,13 @@
         return options.absentGraceMs !== undefined && removed >= massRemovalCount && isLargePart(removed);
     };
 
-    /** Applies an answer to a watch. Returns whether all objects have to be read again. */
+    /** Applies changes. Returns whether all objects have to be read again. */
     const applyChanges = (result: WatchResult): boolean => {
         if (isMassRemoval(result)) {
             logger.warn("store-mass-removal", { prefix, changes: result.changes.length });
             wasLost = true;
             return true;
         }
-        wasLost &&= isConfirming();
         for (const { key, version, value, deleted } of result.changes) {
             if (!deleted) {
                 applyObject({ key, version, value });
@@ -171,7 +175,7 @@
     /** Waits for changes until all objects have to be read again. Returns whether the position had expired. */
     const follow = async (): Promise<boolean> => {
         while (!signal.aborted && clock.now() < relistAt) {
-            const nextCallAt = clock.now() + (options.minIntervalMs ?? 100);
+            const nextCallAt = clock.now() + minIntervalMs;
             const longestMs = isConfirming() ? relistAt - clock.now() : Infinity;
             const answer = await calls.changes(position, Math.min(nextWaitMs(), longestMs));
             noteAnswer();
@@ -188,11 +192,40 @@
             if (applyChanges(changes)) {
                 return false;
             }
+            wasLost &&= isConfirming();
             await clock.sleep(Math.max(0, nextCallAt - clock.now()), signal);
         }
         return false;
     };
 
+    /** Takes what a peer knows, within a time in milliseconds. Returns whether a peer could tell. */
+    const hearPeer = async (longestMs: number): Promise<boolean> => {
+        // A peer that hangs must not keep the store from being asked again; what it says afterwards is left out.
+        const changes = await Promise.race([
+            store.watchPeers(prefix, position, longestMs * peerWaitPart),
+            clock.sleep(longestMs, signal),
+        ]);
+        if (!changes || signal.aborted) {
+            return false;
+        }
+        calls.noteCurrent(changes.asOf ?? -Infinity);
+        options.onCurrent?.(calls.currentAt());
+        position = Math.max(position, changes.version);
+        applyChanges(changes);
+        return true;
+    };
+
+    /** Waits before the store is asked again. Peers may know more meanwhile. */
+    const pause = async () => {
+        const endAt = clock.now() + getBackoff(failures, backoff, random);
+        let canHear = hasRead;
+        while (canHear && clock.now() < endAt) {
+            canHear = await hearPeer(endAt - clock.now());
+            await clock.sleep(Math.min(minIntervalMs, Math.max(0, endAt - clock.now())), signal);
+        }
+        await clock.sleep(Math.max(0, endAt - clock.now()), signal);
+    };
+
     const readAll = async () => {
         const list = await calls.list();
         noteAnswer();
@@ -213,7 +246,7 @@
         }
         if (expired && !signal.aborted) {
             failures++;
-            await clock.sleep(getBackoff(failures, backoff, random), signal);
+            await pause();
         }
     }
 }
--- a/packages/store/test/relayed-store.test.ts
+++ b/packages/store/test/relayed-store.test.ts
@@ -81,9 +81,13 @@
     readerWaitMs?: number;
     /** Time in milliseconds within which a change has to arrive. Without it, nothing is asked again beside a pending call. */
     boundMs?: number;
+    relistMs?: number;
 }
 
-function startFleet(size: number, { ready = true, readerWaitMs = 1000, boundMs }: FleetOptions = {}) {
+function startFleet(
+    size: number,
+    { ready = true, readerWaitMs = 1000, boundMs, relistMs }: FleetOptions = {},
+) {
     const clock: ManualClock = createManualClock();
     const store = new PathStore(clock);
     const controller = new AbortController();
@@ -129,6 +133,7 @@
             ...(boundMs === undefined
                 ? {}
                 : { refresh: { afterMs: boundMs * 0.65, intervalMs: boundMs * 0.1 } }),
+            relistMs,
             minIntervalMs: 200,
             onObject: ({ key }) => {
                 instance.keys.add(key);
@@ -280,6 +285,39 @@
     await stop();
 });
 
+/** Lets the store turn some instances away for ten seconds, and checks that these learn of a change meanwhile. */
+async function checkTurnedAway(
+    size: number,
+    findTurnedAway: (fleet: ReturnType<typeof startFleet>) => string[],
+) {
+    const fleet = startFleet(size, { boundMs: 3000, relistMs: 4000 });
+    const { clock, store, stop, late } = fleet;
+    await clock.advance(10_000);
+    const turnedAway = findTurnedAway(fleet);
+    turnedAway.forEach(id => store.paths.set(id, Path.Refusing));
+    await clock.advance(5000);
+    await store.put("servers/new", 1, 0);
+    await clock.advance(2900);
+    assert.deepEqual(late("servers/new", clock.now()), []);
+    await clock.advance(2100);
+    turnedAway.forEach(id => store.paths.set(id, Path.Open));
+    await stop();
+}
+
+// Guards against instances that know nothing new while the store turns them away, though their peers do.
+test("a reader that the store turns away learns of a change from another reader", () =>
+    checkTurnedAway(24, ({ store }) => findReaders(store).slice(0, 1)));
+
+test("an instance of a small region that the store turns away learns of a change from a peer", () =>
+    checkTurnedAway(3, ({ instances }) => [instances[0]!.id]));
+
+// Guards against followers that lose their readers with the first list that the store refuses.
+test("followers that the store turns away learn of a change from their readers", () =>
+    checkTurnedAway(24, ({ store, instances }) => {
+        const readers = findReaders(store);
+        return instances.map(({ id }) => id).filter(id => !readers.includes(id));
+    }));
+
 // Guards against followers that ask the store beside their readers while nothing is wrong.
 test("in a calm fleet only the readers ask the store", async () => {
     const { clock, store, stop } = startFleet(24, { boundMs: 3000 });
