fix(gateway): an instance that starts without the store follows what its peers know

What callers may see: requests to an evacuated zone or a server that has left, from an instance that was restarted while the store turns it away. Cause: such an instance took the view of one peer at random, once, whatever its age, and kept it until it had read the store itself. Evidence: "an instance without the store follows what its peers know, and leaves out what is older" fails on the code before (the evacuation is never heard of) and passes now. Change: a peer tells how old its view is. Ruled out: to refuse an old view, since any view is better than none when the store is away for all.

--- a/packages/gateway/test/store-view.test.ts
+++ b/packages/gateway/test/store-view.test.ts
@@ -7,7 +7,7 @@
     createRandom,
     createSilentLogger,
 } from "@waxwingdale/core";
-import type { MemberView } from "@waxwingdale/core";
+import type { ManualClock, MemberView } from "@waxwingdale/core";
 import { MemoryObjectStore } from "@waxwingdale/store";
 import { createStoreView } from "../src/store-view.js";
 import { createStoreWatches } from "../src/store-watches.js";
@@ -33,16 +33,23 @@
     }
 }
 
-// Guards against an instance that hears of an evacuation too late, because the connection of its watch has gone silent.
-test("an evacuation is known in time when the watch goes silent before it", async () => {
+interface ViewOptions<Store> {
+    store: (clock: ManualClock) => Store;
+    /** Answers of the peers, by address. */
+    answer?: (address: string) => unknown;
+}
+
+/** Starts the view of instance "a", whose peers are "b" and "c". */
+function startView<Store extends MemoryObjectStore>(options: ViewOptions<Store>) {
     const clock = createManualClock(1000);
-    const store = new SilentWatchStore(clock);
+    const store = options.store(clock);
     const logger = createSilentLogger();
     const controller = new AbortController();
-    const self = createMember("a", "n-a", "north");
-    const members: MemberView = {
+    const members = ["a", "b", "c"].map(id => createMember(id, "n-a", "north"));
+    const self = members[0]!;
+    const memberView: MemberView = {
         self: () => self,
-        members: () => [self],
+        members: () => (options.answer === undefined ? [self] : members),
         liveInRegion: () => [self],
         find: () => self,
         onChange: () => () => undefined,
@@ -68,18 +75,78 @@
         logger,
         signal: controller.signal,
         table,
-        members: () => members,
-        transport: { call: () => Promise.reject(new Error("no peer")) },
+        members: () => memberView,
+        transport: {
+            call: async <Result>(address: string) => {
+                if (options.answer === undefined) {
+                    throw new Error("no peer");
+                }
+                return options.answer(address) as Result;
+            },
+        },
         rpc: { addMethod: () => undefined },
     });
     const running = view.run();
+    const stop = async () => {
+        controller.abort();
+        await clock.advance(10_000);
+        await running;
+    };
+    return { clock, store, table, view, stop };
+}
+
+// Guards against an instance that hears of an evacuation too late, because the connection of its watch has gone silent.
+test("an evacuation is known in time when the watch goes silent before it", async () => {
+    const { clock, store, table, stop } = startView({ store: time => new SilentWatchStore(time) });
     await clock.advance(3000);
     store.isSilent = true;
     await clock.advance(10);
     await store.put("evacuations/n-b", {}, 0);
     await clock.advance(evacuationMs - 100);
     assert.deepEqual(table.evacuatedZones(), ["n-b"]);
-    controller.abort();
-    await clock.advance(10_000);
-    await running;
+    await stop();
+});
+
+function createPeerView(ageMs: number, servers: string[], evacuatedZones: string[]) {
+    const records = servers.map(id => ({
+        id,
+        startedAt: 1,
+        service: "files",
+        address: "10.0.0.9:80",
+        zone: "n-b",
+        slots: 3,
+        phase: "ready",
+        coldRemainingMs: 0,
+    }));
+    return { servers: records, evacuatedZones, ageMs };
+}
+
+// Guards against an instance that starts while the store turns it away and serves by what a peer knew at its start.
+test("an instance without the store follows what its peers know, and leaves out what is older", async () => {
+    let views = { "b:2": createPeerView(0, ["s1", "s2"], []), "c:2": createPeerView(0, ["s1", "s2"], []) };
+    const { clock, store, table, view, stop } = startView({
+        store: time => {
+            const away = new MemoryObjectStore(time);
+            away.faults.down = true;
+            return away;
+        },
+        answer: address => views[address as keyof typeof views],
+    });
+    await clock.advance(1500);
+    assert.equal(view.missing(), undefined);
+    views = { "b:2": createPeerView(20_000, ["s1", "s2"], []), "c:2": createPeerView(100, ["s1"], ["n-b"]) };
+    for (let i = 0; i < 10; i++) {
+        await clock.advance(evacuationMs - 100);
+        assert.deepEqual(table.evacuatedZones(), ["n-b"]);
+        assert.deepEqual(
+            table.all().map(({ record }) => record.id),
+            ["s1"],
+        );
+    }
+    store.faults.down = false;
+    await store.put("evacuations/n-a", {}, 0);
+    await clock.advance(3000);
+    assert.deepEqual(table.evacuatedZones(), ["n-a"]);
+    assert.deepEqual(table.all(), []);
+    await stop();
 });
