--- a/packages/config/src/replicated-document.ts
+++ b/packages/config/src/replicated-document.ts
@@ -2,7 +2,7 @@
 import { getErrorMessage } from "@waxwingdale/core";
 import type { Clock, Logger, ObjectStore, PeerTransport, Random } from "@waxwingdale/core";
 import { watchPrefix } from "@waxwingdale/store";
-import type { WatchPrefixOptions } from "@waxwingdale/store";
+import type { WatchSettings } from "@waxwingdale/store";
 import * as v from "valibot";
 import type { DocumentExchange } from "./document-exchange.js";
 import { InvalidDocumentError, UnsupportedDocumentError } from "./document-errors.js";
@@ -37,20 +37,7 @@
      */
     parse: (value: unknown) => Value;
     /** Times of the watch, and what is called when the store is lost or answers again. */
-    watch?: Partial<
-        Pick<
-            WatchPrefixOptions,
-            | "waitMs"
-            | "minIntervalMs"
-            | "minBackoffMs"
-            | "maxBackoffMs"
-            | "refresh"
-            | "onRefresh"
-            | "onCurrent"
-            | "onLost"
-            | "onRegained"
-        >
-    >;
+    watch?: WatchSettings;
 }
 
 /** A value of greater order than the one in force that this process cannot apply. */
--- a/packages/gateway/src/store-watches.ts
+++ b/packages/gateway/src/store-watches.ts
@@ -5,7 +5,7 @@
 import { getErrorMessage } from "@waxwingdale/core";
 import type { Clock, Logger } from "@waxwingdale/core";
 import { configKey, evacuationsPrefix, serversPrefix } from "@waxwingdale/platform";
-import type { WatchPrefixOptions } from "@waxwingdale/store";
+import type { WatchSettings } from "@waxwingdale/store";
 import type { GatewaySettings } from "./settings.js";
 
 /** Times of the watch of one prefix in milliseconds. */
@@ -27,23 +27,9 @@
     "configApplySeconds" | "drainSeconds" | "evacuateSeconds"
 >;
 
-/** What `watchPrefix` needs beside the store, the prefix and who listens. */
-export type StoreWatch = Pick<
-    WatchPrefixOptions,
-    | "waitMs"
-    | "minIntervalMs"
-    | "minBackoffMs"
-    | "maxBackoffMs"
-    | "refresh"
-    | "onRefresh"
-    | "onCurrent"
-    | "onLost"
-    | "onRegained"
->;
-
 export interface StoreWatches {
     times(prefix: string): WatchTimes;
-    watch(prefix: string): StoreWatch;
+    watch(prefix: string): WatchSettings;
     /** Age in milliseconds of the view of each prefix that was read. */
     ages(): ReadonlyMap<string, number>;
 }
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -1,7 +1,19 @@
-/** Members of a fleet for the tests of places and look-ups. */
+/** Members of a fleet, and bounds of a deployment. */
 import { MemberStatus } from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
 
+/** Bounds that every settings file declares. */
+export const declaredBounds = {
+    graceSeconds: 6,
+    lookupTtlSeconds: 5,
+    retryRatio: 0.2,
+    retryWindowSeconds: 10,
+    retrySlack: 58,
+    coldFactor: 1.5,
+    coldSlack: 5,
+    maxRegionShift: 0.15,
+};
+
 export function createMember(id: string, zone: string, region: string, fields: Partial<Member> = {}): Member {
     return {
         id,
--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -5,6 +5,7 @@
 import { test } from "node:test";
 import { SettingsError, createSilentLogger, createSystemClock } from "@waxwingdale/core";
 import { createSettingsSource, parseGatewaySettings } from "@waxwingdale/gateway";
+import { declaredBounds } from "./fixtures.js";
 
 const settings = {
     id: "gateway-1",
@@ -18,16 +19,7 @@
     },
     zones: { "n-a": "north" },
     store: "10.0.0.9:8142",
-    bounds: {
-        graceSeconds: 6,
-        lookupTtlSeconds: 5,
-        retryRatio: 0.2,
-        retryWindowSeconds: 10,
-        retrySlack: 58,
-        coldFactor: 1.5,
-        coldSlack: 5,
-        maxRegionShift: 0.15,
-    },
+    bounds: declaredBounds,
 };
 
 test("settings with comments and unknown keys are read", () => {
@@ -44,6 +36,10 @@
     refuses({ store: "nowhere" }, /f\.jsonc: store: must be an IP address and a port/);
     refuses({ region: undefined }, /region: missing; add it/);
     refuses({ bounds: { ...settings.bounds, coldSlack: -1 } }, /bounds\.coldSlack: must not be negative/);
+    refuses(
+        { bounds: { ...settings.bounds, evacuateSeconds: 0 } },
+        /bounds\.evacuateSeconds: must be greater than 0/,
+    );
 });
 
 // Guards against a settings file in the middle of being written, and against a process that loses its addresses.
--- a/packages/gateway/test/view-bounds.test.ts
+++ b/packages/gateway/test/view-bounds.test.ts
@@ -6,7 +6,7 @@
 import { PlatformProtocol } from "@waxwingdale/platform";
 import { composeGateway } from "../src/compose-gateway.js";
 import { tokens } from "../src/gateway-tokens.js";
-import { createMember } from "./fixtures.js";
+import { createMember, declaredBounds } from "./fixtures.js";
 import { SilentStore } from "./silent-store.js";
 
 /** Bounds of a deployment in seconds. */
@@ -39,17 +39,7 @@
             zones: { "n-a": "north", "n-b": "north" },
             store: "s:1",
             logLevel: "error" as never,
-            bounds: {
-                ...bounds,
-                graceSeconds: 6,
-                lookupTtlSeconds: 5,
-                retryRatio: 0.2,
-                retryWindowSeconds: 10,
-                retrySlack: 58,
-                coldFactor: 1.5,
-                coldSlack: 5,
-                maxRegionShift: 0.15,
-            },
+            bounds: { ...declaredBounds, ...bounds },
         }),
         self,
         clock,
--- a/packages/store/src/watch-prefix.ts
+++ b/packages/store/src/watch-prefix.ts
@@ -75,6 +75,20 @@
     maxBackoffMs?: number;
 }
 
+/** The times of a watch and who hears of its state, apart from what is watched and who takes the objects. */
+export type WatchSettings = Pick<
+    WatchPrefixOptions,
+    | "waitMs"
+    | "minIntervalMs"
+    | "minBackoffMs"
+    | "maxBackoffMs"
+    | "refresh"
+    | "onRefresh"
+    | "onCurrent"
+    | "onLost"
+    | "onRegained"
+>;
+
 /** Part of a pause that a peer may wait for changes; the rest is for its answer. */
 const peerWaitPart = 0.5;
 /** Objects that are removed together, as a number and as a part of all, for which a list has to confirm the removal. */
