--- a/packages/store/src/refresh-schedule.ts
+++ b/packages/store/src/refresh-schedule.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * Further calls for one view that is too old. More of them are answered by no store that is away, and each call is charged
- * for; the retries of the watch go on.
+ * Further calls for one view that is too old. A store that is away answers none of them, and each call is charged for. The
+ * retries of the watch go on.
  */
 const maxRefreshes = 3;
 
