test(balancing): a request that waits does not go to a zone evacuated meanwhile

The decision is made anew when there is room, and the zone that has it is left out. The test passes on the code as it was; it keeps that so.

--- a/packages/balancing/test/admission.test.ts
+++ b/packages/balancing/test/admission.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ChoiceKind, createAdmissionControl, createServerLoad } from "@waxwingdale/balancing";
+import { ChoiceKind, ServerOutcome, createAdmissionControl, createServerLoad } from "@waxwingdale/balancing";
 import type {
     Admission,
     BackendState,
@@ -10,7 +10,7 @@
     RoutedRequest,
 } from "@waxwingdale/balancing";
 import { createManualClock } from "@waxwingdale/core";
-import { createRoute, createServer } from "./fixtures.js";
+import { createInstance, createRoute, createServer } from "./fixtures.js";
 
 function setUp() {
     const clock = createManualClock(1000);
@@ -91,3 +91,37 @@
     await clock.advance(500);
     assert.equal(isSettled, false);
 });
+
+// Guards against a request that goes to an evacuated zone, since it began to wait before the news came.
+test("a request that waits goes elsewhere when a zone with room is evacuated meanwhile", () => {
+    const servers = [createServer("i-1", "n-a"), createServer("i-2", "n-b")];
+    const { clock, table, balancer, createRequest } = createInstance(servers);
+    const admission = createAdmissionControl({ clock, balancer });
+    const running: { req: RoutedRequest; placement: Placement }[] = [];
+    let req = createRequest("1");
+    let choice = balancer.choose(req);
+    while (choice.kind === ChoiceKind.Send) {
+        balancer.start(req, choice);
+        running.push({ req, placement: choice });
+        req = createRequest("1");
+        choice = balancer.choose(req);
+    }
+    const finishAll = (serverId: string) => {
+        for (const { req, placement } of running.filter(
+            ({ placement: { server } }) => server.record.id === serverId,
+        )) {
+            balancer.finish(req, placement, { outcome: ServerOutcome.Success, firstByteMs: 20 });
+        }
+        admission.retryWaiting();
+    };
+    const sentTo: string[] = [];
+    admission.request(createRequest("1"), admitted => {
+        assert.ok("placement" in admitted);
+        sentTo.push(admitted.placement.server.record.id);
+    });
+    assert.equal(admission.waiting(), 1);
+    table.setEvacuated("n-a", true);
+    finishAll("i-1");
+    finishAll("i-2");
+    assert.deepEqual(sentTo, ["i-2"]);
+});
