feat(gateway): log when an attempt was written, and how long a request may have been unread

Each attempt now has the time until it was written ('never' if it was not) and a mark if the caller's connection was paused; each request of a late process has unreadMs, which is also a histogram. The delay is measured by the interval that adapts the balancer, so there is no further timer. No logic is changed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./add-gauge.js";
 export * from "./clock.js";
 export * from "./errors.js";
+export * from "./event-loop-monitor.js";
 export * from "./hash.js";
 export * from "./http-client.js";
 export * from "./http-limits.js";
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -7,7 +7,7 @@
 } from "@waxwingdale/balancing";
 import type { WindowedRetryBudget } from "@waxwingdale/balancing";
 import { createDocumentExchange } from "@waxwingdale/config";
-import { createRpcClient, createRpcServer, register } from "@waxwingdale/core";
+import { createEventLoopMonitor, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
 import { configKey } from "@waxwingdale/platform";
 import { createRelay, createStartupGate, createUpstreamPool } from "@waxwingdale/relay";
@@ -27,6 +27,9 @@
 /** Maximum size of a request body in bytes until a configuration sets one. */
 const defaultMaxBodyBytes = 1024 * 1024;
 
+/** Interval in milliseconds at which the balancer adapts and the delay of the event loop is measured. */
+export const adaptIntervalMs = 100;
+
 /** Store prefixes that an instance watches at the same time: configuration, servers, evacuations. */
 const watchedPrefixCount = 3;
 
@@ -36,6 +39,7 @@
     const add: RegisterComponent = (token, create) => register(scope, token, create);
     add(tokens.context, () => context);
     add(tokens.metrics, () => createGatewayMetrics());
+    add(tokens.eventLoop, get => createEventLoopMonitor(get(tokens.context).clock, adaptIntervalMs));
     composePeers(add);
     composeState(add);
     composeBalancing(add);
@@ -211,6 +215,7 @@
         const metrics = get(tokens.metrics);
         return createRelay({
             clock,
+            eventLoop: get(tokens.eventLoop),
             protocol,
             balancer: get(tokens.balancer),
             admission: get(tokens.admission),
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -41,6 +41,13 @@
         buckets: latencyBuckets,
         registers: [registry],
     });
+    const unread = new Histogram({
+        name: "waxwingdale_gateway_unread_seconds",
+        help: "Maximum time for which a request may have been pending before a late process read it",
+        labelNames: ["outcome"],
+        buckets: latencyBuckets,
+        registers: [registry],
+    });
     const attempts = new Counter({
         name: "waxwingdale_gateway_attempts_total",
         help: "Sends to backend servers by service, availability zone and result",
@@ -54,10 +61,22 @@
     });
     return {
         registry,
-        observe: ({ kind = "none", service, outcome, status, tookMs, waitedMs, attempts: sends }) => {
+        observe: ({
+            kind = "none",
+            service,
+            outcome,
+            status,
+            unreadMs,
+            tookMs,
+            waitedMs,
+            attempts: sends,
+        }) => {
             requests.inc({ kind, service, outcome, status });
             latency.observe({ kind, service, outcome }, tookMs / 1000);
             waits.observe({ service }, waitedMs / 1000);
+            if (unreadMs > 0) {
+                unread.observe({ outcome }, unreadMs / 1000);
+            }
             for (const { zone, result } of sends) {
                 attempts.inc({ service, zone, result: result.split(":", 1)[0] });
             }
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -4,6 +4,7 @@
 import { createToken } from "@waxwingdale/core";
 import type {
     Clock,
+    EventLoopMonitor,
     Logger,
     Member,
     ObjectStore,
@@ -41,6 +42,7 @@
 export const tokens = {
     context: createToken<GatewayContext>("context"),
     metrics: createToken<GatewayMetrics>("metrics"),
+    eventLoop: createToken<EventLoopMonitor>("eventLoop"),
     rpcServer: createToken<RpcServer>("rpcServer"),
     rpcClient: createToken<RpcClient>("rpcClient"),
     membership: createToken<Membership>("membership"),
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -14,6 +14,7 @@
         reason: record.reason || undefined,
         detail: record.detail,
         config: record.configVersion,
+        unreadMs: Math.round(record.unreadMs) || undefined,
         waitedMs: Math.round(record.waitedMs),
         tookMs: Math.round(record.tookMs),
         deadlineMs: record.deadlineMs,
@@ -32,7 +33,11 @@
     result,
     expectedMs,
     tookMs,
+    writtenAfterMs,
+    wasCallerPaused,
     isReused,
 }: RequestRecord["attempts"][number]): string {
-    return `${server},${result},expected=${expectedMs},took=${tookMs}${isReused ? "" : ",new-connection"}`;
+    const written = writtenAfterMs === undefined ? "never" : Math.round(writtenAfterMs);
+    const flags = `${isReused ? "" : ",new-connection"}${wasCallerPaused ? ",caller-paused" : ""}`;
+    return `${server},${result},expected=${expectedMs},took=${tookMs},written=${written}${flags}`;
 }
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -16,7 +16,7 @@
     createReadinessHandler,
 } from "@waxwingdale/platform";
 import { estimateCapacity } from "./active-instances.js";
-import { composeGateway } from "./compose-gateway.js";
+import { adaptIntervalMs, composeGateway } from "./compose-gateway.js";
 import { tokens } from "./gateway-tokens.js";
 import { createPeerHandler, openListener } from "./listeners.js";
 import type { Listener } from "./listeners.js";
@@ -35,8 +35,6 @@
 const lookupTtlSeconds = 2;
 /** Maximum log lines per event and second; above the request rate of an instance in normal operation. */
 const logLinesPerSecond = 200;
-/** Interval in milliseconds at which the balancer adapts. */
-const adaptIntervalMs = 100;
 /** Interval in milliseconds of the readiness check during startup; short, since requests are waiting for it. */
 const startupCheckIntervalMs = 20;
 /** Interval in milliseconds at which idle upstream connections that are too old are closed. */
@@ -148,6 +146,7 @@
     const every = (intervalMs: number, run: () => void) => setInterval(run, intervalMs);
     const timers = [
         every(adaptIntervalMs, () => {
+            get(tokens.eventLoop).tick();
             get(tokens.balancer).adapt();
             updateReadiness();
         }),
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -10,7 +10,7 @@
     RoutedRequest,
     Route,
 } from "@waxwingdale/balancing";
-import type { Clock } from "@waxwingdale/core";
+import type { Clock, EventLoopMonitor } from "@waxwingdale/core";
 import { sendUpstreamResponse, sendLocalResponse } from "./caller-response.js";
 import { formatRequestHead } from "./end-to-end-headers.js";
 import { RequestOutcome } from "./request-outcome.js";
@@ -23,6 +23,7 @@
 /** Components that all forwarded requests share. */
 export interface ForwardingOptions {
     clock: Clock;
+    eventLoop: EventLoopMonitor;
     protocol: WireProtocol;
     balancer: Balancer;
     admission: AdmissionControl;
@@ -53,6 +54,8 @@
     route: Route;
     service: string;
     arrivedAt: number;
+    /** Maximum time in milliseconds for which the request may have been pending before it was read. */
+    unreadMs: number;
     configVersion: number;
     body: Buffer | undefined;
 }
@@ -63,6 +66,10 @@
     sentAt: number;
     /** How long the connection had been idle; undefined for a new connection. */
     idleMs: number | undefined;
+    /** Clock time at which the request was written; undefined until then. */
+    writtenAt: number | undefined;
+    /** Whether the caller's connection was not being read at that time. */
+    wasCallerPaused: boolean;
 }
 
 /** Forwards one request. It ends with exactly one response, or when the caller disconnects. */
@@ -125,6 +132,7 @@
             reason,
             detail,
             configVersion: request.configVersion,
+            unreadMs: request.unreadMs,
             waitedMs,
             tookMs: clock.now() - arrivedAt,
             deadlineMs: callerDeadlineMs,
@@ -182,6 +190,8 @@
             result,
             expectedMs: Math.round(placement.expectedMs),
             tookMs: Math.round(clock.now() - attempt.sentAt),
+            writtenAfterMs: attempt.writtenAt === undefined ? undefined : attempt.writtenAt - arrivedAt,
+            wasCallerPaused: attempt.wasCallerPaused,
             isReused: attempt.idleMs !== undefined,
         });
     };
@@ -318,7 +328,14 @@
         balancer.start(routed, placement);
         const { server } = placement;
         const { connection, idleMs } = pool.acquire(server, isIdempotent);
-        const attempt = { placement, connection, sentAt: now, idleMs };
+        const attempt: RunningAttempt = {
+            placement,
+            connection,
+            sentAt: now,
+            idleMs,
+            writtenAt: undefined,
+            wasCallerPaused: false,
+        };
         running.add(attempt);
         const remainingMs = Math.max(1, Math.floor(deadlineAt - now));
         connection.exchange(
@@ -329,6 +346,10 @@
                 body: request.body,
             },
             {
+                onWritten: () => {
+                    attempt.writtenAt = clock.now();
+                    attempt.wasCallerPaused = req.socket.isPaused();
+                },
                 onResponse: response => onResponse(attempt, response),
                 onFailure: (failure, detail) => onFailure(attempt, failure, detail),
             },
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -5,7 +5,7 @@
 import type { Random } from "@waxwingdale/core";
 import { sendLocalResponse } from "./caller-response.js";
 import { forwardRequest } from "./forward-request.js";
-import type { ForwardingOptions } from "./forward-request.js";
+import type { ForwardingOptions, RelayedRequest } from "./forward-request.js";
 import { readBody } from "./request-body.js";
 import { RequestOutcome } from "./request-outcome.js";
 import type { StartupGate } from "./startup-gate.js";
@@ -27,6 +27,9 @@
     active(): number;
 }
 
+/** When a request was read, and for how long it may have been pending before. */
+type Arrival = Pick<RelayedRequest, "arrivedAt" | "unreadMs">;
+
 /** Retry delay sent to callers while the instance has no configuration. */
 const noConfigRetryMs = 300;
 /** Maximum wait for startup: two round trips to a store in another region, doubled. */
@@ -72,6 +75,7 @@
             status: hasConfig ? 404 : 503,
             reason,
             configVersion: index?.version ?? 0,
+            unreadMs: options.eventLoop.pendingMs(),
             waitedMs: 0,
             tookMs: 0,
             deadlineMs: info.deadlineMs ?? 0,
@@ -79,7 +83,7 @@
         });
     };
 
-    const handle = (req: IncomingMessage, res: ServerResponse, info: RequestInfo, arrivedAt: number) => {
+    const handle = (req: IncomingMessage, res: ServerResponse, info: RequestInfo, arrival: Arrival) => {
         const index = options.routes();
         const route = index?.find(req.headers.host ?? "", getPath(req.url ?? "/"));
         if (index === undefined || route === undefined) {
@@ -110,7 +114,7 @@
                 info,
                 route,
                 service,
-                arrivedAt,
+                ...arrival,
                 configVersion: index.version,
                 body: result.body,
             });
@@ -121,13 +125,13 @@
         req: IncomingMessage,
         res: ServerResponse,
         info: RequestInfo,
-        arrivedAt: number,
+        arrival: Arrival,
     ) => {
         await options.startupGate.wait(
             Math.min(maxStartupWaitMs, (info.deadlineMs ?? Infinity) * startupWaitFraction),
         );
         if (!req.socket.destroyed) {
-            handle(req, res, info, arrivedAt);
+            handle(req, res, info, arrival);
         }
     };
 
@@ -135,10 +139,11 @@
         active: () => active,
         handle: (req, res) => {
             const info = protocol.readRequest(req.headers);
+            const arrival = { arrivedAt: clock.now(), unreadMs: options.eventLoop.pendingMs() };
             if (options.startupGate.isOpen()) {
-                handle(req, res, info, clock.now());
+                handle(req, res, info, arrival);
             } else {
-                void handleAfterStartup(req, res, info, clock.now());
+                void handleAfterStartup(req, res, info, arrival);
             }
         },
     };
--- a/packages/relay/src/request-outcome.ts
+++ b/packages/relay/src/request-outcome.ts
@@ -20,6 +20,10 @@
     result: string;
     expectedMs: number;
     tookMs: number;
+    /** Time from the arrival of the request until it was written to the connection; undefined if it never was. */
+    writtenAfterMs: number | undefined;
+    /** Whether the caller's connection was not being read at that time, so that a disconnect could not be seen. */
+    wasCallerPaused: boolean;
     isReused: boolean;
 }
 
@@ -38,6 +42,8 @@
     /** State of the server that a rejected request waited for. */
     detail?: string;
     configVersion: number;
+    /** Maximum time for which the request may have been pending before it was read; 0 if the process was on time. */
+    unreadMs: number;
     waitedMs: number;
     tookMs: number;
     deadlineMs: number;
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -28,6 +28,8 @@
 }
 
 export interface ExchangeEvents {
+    /** Called when the request is written to the connection. */
+    onWritten(): void;
     onResponse(response: UpstreamResponse): void;
     onFailure(failure: ExchangeFailure, detail: string): void;
 }
@@ -126,7 +128,8 @@
         current?.events.onFailure(isConnected ? failure : ExchangeFailure.NotConnected, detail);
     };
 
-    const write = (req: UpstreamRequest) => {
+    const write = ({ req, events }: Exchange) => {
+        events.onWritten();
         if (req.body === undefined) {
             socket.write(req.head, "latin1");
             return;
@@ -194,7 +197,7 @@
         options.onConnected(clock.now() - openedAt);
         if (exchange !== undefined) {
             exchange.sentAt = clock.now();
-            write(exchange.req);
+            write(exchange);
         }
     });
     socket.on("data", (chunk: Buffer) => {
@@ -257,7 +260,7 @@
                 isComplete: false,
             };
             if (isConnected) {
-                write(req);
+                write(exchange);
             }
         },
         destroy: () => {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -13,7 +13,7 @@
     createRouteIndex,
 } from "@waxwingdale/balancing";
 import type { Route } from "@waxwingdale/balancing";
-import { createSilentLogger, createSystemClock } from "@waxwingdale/core";
+import { createEventLoopMonitor, createSilentLogger, createSystemClock } from "@waxwingdale/core";
 import { WireProtocol, createRelay, createStartupGate, createUpstreamPool } from "@waxwingdale/relay";
 import type { ResponseInfo, RequestInfo, RequestRecord } from "@waxwingdale/relay";
 
@@ -127,6 +127,8 @@
     };
 }
 
+/** Interval of the event loop monitor in milliseconds, as in the gateway. */
+const tickIntervalMs = 100;
 const soleSender: readonly string[] = ["g-1"];
 
 /** Starts an instance that forwards requests to the given servers. */
@@ -188,8 +190,11 @@
     if (!isStarting) {
         startupGate.open();
     }
+    const eventLoop = createEventLoopMonitor(clock, tickIntervalMs);
+    const tickTimer = setInterval(() => eventLoop.tick(), tickIntervalMs);
     const relay = createRelay({
         clock,
+        eventLoop,
         protocol,
         balancer,
         admission: createAdmissionControl({ clock, balancer }),
@@ -210,6 +215,7 @@
         records,
         openGate: () => startupGate.open(),
         close: () => {
+            clearInterval(tickTimer);
             server.closeAllConnections();
             server.close();
             pool.destroy();
