test: callers that leave, in each state of a request and for each way to leave (GONE)

- on time, a caller that closes while its connection is not read is not noticed: behind large pipelined responses, and with a large body in startup;

--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -57,6 +57,8 @@
     address: string;
     requests: string[];
     connections: Set<Socket>;
+    /** Calls `onSocket` for each new connection, before the script gets its data. */
+    onConnection(onSocket: (socket: Socket) => void): void;
     close(): void;
 }
 
@@ -64,10 +66,12 @@
 export async function startServer(script: Script): Promise<ScriptedServer> {
     const requests: string[] = [];
     const connections = new Set<Socket>();
+    let onSocket: (socket: Socket) => void = () => undefined;
     const server: Server = createServer(socket => {
         connections.add(socket);
         socket.on("error", () => undefined);
         socket.on("close", () => connections.delete(socket));
+        onSocket(socket);
         socket.on("data", chunk => {
             const text = chunk.toString("latin1");
             requests.push(text);
@@ -79,6 +83,9 @@
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         requests,
         connections,
+        onConnection: listener => {
+            onSocket = listener;
+        },
         close: () => {
             connections.forEach(socket => socket.destroy());
             server.close();
@@ -104,6 +111,8 @@
 export interface TestInstance {
     port: number;
     records: RequestRecord[];
+    /** Number of connections to backend servers, including those that are being opened. */
+    connectionCount(): number;
     /** Ends the startup of an instance that was started with `isStarting`. */
     openGate(): void;
     close(): void;
@@ -134,7 +143,7 @@
 /** Starts an instance that forwards requests to the given servers. */
 export async function startInstance(
     servers: readonly ScriptedServer[],
-    { isStarting = false } = {},
+    { isStarting = false, bodyBytes = limits.bodyBytes } = {},
 ): Promise<TestInstance> {
     const clock = createSystemClock();
     const protocol = new TestProtocol();
@@ -204,7 +213,7 @@
         instances: () => 1,
         random: () => 0,
         startupGate,
-        maxBodyBytes: () => limits.bodyBytes,
+        maxBodyBytes: () => bodyBytes,
         onRequest: record => records.push(record),
         onMisdirected: id => table.remove(id),
     });
@@ -213,6 +222,7 @@
     return {
         port: (server.address() as AddressInfo).port,
         records,
+        connectionCount: () => pool.connectionCount(),
         openGate: () => startupGate.open(),
         close: () => {
             clearInterval(tickTimer);
