--- a/packages/core/src/event-loop-monitor.ts
+++ b/packages/core/src/event-loop-monitor.ts
@@ -9,6 +9,11 @@
      * pending, or 0 if the event loop is on time.
      */
     pendingMs(): number;
+    /**
+     * Calls back once the events that are pending now have been handled: immediately if the event loop is on time, so
+     * that this is free in normal operation, otherwise at the end of the next turn.
+     */
+    afterPending(callback: () => void): void;
 }
 
 /** Number of intervals without a tick, counted from the last tick but one, from which the event loop counts as late. */
@@ -22,14 +27,24 @@
     let lastTick = clock.now();
     // An event that arrives while a turn of the loop takes long is handled in the next turn, after its timers.
     let previousTick = lastTick;
+    const pendingMs = () => {
+        const sincePreviousTick = clock.now() - previousTick;
+        return sincePreviousTick > lateIntervals * intervalMs ? sincePreviousTick : 0;
+    };
+
     return {
         tick: () => {
             previousTick = lastTick;
             lastTick = clock.now();
         },
-        pendingMs: () => {
-            const sincePreviousTick = clock.now() - previousTick;
-            return sincePreviousTick > lateIntervals * intervalMs ? sincePreviousTick : 0;
+        pendingMs,
+        afterPending: callback => {
+            if (pendingMs() === 0) {
+                callback();
+                return;
+            }
+            // The first one runs at the end of the current turn, whose events may not all have been polled yet.
+            setImmediate(() => setImmediate(callback));
         },
     };
 }
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -203,6 +203,7 @@
         const balancer = get(tokens.balancer);
         return createUpstreamPool({
             clock,
+            eventLoop: get(tokens.eventLoop),
             protocol,
             roundTripMs: server => balancer.roundTripMs(server),
             recordConnectTime: (server, connectMs) => balancer.recordConnectTime(server, connectMs),
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -46,6 +46,9 @@
 /** A retry starts if this fraction of its expected response time fits before the deadline. */
 const retryTimeFraction = 0.9;
 
+/** Callers give up a request that has not been read for this fraction of their time. */
+const maxUnreadFraction = 1 / 3;
+
 /** A request with its route and its complete body. */
 export interface RelayedRequest {
     req: IncomingMessage;
@@ -78,7 +81,8 @@
     const { req, res, info, route, service, arrivedAt } = request;
     const isIdempotent = route.kind !== RequestKind.NonIdempotent;
     const callerDeadlineMs = info.deadlineMs ?? defaultDeadlineMs;
-    const deadlineAt = arrivedAt + Math.min(callerDeadlineMs, route.timeoutMs);
+    const timeoutMs = Math.min(callerDeadlineMs, route.timeoutMs);
+    const deadlineAt = arrivedAt + timeoutMs - estimateWaitMs(request.unreadMs, timeoutMs);
     const retryBudget = options.getRetryBudget(service);
     const head = formatRequestHead(req, request.body, protocol);
     const routed: RoutedRequest = {
@@ -96,6 +100,7 @@
     let isDone = false;
     /** Whether a server may have executed the request although no response can be forwarded. */
     let mayHaveExecuted = false;
+    let isWritten = false;
     let lastFailure = "";
     let detail: string | undefined;
     let cancelAdmission: () => void = () => undefined;
@@ -109,10 +114,13 @@
         }
     };
     // The response of a pipelined request emits no "close" event while it is queued behind others, so watch the socket.
+    // Its "end" event comes some turns of the event loop before "close".
+    req.socket.once("end", onCallerDisconnect);
     req.socket.once("close", onCallerDisconnect);
 
     const settle = (outcome: RequestOutcome, status: number, reason: string) => {
         isDone = true;
+        req.socket.off("end", onCallerDisconnect);
         req.socket.off("close", onCallerDisconnect);
         deadlineTimer.cancel();
         hedgeTimer.cancel();
@@ -160,7 +168,7 @@
     };
 
     const onDeadline = () => {
-        if (sends === 0) {
+        if (!isWritten) {
             refuse({ reason: "no server had room in time", retryAfterMs: 0 });
             return;
         }
@@ -232,6 +240,14 @@
         idleMs !== undefined && clock.now() - sentAt < placement.roundTripMs + staleSlackMs;
 
     const onFailure = (attempt: RunningAttempt, failure: ExchangeFailure, detail: string) => {
+        if (failure === ExchangeFailure.NotWritten) {
+            sends -= 1;
+            endAttempt(attempt, ServerOutcome.Cancelled, failure);
+            routed.tried.delete(attempt.placement.server.record.id);
+            lastFailure = "the connection to the backend server was closed";
+            retry(false, () => refuse({ reason: lastFailure, retryAfterMs: getRetryDelayMs() }));
+            return;
+        }
         if (failure === ExchangeFailure.NotConnected) {
             sends -= 1;
             endAttempt(attempt, ServerOutcome.Unreachable, failure);
@@ -337,16 +353,18 @@
             wasCallerPaused: false,
         };
         running.add(attempt);
-        const remainingMs = Math.max(1, Math.floor(deadlineAt - now));
         connection.exchange(
             {
                 requestId: info.requestId,
                 hasResponseBody: req.method !== "HEAD",
-                head: `${head}${protocol.formatAttemptHeaders(remainingMs, server.record.id)}\r\n`,
+                deadlineAt,
+                formatHead: remainingMs =>
+                    `${head}${protocol.formatAttemptHeaders(remainingMs, server.record.id)}\r\n`,
                 body: request.body,
             },
             {
                 onWritten: () => {
+                    isWritten = true;
                     attempt.writtenAt = clock.now();
                     attempt.wasCallerPaused = req.socket.isPaused();
                 },
@@ -368,3 +386,11 @@
         }
     });
 }
+
+/**
+ * Estimates how long a request waited before it was read, which counts against its deadline: half of the time for which
+ * it may have been pending, as it can have arrived at any moment of it.
+ */
+function estimateWaitMs(unreadMs: number, timeoutMs: number): number {
+    return Math.min(unreadMs / 2, timeoutMs * maxUnreadFraction);
+}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -139,7 +139,8 @@
         active: () => active,
         handle: (req, res) => {
             const info = protocol.readRequest(req.headers);
-            const arrival = { arrivedAt: clock.now(), unreadMs: options.eventLoop.pendingMs() };
+            const unreadMs = options.eventLoop.pendingMs();
+            const arrival = { arrivedAt: clock.now(), unreadMs };
             if (options.startupGate.isOpen()) {
                 handle(req, res, info, arrival);
             } else {
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -1,7 +1,7 @@
 /** A connection to a backend server. It sends one request at a time and checks that the response belongs to it. */
 import { connect } from "node:net";
 import { splitAddress } from "@waxwingdale/core";
-import type { Clock, Timer } from "@waxwingdale/core";
+import type { Clock, EventLoopMonitor, Timer } from "@waxwingdale/core";
 import { createResponseParser } from "./response-parser.js";
 import type { ResponseHead } from "./response-parser.js";
 import type { ResponseInfo, WireProtocol } from "./wire-protocol.js";
@@ -19,6 +19,8 @@
 export enum ExchangeFailure {
     /** The connection could not be opened, so nothing was sent. */
     NotConnected = "not-connected",
+    /** The connection was lost before the request was written. */
+    NotWritten = "not-written",
     /** The connection was lost before the response was complete. */
     ConnectionLost = "cut",
     /** The server sent an invalid response. */
@@ -36,7 +38,10 @@
 
 export interface UpstreamRequest {
     requestId: string | undefined;
-    head: string;
+    /** Clock time from which the request is not written any more. The owner of the exchange ends it then. */
+    deadlineAt: number;
+    /** Formats the request line and headers with the remaining time in milliseconds. */
+    formatHead(remainingMs: number): string;
     body: Buffer | undefined;
     /** False if the response has no body whatever its headers say, as with HEAD. */
     hasResponseBody: boolean;
@@ -56,6 +61,7 @@
 export interface UpstreamConnectionOptions {
     address: string;
     clock: Clock;
+    eventLoop: EventLoopMonitor;
     protocol: WireProtocol;
     connectTimeoutMs: number;
     maxResponseBytes: number;
@@ -82,6 +88,7 @@
     req: UpstreamRequest;
     events: ExchangeEvents;
     sentAt: number;
+    isWritten: boolean;
     head?: ResponseHead;
     info?: ResponseInfo;
     firstByteAt?: number;
@@ -125,21 +132,37 @@
         const current = exchange;
         exchange = undefined;
         options.onClosed();
-        current?.events.onFailure(isConnected ? failure : ExchangeFailure.NotConnected, detail);
+        const unwritten = isConnected ? ExchangeFailure.NotWritten : ExchangeFailure.NotConnected;
+        current?.events.onFailure(current.isWritten ? failure : unwritten, detail);
     };
 
-    const write = ({ req, events }: Exchange) => {
+    const writeNow = (current: Exchange) => {
+        const { req, events } = current;
+        current.sentAt = clock.now();
+        current.isWritten = true;
         events.onWritten();
+        const head = req.formatHead(Math.max(1, Math.floor(req.deadlineAt - current.sentAt)));
         if (req.body === undefined) {
-            socket.write(req.head, "latin1");
+            socket.write(head, "latin1");
             return;
         }
         socket.cork();
-        socket.write(req.head, "latin1");
+        socket.write(head, "latin1");
         socket.write(req.body);
         socket.uncork();
     };
 
+    /**
+     * Writes the request. In a late process the caller may have disconnected before, so pending events are handled
+     * first, and the request is not written if they have ended the exchange.
+     */
+    const write = (current: Exchange) =>
+        options.eventLoop.afterPending(() => {
+            if (exchange === current && clock.now() < current.req.deadlineAt) {
+                writeNow(current);
+            }
+        });
+
     /** Delivers the response. The whole chunk has been parsed by now, so extra data after the response is detected. */
     const complete = (current: Exchange, isReusable: boolean) => {
         exchange = undefined;
@@ -196,7 +219,6 @@
         connectTimer.cancel();
         options.onConnected(clock.now() - openedAt);
         if (exchange !== undefined) {
-            exchange.sentAt = clock.now();
             write(exchange);
         }
     });
@@ -204,7 +226,7 @@
         if (isClosed) {
             return;
         }
-        if (exchange === undefined) {
+        if (!exchange?.isWritten) {
             close(ExchangeFailure.Malformed, "unsolicited data on an idle connection");
             return;
         }
@@ -254,6 +276,7 @@
                 req,
                 events,
                 sentAt: clock.now(),
+                isWritten: false,
                 chunks: [],
                 bodyBytes: 0,
                 receivedBytes: 0,
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -1,6 +1,6 @@
 /** Pool of keep-alive connections to all backend servers. */
 import type { BackendState } from "@waxwingdale/balancing";
-import type { Clock } from "@waxwingdale/core";
+import type { Clock, EventLoopMonitor } from "@waxwingdale/core";
 import { createIdleLimit } from "./idle-limit.js";
 import { openUpstreamConnection } from "./upstream-connection.js";
 import type { UpstreamConnection } from "./upstream-connection.js";
@@ -27,6 +27,7 @@
 
 export interface UpstreamPoolOptions {
     clock: Clock;
+    eventLoop: EventLoopMonitor;
     protocol: WireProtocol;
     /** Round-trip time to a server in milliseconds. */
     roundTripMs: (server: BackendState) => number;
@@ -63,6 +64,7 @@
         const connection = openUpstreamConnection({
             address: server.record.address,
             clock,
+            eventLoop: options.eventLoop,
             protocol: options.protocol,
             connectTimeoutMs: 2 * options.roundTripMs(server) + connectSlackMs,
             maxResponseBytes,
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -186,8 +186,11 @@
         slack: 50,
         instances: () => 1,
     });
+    const eventLoop = createEventLoopMonitor(clock, tickIntervalMs);
+    const tickTimer = setInterval(() => eventLoop.tick(), tickIntervalMs);
     const pool = createUpstreamPool({
         clock,
+        eventLoop,
         protocol,
         roundTripMs: () => 1,
         recordConnectTime: () => undefined,
@@ -199,8 +202,6 @@
     if (!isStarting) {
         startupGate.open();
     }
-    const eventLoop = createEventLoopMonitor(clock, tickIntervalMs);
-    const tickTimer = setInterval(() => eventLoop.tick(), tickIntervalMs);
     const relay = createRelay({
         clock,
         eventLoop,
