--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { WaxwingdaleError, isFleetKey, maxRpcBodyBytes, splitAddress } from "@waxwingdale/core";
 import type { Logger, RpcServer } from "@waxwingdale/core";
+import { callerServerOptions } from "@waxwingdale/relay";
 
 /** Thrown if a listener cannot be opened. */
 export class GatewayListenError extends WaxwingdaleError {
@@ -28,7 +29,7 @@
 
 export async function openListener(address: string, handler: Handler): Promise<Listener> {
     let isKeepAliveDisabled = false;
-    const server = createServer({ maxHeaderSize, noDelay: true, requestTimeout: 0 }, (req, res) => {
+    const server = createServer({ ...callerServerOptions, maxHeaderSize }, (req, res) => {
         if (isKeepAliveDisabled) {
             res.shouldKeepAlive = false;
         }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,6 +1,8 @@
 /** HTTP/1.1 reverse proxy between callers and backend servers. */
-export * from "./response-parser.js";
 export * from "./caller-response.js";
+export * from "./caller-server-options.js";
+export * from "./response-parser.js";
+
 export * from "./forward-request.js";
 export * from "./end-to-end-headers.js";
 export * from "./idle-limit.js";
--- a/packages/relay/test/disconnect.test.ts
+++ b/packages/relay/test/disconnect.test.ts
@@ -234,7 +234,7 @@
     assert.ok(passedOnMs < 500, `${passedOnMs} ms are passed on although at most 100 ms are left`);
 });
 
-// Guards against a disconnect that is not noticed because the caller's connection is not being read.
+// Guards against a disconnect that is not noticed because Node has stopped reading the caller's connection.
 test("a request behind which large pipelined responses wait is aborted when its caller disconnects", async t => {
     const largeBody = "x".repeat(100_000);
     const script: Script = (text, socket) => {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -14,7 +14,13 @@
 } from "@waxwingdale/balancing";
 import type { Route } from "@waxwingdale/balancing";
 import { createEventLoopMonitor, createSilentLogger, createSystemClock } from "@waxwingdale/core";
-import { WireProtocol, createRelay, createStartupGate, createUpstreamPool } from "@waxwingdale/relay";
+import {
+    WireProtocol,
+    callerServerOptions,
+    createRelay,
+    createStartupGate,
+    createUpstreamPool,
+} from "@waxwingdale/relay";
 import type { ResponseInfo, RequestInfo, RequestRecord } from "@waxwingdale/relay";
 
 /** Protocol with short header names. */
@@ -218,7 +224,7 @@
         onRequest: record => records.push(record),
         onMisdirected: id => table.remove(id),
     });
-    const server = createHttpServer((req, res) => relay.handle(req, res));
+    const server = createHttpServer(callerServerOptions, (req, res) => relay.handle(req, res));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     return {
         port: (server.address() as AddressInfo).port,
