--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -50,7 +50,7 @@
 export interface UpstreamConnection {
     /** Sends a request on an idle connection. Emits exactly one event unless the connection is destroyed first. */
     exchange(req: UpstreamRequest, events: ExchangeEvents): void;
-    /** Closes the connection without an event for the pending request. */
+    /** Closes the connection without an event for the pending request, of which no more bytes are delivered. */
     destroy(): void;
     /** Whether another request can be sent on the connection. */
     canReuse(now: number, maxIdleMs: number): boolean;
@@ -100,6 +100,12 @@
     isComplete: boolean;
 }
 
+const noEvents: ExchangeEvents = {
+    onWritten: () => undefined,
+    onResponse: () => undefined,
+    onFailure: () => undefined,
+};
+
 export function openUpstreamConnection(options: UpstreamConnectionOptions): UpstreamConnection {
     const { clock, protocol } = options;
     const openedAt = clock.now();
@@ -122,14 +128,23 @@
         close(ExchangeFailure.NotConnected, "connect timeout"),
     );
 
+    /** A reset discards the bytes of a request that the kernel still holds, instead of delivering them later. */
+    const closeSocket = (isRequestPending: boolean) => {
+        if (isRequestPending) {
+            socket.resetAndDestroy();
+        } else {
+            socket.destroy();
+        }
+    };
+
     const close = (failure: ExchangeFailure, detail: string) => {
         if (isClosed) {
             return;
         }
         isClosed = true;
         connectTimer.cancel();
-        socket.destroy();
         const current = exchange;
+        closeSocket(current?.isWritten === true && !current.isComplete);
         exchange = undefined;
         options.onClosed();
         const unwritten = isConnected ? ExchangeFailure.NotWritten : ExchangeFailure.NotConnected;
@@ -287,7 +302,9 @@
             }
         },
         destroy: () => {
-            exchange = undefined;
+            if (exchange !== undefined) {
+                exchange.events = noEvents;
+            }
             close(ExchangeFailure.ConnectionLost, "connection destroyed");
         },
         canReuse: (now, maxIdleMs) =>
