--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -3,6 +3,8 @@
 import type { ServerHealth } from "./server-health.js";
 import { createServerLoad } from "./server-load.js";
 import type { ServerLoad } from "./server-load.js";
+import { createServerRateLimit } from "./server-rate-limit.js";
+import type { ServerRateLimit, ServerRateLimitOptions } from "./server-rate-limit.js";
 import { ServerPhase } from "./server-record.js";
 import type { ServerRecord } from "./server-record.js";
 import { createWarmObjects } from "./warm-objects.js";
@@ -17,6 +19,7 @@
     readonly health: ServerHealth;
     readonly warm: WarmObjects;
     readonly coldLimit: ColdLimit;
+    readonly rateLimit: ServerRateLimit;
     /** Clock time until which the server counts as cold. */
     coldUntil: number;
     /** Processing time relative to the other servers of the service; above 1 is slower. */
@@ -39,6 +42,7 @@
     self: string;
     /** Ids of the instances that may send to the cold servers of a zone. Returns a new array when they change. */
     coldSenders: (zone: string, region: string) => readonly string[];
+    rateLimit: ServerRateLimitOptions;
     now: number;
 }
 
@@ -56,6 +60,7 @@
             requestsPerSecond: options.coldRequestsPerSecond,
             senders: () => coldSenders(record.zone, region),
         }),
+        rateLimit: createServerRateLimit(options.rateLimit),
         coldUntil: options.now + record.coldRemainingMs,
         slowness: 1,
         isLeaving: record.phase === ServerPhase.Draining,
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -52,6 +52,13 @@
 
     const coldStartMs = (service: string) => services.get(service)?.coldStartMs ?? 0;
 
+    const createRateLimitLog = (server: string) => ({
+        onChange: (requestsPerSecond: number | undefined) =>
+            logger.info("rate-limit-changed", { server, requestsPerSecond: requestsPerSecond ?? "none" }),
+        onUnreadable: (value: string) =>
+            logger.warn("rate-limit-rejected", { server, value, reason: "not a decimal number" }),
+    });
+
     const add = (record: ServerRecord, region: string, isChange: boolean) => {
         const now = clock.now();
         const server = createBackendState({
@@ -60,6 +67,7 @@
             coldRequestsPerSecond: options.coldRequestsPerSecond(record.service),
             self: options.self,
             coldSenders: options.coldSenders,
+            rateLimit: createRateLimitLog(record.id),
             now,
         });
         if (isChange) {
--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -11,6 +11,7 @@
 import { ChoiceKind, placementKey } from "./placement.js";
 import type { Placement, RoutedRequest } from "./placement.js";
 import { createPlacementCosts } from "./placement-costs.js";
+import type { RateLimitReport } from "./server-rate-limit.js";
 import { ServerOutcome } from "./server-health.js";
 import { createZoneLatency } from "./zone-latency.js";
 
@@ -23,6 +24,10 @@
     /** Time in milliseconds from sending the request to the first byte of the response. */
     firstByteMs?: number;
     load?: LoadReport;
+    /** Clock time at which the request was written to the server; undefined if it never was. */
+    writtenAt?: number;
+    /** Set if there was a response of the server itself. */
+    response?: { rateLimit: RateLimitReport | undefined };
     responseBytes?: number;
 }
 
@@ -191,7 +196,8 @@
             req.tried.add(server.record.id);
             server.warm.add(placementKey(req));
         },
-        finish: (req, placement, { outcome, firstByteMs, load, responseBytes = 0 }) => {
+        finish: (req, placement, result) => {
+            const { outcome, firstByteMs, load, responseBytes = 0, writtenAt, response } = result;
             const now = clock.now();
             const { server } = placement;
             server.load.finish();
@@ -199,6 +205,9 @@
             if (load !== undefined) {
                 server.load.report(load, now);
             }
+            if (response !== undefined && writtenAt !== undefined) {
+                server.rateLimit.report(response.rateLimit, writtenAt, now);
+            }
             if (outcome === ServerOutcome.Success && firstByteMs !== undefined) {
                 costs.recordResponse(req, placement, firstByteMs, responseBytes);
             }
--- a/packages/balancing/src/index.ts
+++ b/packages/balancing/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./route-index.js";
 export * from "./server-health.js";
 export * from "./server-load.js";
+export * from "./server-rate-limit.js";
 export * from "./server-record.js";
 export * from "./service-split.js";
 export * from "./sliding-window-counter.js";
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -204,6 +204,14 @@
         get(tokens.admission).waiting(),
     );
     metrics.addViewAges(() => get(tokens.storeWatches).ages());
+    metrics.addGauge(
+        "waxwingdale_gateway_rate_limited_servers",
+        "Backend servers that name a limit for their requests",
+        () =>
+            get(tokens.table)
+                .all()
+                .filter(({ rateLimit }) => rateLimit.requestsPerSecond() !== undefined).length,
+    );
     metrics.addGauge("waxwingdale_gateway_upstream_connections", "Open connections to backend servers", () =>
         get(tokens.pool).connectionCount(),
     );
@@ -222,11 +230,12 @@
         evacuatedZones: get(tokens.table).evacuatedZones(),
         servers: get(tokens.table)
             .all()
-            .map(({ record, isLeaving, load, slowness }) => ({
+            .map(({ record, isLeaving, load, slowness, rateLimit }) => ({
                 ...record,
                 isLeaving,
                 inFlight: load.inFlight(),
                 slowness,
+                requestsPerSecond: rateLimit.requestsPerSecond(),
             })),
     };
 }
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -191,6 +191,8 @@
             firstByteMs: response?.firstByteMs,
             load: response?.info.load,
             responseBytes: response?.body.length,
+            writtenAt: attempt.writtenAt,
+            response: response?.info.isMisdirected ? undefined : response?.info,
         });
         attempts.push({
             server: placement.server.record.id,
--- a/packages/relay/src/wire-protocol.ts
+++ b/packages/relay/src/wire-protocol.ts
@@ -1,6 +1,6 @@
 /** Abstracts the headers of a platform that carry request metadata, such as ids, deadlines and load. */
 import type { IncomingHttpHeaders } from "node:http";
-import type { LoadReport } from "@waxwingdale/balancing";
+import type { LoadReport, RateLimitReport } from "@waxwingdale/balancing";
 
 /** Metadata in the headers of a request. */
 export interface RequestInfo {
@@ -23,6 +23,8 @@
     /** Whether the response carries the server's signature. */
     isSigned: boolean;
     load: LoadReport | undefined;
+    /** Limit for the requests of all instances together; undefined if the response names none. */
+    rateLimit: RateLimitReport | undefined;
 }
 
 export abstract class WireProtocol {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -48,6 +48,7 @@
             isMisdirected: status === 421,
             isSigned: headers.has("x-signature"),
             load: undefined,
+            rateLimit: undefined,
         };
     }
 
