feat(balancing): all instances together keep the rate limit that a backend server names (LIMIT)

Callers and operators saw: a server in need that names a limit of 2.3 requests a second got 9 to 10, since nothing acted on the header.

Cause: the limit was not known to the code, and every limit that it has is either one instance's own or a share of a configured number. The class: a limit of the fleet that each process would keep for itself.

Change: a few senders, named by rendezvous hashing among the active instances of the server's region, have equal shares of 0.9 of the limit. An instance uses the smallest share of all lists that it has seen within the time that gossip takes, so shares add up while views differ; a started or paused instance has none at first. Limits, their ends and ages travel in gossip. All sends count. A request that only limits keep from a server waits for a token that comes in time, else it is rejected at once with the time to return.

--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Timer } from "@waxwingdale/core";
 import type { BackendState } from "./backend-state.js";
-import type { Balancer } from "./balancer.js";
+import type { Balancer, Choice } from "./balancer.js";
 import { ChoiceKind } from "./placement.js";
 import type { Placement, RoutedRequest } from "./placement.js";
 
@@ -15,6 +15,8 @@
     /** More requests are queued than can be served in time. */
     Overloaded = "overloaded",
     NoServer = "no-server",
+    /** The rate limits of the servers do not allow it in time. */
+    RateLimited = "rate-limited",
     CallerLeft = "caller-left",
 }
 
@@ -75,17 +77,44 @@
     let timer: Timer | undefined;
     let isRetrying = false;
 
-    const refuse = (req: RoutedRequest, reason: RefusalReason, detail?: string): AdmissionDecision => {
+    const refuse = (
+        req: RoutedRequest,
+        reason: RefusalReason,
+        detail?: string,
+        retryAfterMs = getRetryAfterMs(req, clock.now()),
+    ): AdmissionDecision => {
         const now = clock.now();
-        const retryAfterMs = getRetryAfterMs(req, now);
         return { refusal: { reason, retryAfterMs, waitedMs: now - req.arrivedAt, detail } };
     };
 
     const describeLoad = ({ record, load }: BackendState): string =>
         `${record.id} has ${load.expected(clock.now()).toFixed(1)} requests for ${record.slots} slots, ${load.inFlight()} from this instance; ${load.waiting()} waiting`;
 
+    /** Clock time at which a request that waits is rejected. */
+    const getRejectAt = ({ route, arrivedAt }: RoutedRequest, now: number): number =>
+        Math.max(
+            now + route.targetLatencyMs * minWaitFraction,
+            arrivedAt + route.targetLatencyMs * maxWaitFraction,
+        );
+
+    /** A request waits for a rate limit only if it is certain to be sent before it would be rejected. */
+    const decideRateLimited = (
+        req: RoutedRequest,
+        { server, limitedMs }: Choice & { kind: ChoiceKind.RateLimited },
+        rejectAt: number,
+    ): AdmissionDecision | { waitFor: BackendState } => {
+        const now = clock.now();
+        if (now + limitedMs <= Math.min(rejectAt, req.deadlineAt)) {
+            return { waitFor: server };
+        }
+        const { record, rateLimit } = server;
+        const detail = `${record.id} takes ${rateLimit.requestsPerSecond()} requests per second from all instances`;
+        const isNear = now + limitedMs < req.deadlineAt;
+        return refuse(req, RefusalReason.RateLimited, detail, isNear ? limitedMs : undefined);
+    };
+
     /** Returns the decision, or the server that the request must wait for. */
-    const decide = (req: RoutedRequest): AdmissionDecision | { waitFor: BackendState } => {
+    const decide = (req: RoutedRequest, rejectAt: number): AdmissionDecision | { waitFor: BackendState } => {
         const choice = balancer.choose(req);
         switch (choice.kind) {
             case ChoiceKind.Send:
@@ -94,6 +123,8 @@
                     : { placement: choice };
             case ChoiceKind.NoServer:
                 return refuse(req, RefusalReason.NoServer);
+            case ChoiceKind.RateLimited:
+                return decideRateLimited(req, choice, rejectAt);
             case ChoiceKind.Full:
                 return { waitFor: choice.server };
         }
@@ -124,7 +155,7 @@
     /** Retries a queued request, without counting it as waiting during the decision. */
     const retryDecision = (waiting: WaitingRequest): AdmissionDecision | undefined => {
         waiting.server.load.removeWaiting();
-        const decision = decide(waiting.req);
+        const decision = decide(waiting.req, Infinity);
         if ("waitFor" in decision) {
             waiting.server = decision.waitFor;
         }
@@ -167,17 +198,12 @@
 
     return {
         request: (req, onDecision) => {
-            const decision = decide(req);
+            const rejectAt = getRejectAt(req, clock.now());
+            const decision = decide(req, rejectAt);
             if (!("waitFor" in decision)) {
                 onDecision(decision);
                 return () => undefined;
             }
-            const now = clock.now();
-            const target = req.route.targetLatencyMs;
-            const rejectAt = Math.max(
-                now + target * minWaitFraction,
-                req.arrivedAt + target * maxWaitFraction,
-            );
             if (queue.length >= maxQueueLength) {
                 onDecision(refuse(req, RefusalReason.Overloaded, `${maxQueueLength} requests are waiting`));
                 return () => undefined;
--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -42,7 +42,7 @@
     self: string;
     /** Ids of the instances that may send to the cold servers of a zone. Returns a new array when they change. */
     coldSenders: (zone: string, region: string) => readonly string[];
-    rateLimit: ServerRateLimitOptions;
+    rateLimit: Omit<ServerRateLimitOptions, "serverId" | "self" | "now">;
     now: number;
 }
 
@@ -60,7 +60,12 @@
             requestsPerSecond: options.coldRequestsPerSecond,
             senders: () => coldSenders(record.zone, region),
         }),
-        rateLimit: createServerRateLimit(options.rateLimit),
+        rateLimit: createServerRateLimit({
+            ...options.rateLimit,
+            serverId: record.id,
+            self: options.self,
+            now: options.now,
+        }),
         coldUntil: options.now + record.coldRemainingMs,
         slowness: 1,
         isLeaving: record.phase === ServerPhase.Draining,
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -2,10 +2,16 @@
 import type { Clock, Logger } from "@waxwingdale/core";
 import { createBackendState } from "./backend-state.js";
 import type { BackendState } from "./backend-state.js";
+import type { RateLimitSource, ServerRateLimitOptions } from "./server-rate-limit.js";
 import { ServerPhase } from "./server-record.js";
 import type { ServerRecord } from "./server-record.js";
 import type { Service } from "./traffic-config.js";
 
+export interface RateLimitFleet extends Pick<ServerRateLimitOptions, "random" | "countInstances"> {
+    /** Lists of the instances that may send to the rate-limited servers of a region, from `CandidateHistory`. */
+    recentCandidates: (region: string) => readonly (readonly string[])[];
+}
+
 export interface BackendTableOptions {
     clock: Clock;
     logger: Logger;
@@ -16,6 +22,8 @@
     self: string;
     /** Ids of the instances that may send to the cold servers of a zone. Returns a new array when they change. */
     coldSenders: (zone: string, region: string) => readonly string[];
+    /** What the instances that share the rate limits of servers have in common. */
+    rateLimits: RateLimitFleet;
     /** Called when a server has been removed, so that its connections can be closed. */
     onServerRemoved: (server: BackendState) => void;
 }
@@ -52,9 +60,16 @@
 
     const coldStartMs = (service: string) => services.get(service)?.coldStartMs ?? 0;
 
-    const createRateLimitLog = (server: string) => ({
-        onChange: (requestsPerSecond: number | undefined) =>
-            logger.info("rate-limit-changed", { server, requestsPerSecond: requestsPerSecond ?? "none" }),
+    const createRateLimitOptions = (server: string, region: string) => ({
+        random: options.rateLimits.random,
+        countInstances: options.rateLimits.countInstances,
+        recentCandidates: () => options.rateLimits.recentCandidates(region),
+        onChange: (requestsPerSecond: number | undefined, source: RateLimitSource) =>
+            logger.info("rate-limit-changed", {
+                server,
+                requestsPerSecond: requestsPerSecond ?? "none",
+                source,
+            }),
         onUnreadable: (value: string) =>
             logger.warn("rate-limit-rejected", { server, value, reason: "not a decimal number" }),
     });
@@ -67,7 +82,7 @@
             coldRequestsPerSecond: options.coldRequestsPerSecond(record.service),
             self: options.self,
             coldSenders: options.coldSenders,
-            rateLimit: createRateLimitLog(record.id),
+            rateLimit: createRateLimitOptions(record.id, region),
             now,
         });
         if (isChange) {
--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -16,7 +16,15 @@
 import { createZoneLatency } from "./zone-latency.js";
 
 export type Choice =
-    Placement | { kind: ChoiceKind.Full; server: BackendState } | { kind: ChoiceKind.NoServer };
+    | Placement
+    | { kind: ChoiceKind.Full; server: BackendState }
+    | {
+          kind: ChoiceKind.RateLimited;
+          server: BackendState;
+          /** Time in milliseconds until the server may get the request; Infinity if not from this instance. */
+          limitedMs: number;
+      }
+    | { kind: ChoiceKind.NoServer };
 
 /** Result of an attempt, as far as it concerns the server. */
 export interface AttemptResult {
@@ -92,13 +100,17 @@
     const isWithinColdLimit = (server: BackendState, now: number): boolean =>
         now >= server.coldUntil || server.coldLimit.hasCapacity(now);
 
-    const isAvailable = (server: BackendState, req: RoutedRequest, now: number): boolean =>
+    /** Whether the server may receive the request, apart from its rate limit. */
+    const isEligible = (server: BackendState, req: RoutedRequest, now: number): boolean =>
         !server.isLeaving &&
         !req.tried.has(server.record.id) &&
         server.health.isUsable(now, server.load.inFlight()) &&
         isWithinColdLimit(server, now) &&
         (req.route.allowedRegions.length === 0 || req.route.allowedRegions.includes(server.region));
 
+    const isAvailable = (server: BackendState, req: RoutedRequest, now: number): boolean =>
+        isEligible(server, req, now) && server.rateLimit.hasCapacity(now);
+
     /** Objects of an unhealthy server move to the next server of the zone. */
     const isHealthy = (server: BackendState, now: number): boolean =>
         server.slowness < unhealthySlowness && server.health.failureRate(now) < unhealthyFailureRate;
@@ -165,10 +177,29 @@
         return first;
     };
 
+    /** Returns the server whose rate limit allows the request first, if nothing but rate limits prevents it. */
+    const pickRateLimited = (req: RoutedRequest, now: number): Choice => {
+        let first: BackendState | undefined;
+        let limitedMs = Infinity;
+        for (const server of table.usable(req.service)) {
+            if (isEligible(server, req, now)) {
+                const ms = server.rateLimit.msUntilCapacity(now, server.load.waiting());
+                if (first === undefined || ms < limitedMs) {
+                    first = server;
+                    limitedMs = ms;
+                }
+            }
+        }
+        return first === undefined
+            ? { kind: ChoiceKind.NoServer }
+            : { kind: ChoiceKind.RateLimited, server: first, limitedMs };
+    };
+
     const choose = (req: RoutedRequest): Choice => {
-        const best = pick(req, clock.now());
+        const now = clock.now();
+        const best = pick(req, now);
         if (best === undefined) {
-            return { kind: ChoiceKind.NoServer };
+            return pickRateLimited(req, now);
         }
         return best.hasCapacity ? best : { kind: ChoiceKind.Full, server: best.server };
     };
@@ -193,6 +224,7 @@
             if (now < server.coldUntil) {
                 server.coldLimit.countRequest(now);
             }
+            server.rateLimit.countRequest(now);
             req.tried.add(server.record.id);
             server.warm.add(placementKey(req));
         },
--- a/packages/balancing/src/placement.ts
+++ b/packages/balancing/src/placement.ts
@@ -19,6 +19,8 @@
     Send = "send",
     /** All eligible servers are at capacity. */
     Full = "full",
+    /** All eligible servers have a rate limit that this instance has used up. */
+    RateLimited = "rate-limited",
     /** No server is eligible for the request. */
     NoServer = "no-server",
 }
--- a/packages/balancing/test/fixtures.ts
+++ b/packages/balancing/test/fixtures.ts
@@ -55,6 +55,11 @@
         coldRequestsPerSecond: () => 20,
         self: "g-1",
         coldSenders,
+        rateLimits: {
+            random: () => 0,
+            countInstances: () => 1,
+            recentCandidates: () => [soleSender],
+        },
         onServerRemoved: () => undefined,
     });
 }
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -3,6 +3,7 @@
     createAdmissionControl,
     createBackendTable,
     createBalancer,
+    createCandidateHistory,
     createWindowedRetryBudget,
 } from "@waxwingdale/balancing";
 import type { WindowedRetryBudget } from "@waxwingdale/balancing";
@@ -19,6 +20,7 @@
 import type { GatewayContext, RegisterComponent } from "./gateway-tokens.js";
 import { createInstanceDirectory } from "./instance-directory.js";
 import { createInstanceTopology } from "./instance-topology.js";
+import { createRateLimitExchange } from "./rate-limit-exchange.js";
 import { logRequest } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
 import { createStoreWatches } from "./store-watches.js";
@@ -72,6 +74,15 @@
             members: () => get(tokens.membership).members(),
         }),
     );
+    add(tokens.candidateHistory, get => {
+        const { clock, settings } = get(tokens.context);
+        return createCandidateHistory({
+            clock,
+            regions: () => [...new Set(Object.values(settings().zones))],
+            countInstances: () => get(tokens.topology).budgetDivisor(),
+            candidates: region => get(tokens.topology).inRegionOrAll(region),
+        });
+    });
     add(tokens.directory, get => createInstanceDirectory(() => get(tokens.membership).members()));
 }
 
@@ -118,7 +129,7 @@
         });
     });
     add(tokens.table, get => {
-        const { clock, logger, settings } = get(tokens.context);
+        const { clock, logger, random, settings } = get(tokens.context);
         const config = get(tokens.config);
         const table = createBackendTable({
             clock,
@@ -131,8 +142,18 @@
             },
             self: settings().id,
             coldSenders: (zone, region) => get(tokens.topology).nearest(zone, region),
+            rateLimits: {
+                random,
+                countInstances: () => get(tokens.topology).budgetDivisor(),
+                recentCandidates: region => get(tokens.candidateHistory).recent(region),
+            },
             onServerRemoved: ({ record }) => get(tokens.pool).closeIdle(record.id),
         });
+        const rateLimits = createRateLimitExchange({ table, clock, logger });
+        get(tokens.membership).addExtension("rate-limits", {
+            digest: () => rateLimits.getDigest(),
+            merge: digest => rateLimits.handlePeerDigest(digest),
+        });
         config.onChange(({ services }) => table.setServices(services));
         return table;
     });
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -1,5 +1,11 @@
 /** Dependency injection tokens of a gateway instance. */
-import type { AdmissionControl, BackendTable, Balancer, WindowedRetryBudget } from "@waxwingdale/balancing";
+import type {
+    AdmissionControl,
+    BackendTable,
+    Balancer,
+    CandidateHistory,
+    WindowedRetryBudget,
+} from "@waxwingdale/balancing";
 import type { DocumentExchange } from "@waxwingdale/config";
 import { createToken } from "@waxwingdale/core";
 import type {
@@ -48,6 +54,7 @@
     membership: createToken<Membership>("membership"),
     directory: createToken<InstanceDirectory>("directory"),
     topology: createToken<InstanceTopology>("topology"),
+    candidateHistory: createToken<CandidateHistory>("candidateHistory"),
     exchange: createToken<DocumentExchange>("exchange"),
     store: createToken<ObjectStore>("store"),
     storeWatches: createToken<StoreWatches>("storeWatches"),
--- a/packages/gateway/src/instance-topology.ts
+++ b/packages/gateway/src/instance-topology.ts
@@ -8,6 +8,8 @@
     /** Returns the ids of the active instances in a zone. */
     inZone(zone: string): readonly string[];
     inRegion(region: string): readonly string[];
+    /** Returns the ids of the active instances in a region, or of all active ones if there are none. */
+    inRegionOrAll(region: string): readonly string[];
     /** Returns the ids of the active instances nearest to a zone: those in the zone, else in its region, else all. */
     nearest(zone: string, region: string): readonly string[];
     /**
@@ -77,6 +79,10 @@
     return {
         inZone,
         inRegion,
+        inRegionOrAll: region => {
+            const ids = inRegion(region);
+            return ids.length > 0 ? ids : current().all;
+        },
         nearest: (zone, region) =>
             [inZone(zone), inRegion(region)].find(ids => ids.length > 0) ?? current().all,
         budgetDivisor: () => current().budgetDivisor,
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -147,6 +147,7 @@
     const timers = [
         every(adaptIntervalMs, () => {
             get(tokens.eventLoop).tick();
+            get(tokens.candidateHistory).update();
             get(tokens.balancer).adapt();
             updateReadiness();
         }),
--- a/packages/gateway/test/store-view.test.ts
+++ b/packages/gateway/test/store-view.test.ts
@@ -61,6 +61,7 @@
         coldRequestsPerSecond: () => 20,
         self: "a",
         coldSenders: () => [],
+        rateLimits: { random: () => 0, countInstances: () => 1, recentCandidates: () => [[]] },
         onServerRemoved: () => undefined,
     });
     const view = createStoreView({
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -161,6 +161,11 @@
         coldRequestsPerSecond: () => 100,
         self: "g-1",
         coldSenders: () => soleSender,
+        rateLimits: {
+            random: () => 0,
+            countInstances: () => 1,
+            recentCandidates: () => [soleSender],
+        },
         onServerRemoved: () => undefined,
     });
     servers.forEach(({ address }, index) =>
