feat: a backend server that announces its shutdown in a response gets no further requests (DRAIN)

Callers saw: nothing yet; the header is new on the platform. A server that is leaving but whose record is not read (an instance cut off from the store) went on getting requests.

Cause: the only source for a server's shutdown was its record.

Change: the response's announcement takes the server out at once, until it is restarted; a record that still says ready does not undo it. Instances share it in the gossip digest that carries rate limits, which is now the exchange of all that servers report about themselves.

--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -24,6 +24,8 @@
     coldUntil: number;
     /** Processing time relative to the other servers of the service; above 1 is slower. */
     slowness: number;
+    /** True if the server has announced in a response that it shuts down; its record may still say otherwise. */
+    hasAnnouncedLeaving: boolean;
     /** True if the server receives no new requests: it is draining, was removed or has been replaced. */
     isLeaving: boolean;
 }
@@ -68,6 +70,7 @@
         }),
         coldUntil: options.now + record.coldRemainingMs,
         slowness: 1,
+        hasAnnouncedLeaving: false,
         isLeaving: record.phase === ServerPhase.Draining,
     };
 }
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -2,7 +2,8 @@
 import type { Clock, Logger } from "@waxwingdale/core";
 import { createBackendState } from "./backend-state.js";
 import type { BackendState } from "./backend-state.js";
-import type { RateLimitSource, ServerRateLimitOptions } from "./server-rate-limit.js";
+import type { ReportSource } from "./report-source.js";
+import type { ServerRateLimitOptions } from "./server-rate-limit.js";
 import { ServerPhase } from "./server-record.js";
 import type { ServerRecord } from "./server-record.js";
 import type { Service } from "./traffic-config.js";
@@ -32,6 +33,8 @@
     /** Adds or updates a server. `isChange` is false for the initial list after startup, whose servers are not new. */
     apply(record: ServerRecord, isChange: boolean): void;
     remove(id: string): void;
+    /** Stops new requests to a server that has announced its shutdown, until it is restarted. */
+    markLeaving(id: string, source: ReportSource): void;
     /** Stops new requests to the servers of a zone, or allows them again. */
     setEvacuated(zone: string, isEvacuated: boolean): void;
     setServices(services: readonly Service[]): void;
@@ -64,7 +67,7 @@
         random: options.rateLimits.random,
         countInstances: options.rateLimits.countInstances,
         recentCandidates: () => options.rateLimits.recentCandidates(region),
-        onChange: (requestsPerSecond: number | undefined, source: RateLimitSource) =>
+        onChange: (requestsPerSecond: number | undefined, source: ReportSource) =>
             logger.info("rate-limit-changed", {
                 server,
                 requestsPerSecond: requestsPerSecond ?? "none",
@@ -100,11 +103,11 @@
     };
 
     const update = (server: BackendState, record: ServerRecord) => {
-        const isDraining = record.phase === ServerPhase.Draining;
-        if (server.isLeaving !== isDraining) {
+        const isLeaving = record.phase === ServerPhase.Draining || server.hasAnnouncedLeaving;
+        if (server.isLeaving !== isLeaving) {
             logger.info("server-phase", { server: record.id, phase: record.phase, zone: record.zone });
         }
-        server.isLeaving = isDraining;
+        server.isLeaving = isLeaving;
         server.coldUntil = Math.max(server.coldUntil, clock.now() + record.coldRemainingMs);
     };
 
@@ -157,6 +160,18 @@
                 removeServer(existing, "entry removed");
             }
         },
+        markLeaving: (id, source) => {
+            const server = byId.get(id);
+            if (server === undefined || server.hasAnnouncedLeaving) {
+                return;
+            }
+            server.hasAnnouncedLeaving = true;
+            logger.info("server-leaving", { server: id, zone: server.record.zone, source });
+            if (!server.isLeaving) {
+                server.isLeaving = true;
+                invalidateUsable();
+            }
+        },
         setEvacuated: (zone, isEvacuated) => {
             invalidateUsable();
             if (isEvacuated) {
--- a/packages/balancing/src/index.ts
+++ b/packages/balancing/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./candidate-history.js";
 export * from "./cold-limit.js";
 export * from "./rate-limit-share.js";
+export * from "./report-source.js";
 export * from "./reuse-estimator.js";
 export * from "./server-ranking.js";
 export * from "./placement-costs.js";
--- a/packages/balancing/src/server-rate-limit.ts
+++ b/packages/balancing/src/server-rate-limit.ts
@@ -1,6 +1,7 @@
 /** Rate limit that a backend server names in its responses: what is known of it, and what this instance may send. */
 import type { Random } from "@waxwingdale/core";
 import { getHeldShare, getUsableRate } from "./rate-limit-share.js";
+import { ReportSource } from "./report-source.js";
 import { createTokenBucket } from "./token-bucket.js";
 
 /** What a response says about the limit: a rate, or a value that cannot be read. Absent if it names no limit. */
@@ -14,12 +15,6 @@
     ageMs: number;
 }
 
-/** How an instance learned of a limit. */
-export enum RateLimitSource {
-    Response = "response",
-    Peer = "peer",
-}
-
 export interface ServerRateLimit {
     /**
      * Applies a response of the server; `report` is undefined if it names no limit.
@@ -52,7 +47,7 @@
     recentCandidates: () => readonly (readonly string[])[];
     /** Number of all instances that serve traffic. */
     countInstances: () => number;
-    onChange: (requestsPerSecond: number | undefined, source: RateLimitSource) => void;
+    onChange: (requestsPerSecond: number | undefined, source: ReportSource) => void;
     /** Called for the first value that cannot be read. */
     onUnreadable: (value: string) => void;
 }
@@ -103,7 +98,7 @@
         probes.update(now, isUnconfirmed ? probeRate / Math.max(1, options.countInstances()) : 0, 1);
     };
 
-    const apply = (next: number | undefined, at: number, now: number, source: RateLimitSource) => {
+    const apply = (next: number | undefined, at: number, now: number, source: ReportSource) => {
         // Responses may overtake each other, so an older one must not replace what a newer one said.
         if (at < knownAt) {
             return;
@@ -130,9 +125,9 @@
         report: (report, writtenAt, now) => {
             if (report === undefined) {
                 // The response may have been on its way when the limit was named: it tells of the time of its request.
-                apply(undefined, writtenAt, now, RateLimitSource.Response);
+                apply(undefined, writtenAt, now, ReportSource.Response);
             } else if ("requestsPerSecond" in report) {
-                apply(report.requestsPerSecond, now, now, RateLimitSource.Response);
+                apply(report.requestsPerSecond, now, now, ReportSource.Response);
             } else if (!isUnreadableReported) {
                 isUnreadableReported = true;
                 options.onUnreadable(report.unreadable);
@@ -140,7 +135,7 @@
         },
         merge: ({ requestsPerSecond, ageMs }, now) => {
             const marginMs = requestsPerSecond === undefined ? transitMarginMs : 0;
-            apply(requestsPerSecond, now - ageMs - marginMs, now, RateLimitSource.Peer);
+            apply(requestsPerSecond, now - ageMs - marginMs, now, ReportSource.Peer);
         },
         observation: now => {
             const isShared = limit !== undefined || now - endedAt <= endedShareMs;
--- a/packages/balancing/test/rate-limited-requests.test.ts
+++ b/packages/balancing/test/rate-limited-requests.test.ts
@@ -22,7 +22,7 @@
     const { balancer, createRequest, clock } = instance;
     const first = balancer.choose(createRequest("1"));
     assert.equal(first.kind, ChoiceKind.Send);
-    const warm = (first).server.record.id;
+    const warm = first.server.record.id;
     send(instance, createRequest("1"), first);
     nameLimit(instance, warm, 1);
     const choose = () => (balancer.choose(createRequest("1")) as Placement).server.record.id;
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -1,5 +1,6 @@
 /** Composition root of a gateway instance: registers its components and wires their dependencies. */
 import {
+    ReportSource,
     createAdmissionControl,
     createBackendTable,
     createBalancer,
@@ -20,7 +21,7 @@
 import type { GatewayContext, RegisterComponent } from "./gateway-tokens.js";
 import { createInstanceDirectory } from "./instance-directory.js";
 import { createInstanceTopology } from "./instance-topology.js";
-import { createRateLimitExchange } from "./rate-limit-exchange.js";
+import { createServerReportExchange } from "./server-report-exchange.js";
 import { logRequest } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
 import { createStoreWatches } from "./store-watches.js";
@@ -149,10 +150,10 @@
             },
             onServerRemoved: ({ record }) => get(tokens.pool).closeIdle(record.id),
         });
-        const rateLimits = createRateLimitExchange({ table, clock, logger });
-        get(tokens.membership).addExtension("rate-limits", {
-            digest: () => rateLimits.getDigest(),
-            merge: digest => rateLimits.handlePeerDigest(digest),
+        const reports = createServerReportExchange({ table, clock, logger });
+        get(tokens.membership).addExtension("server-reports", {
+            digest: () => reports.getDigest(),
+            merge: digest => reports.handlePeerDigest(digest),
         });
         config.onChange(({ services }) => table.setServices(services));
         return table;
@@ -253,6 +254,7 @@
                 logRequest(logger, record);
             },
             onMisdirected: serverId => get(tokens.table).remove(serverId),
+            onLeaving: serverId => get(tokens.table).markLeaving(serverId, ReportSource.Response),
         });
     });
 }
--- /dev/null
+++ b/packages/gateway/src/server-report-exchange.ts
@@ -0,0 +1,97 @@
+/**
+ * Shares what servers say about themselves in their responses, as a digest in each gossip exchange: their rate limits,
+ * and that they shut down. An instance thereby knows it before a server has told it, and hears of the end of a limit
+ * although it may not send to the server.
+ */
+import { ReportSource } from "@waxwingdale/balancing";
+import type { BackendState, BackendTable } from "@waxwingdale/balancing";
+import type { Clock, Logger } from "@waxwingdale/core";
+import * as v from "valibot";
+
+export interface ServerReportExchange {
+    /** Returns what this instance knows of servers that are limited or leaving. */
+    getDigest(): unknown;
+    /** Applies the digest of a peer. A malformed one is ignored. */
+    handlePeerDigest(digest: unknown): void;
+}
+
+export interface ServerReportExchangeOptions {
+    table: BackendTable;
+    clock: Clock;
+    logger: Logger;
+}
+
+/** Maximum number of servers in a digest: leaving ones first, then the ones heard of last. */
+const maxEntries = 64;
+
+const nonNegativeNumber = v.pipe(v.number(), v.finite(), v.minValue(0));
+const entrySchema = v.object({
+    server: v.string(),
+    /** Start time of the server: after a restart it has another limit, or none. */
+    startedAt: v.number(),
+    /** Absent if the server has never named a limit. */
+    rateLimit: v.optional(
+        v.object({
+            /** Absent if the limit has ended. */
+            requestsPerSecond: v.optional(nonNegativeNumber),
+            ageMs: nonNegativeNumber,
+        }),
+    ),
+    isLeaving: v.optional(v.boolean(), false),
+});
+const digestSchema = v.pipe(v.array(entrySchema), v.maxLength(maxEntries));
+
+type Entry = v.InferOutput<typeof entrySchema>;
+
+export function createServerReportExchange({
+    table,
+    clock,
+    logger,
+}: ServerReportExchangeOptions): ServerReportExchange {
+    const createEntry = (server: BackendState, now: number): Entry | undefined => {
+        const { record, hasAnnouncedLeaving: isLeaving } = server;
+        const rateLimit = server.rateLimit.observation(now);
+        return rateLimit !== undefined || isLeaving
+            ? { server: record.id, startedAt: record.startedAt, rateLimit, isLeaving }
+            : undefined;
+    };
+
+    /** Sorts by how soon others should hear of it. */
+    const getAgeMs = ({ isLeaving, rateLimit }: Entry): number => (isLeaving ? 0 : (rateLimit?.ageMs ?? 0));
+
+    const applyEntry = (server: BackendState, { rateLimit, isLeaving }: Entry, now: number) => {
+        if (rateLimit !== undefined) {
+            const { requestsPerSecond, ageMs } = rateLimit;
+            server.rateLimit.merge({ requestsPerSecond, ageMs }, now);
+        }
+        if (isLeaving) {
+            table.markLeaving(server.record.id, ReportSource.Peer);
+        }
+    };
+
+    return {
+        getDigest: () => {
+            const now = clock.now();
+            return table
+                .all()
+                .map(server => createEntry(server, now))
+                .filter(entry => entry !== undefined)
+                .sort((a, b) => getAgeMs(a) - getAgeMs(b))
+                .slice(0, maxEntries);
+        },
+        handlePeerDigest: digest => {
+            const parsed = v.safeParse(digestSchema, digest);
+            if (!parsed.success) {
+                logger.warn("server-report-digest-rejected", { error: parsed.issues[0].message });
+                return;
+            }
+            const now = clock.now();
+            for (const entry of parsed.output) {
+                const server = table.find(entry.server);
+                if (server?.record.startedAt === entry.startedAt) {
+                    applyEntry(server, entry, now);
+                }
+            }
+        },
+    };
+}
--- a/packages/gateway/test/rate-limit-exchange.test.ts
+++ b/packages/gateway/test/server-report-exchange.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ServerPhase, createBackendTable } from "@waxwingdale/balancing";
+import { ReportSource, ServerPhase, createBackendTable } from "@waxwingdale/balancing";
 import type { BackendTable } from "@waxwingdale/balancing";
 import { createManualClock, createSilentLogger } from "@waxwingdale/core";
-import { createRateLimitExchange } from "../src/rate-limit-exchange.js";
+import { createServerReportExchange } from "../src/server-report-exchange.js";
 
 function createInstance(startedAt = 1) {
     const clock = createManualClock(10_000);
@@ -32,7 +32,7 @@
             false,
         );
     }
-    const exchange = createRateLimitExchange({ table, clock, logger: createSilentLogger() });
+    const exchange = createServerReportExchange({ table, clock, logger: createSilentLogger() });
     const nameLimit = (requestsPerSecond: number | undefined) =>
         table
             .find("i-1")!
@@ -44,7 +44,7 @@
     const limitOf = (id: string) => table.find(id)!.rateLimit.requestsPerSecond();
     /** The digest as it arrives at a peer. */
     const getDigest = () => JSON.parse(JSON.stringify(exchange.getDigest())) as unknown;
-    return { clock, exchange, nameLimit, limitOf, getDigest };
+    return { clock, table, exchange, nameLimit, limitOf, getDigest };
 }
 
 test("an instance keeps a limit, and its end, of which it has heard from a peer", () => {
@@ -72,13 +72,14 @@
 
 test("malformed digests and unknown servers are ignored", () => {
     const { exchange, limitOf } = createInstance();
-    const entry = { server: "i-1", startedAt: 1, requestsPerSecond: 2, ageMs: 0 };
+    const rateLimit = { requestsPerSecond: 2, ageMs: 0 };
+    const entry = { server: "i-1", startedAt: 1, rateLimit };
     const malformed: unknown[] = [
         undefined,
         "x",
         [1],
-        [{ ...entry, requestsPerSecond: -1 }],
-        [{ ...entry, ageMs: -5 }],
+        [{ ...entry, rateLimit: { ...rateLimit, requestsPerSecond: -1 } }],
+        [{ ...entry, rateLimit: { ...rateLimit, ageMs: -5 } }],
         Array.from({ length: 65 }, () => entry),
     ];
     malformed.forEach(digest => exchange.handlePeerDigest(digest));
@@ -90,5 +91,22 @@
     const { exchange, nameLimit } = createInstance();
     assert.deepEqual(exchange.getDigest(), []);
     nameLimit(5);
-    assert.deepEqual(exchange.getDigest(), [{ server: "i-1", startedAt: 1, requestsPerSecond: 5, ageMs: 0 }]);
+    assert.deepEqual(exchange.getDigest(), [
+        { server: "i-1", startedAt: 1, rateLimit: { requestsPerSecond: 5, ageMs: 0 }, isLeaving: false },
+    ]);
+});
+
+// Guards against requests to a server that has told only other instances that it shuts down.
+test("a server that has announced its shutdown to one instance gets no requests from another", () => {
+    const sender = createInstance();
+    const receiver = createInstance();
+    sender.table.markLeaving("i-1", ReportSource.Response);
+    receiver.exchange.handlePeerDigest(sender.getDigest());
+    assert.deepEqual(
+        receiver.table.usable("files").map(({ record }) => record.id),
+        ["i-2"],
+    );
+    const restarted = createInstance(2);
+    restarted.exchange.handlePeerDigest(sender.getDigest());
+    assert.equal(restarted.table.usable("files").length, 2);
 });
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -33,6 +33,8 @@
     onRequest: (record: RequestRecord) => void;
     /** Called when another server has taken over the address of the given server. */
     onMisdirected: (serverId: string) => void;
+    /** Called when a server has announced in a response that it shuts down. */
+    onLeaving: (serverId: string) => void;
 }
 
 /** Used if the caller sends no deadline, so that the route's timeout decides. */
@@ -310,6 +312,9 @@
 
     const onResponse = (attempt: RunningAttempt, response: UpstreamResponse) => {
         const { status } = response.head;
+        if (response.info.isLeaving && !response.info.isMisdirected) {
+            options.onLeaving(attempt.placement.server.record.id);
+        }
         if (response.info.isNotRun || response.info.isMisdirected) {
             onNotRun(attempt, response);
         } else if (status >= 500 || status === 429 || status === 408 || !response.info.isSigned) {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -4,6 +4,7 @@
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import {
+    ReportSource,
     RequestKind,
     ServerPhase,
     createAdmissionControl,
@@ -49,6 +50,7 @@
             isSigned: headers.has("x-signature"),
             load: undefined,
             rateLimit: undefined,
+            isLeaving: headers.has("x-leaving"),
         };
     }
 
@@ -229,6 +231,7 @@
         maxBodyBytes: () => bodyBytes,
         onRequest: record => records.push(record),
         onMisdirected: id => table.remove(id),
+        onLeaving: id => table.markLeaving(id, ReportSource.Response),
     });
     const server = createHttpServer(callerServerOptions, (req, res) => relay.handle(req, res));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -145,6 +145,22 @@
     assert.ok(requestCounts()[0]! <= 1);
 });
 
+// Guards against requests to a server that shuts down, although its record does not say so yet.
+test("a server that announces its shutdown in a response gets no further requests", async t => {
+    const script: Script = (text, socket) =>
+        void socket.write(
+            formatResponse(text, `body of ${getRequestId(text)}`, { extra: "X-Leaving: 1\r\n" }),
+        );
+    const { instance, requestCounts } = await setUp(t, script, respond);
+    for (const id of ["a", "b", "c", "d"]) {
+        assert.match(
+            await sendRaw(instance.port, formatRequest(NonIdempotent, id), 1),
+            new RegExp(`body of ${id}$`),
+        );
+    }
+    assert.ok(requestCounts()[0]! <= 1, `${requestCounts()[0]} requests`);
+});
+
 // Guards against work for callers that have disconnected.
 test("the request to the server is aborted when the caller disconnects", async t => {
     const { instance, servers } = await setUp(t, () => undefined);
