--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -15,8 +15,8 @@
     /** More requests are queued than can be served in time. */
     Overloaded = "overloaded",
     NoServer = "no-server",
-    /** The rate limits of the servers do not allow it in time. */
-    RateLimited = "rate-limited",
+    /** The servers have a rate limit, or have asked for a pause, that does not allow it in time. */
+    Throttled = "throttled",
     CallerLeft = "caller-left",
 }
 
@@ -90,6 +90,13 @@
     const describeLoad = ({ record, load }: BackendState): string =>
         `${record.id} has ${load.expected(clock.now()).toFixed(1)} requests for ${record.slots} slots, ${load.inFlight()} from this instance; ${load.waiting()} waiting`;
 
+    const describeThrottling = ({ record, health, rateLimit }: BackendState, now: number): string => {
+        const pausedMs = Math.round(health.pausedUntil() - now);
+        return pausedMs > 0
+            ? `${record.id} has asked for no requests for another ${pausedMs} ms`
+            : `${record.id} takes ${rateLimit.requestsPerSecond()} requests per second from all instances`;
+    };
+
     /** Clock time at which a request that waits is rejected. */
     const getRejectAt = ({ route, arrivedAt }: RoutedRequest, now: number): number =>
         Math.max(
@@ -97,20 +104,19 @@
             arrivedAt + route.targetLatencyMs * maxWaitFraction,
         );
 
-    /** A request waits for a rate limit only if it is certain to be sent before it would be rejected. */
-    const decideRateLimited = (
+    /** A request waits for a rate limit or the end of a pause only if it is certain to be sent before it would be rejected. */
+    const decideThrottled = (
         req: RoutedRequest,
-        { server, limitedMs }: Choice & { kind: ChoiceKind.RateLimited },
+        { server, throttledMs }: Choice & { kind: ChoiceKind.Throttled },
         rejectAt: number,
     ): AdmissionDecision | { waitFor: BackendState } => {
         const now = clock.now();
-        if (now + limitedMs <= Math.min(rejectAt, req.deadlineAt)) {
+        if (now + throttledMs <= Math.min(rejectAt, req.deadlineAt)) {
             return { waitFor: server };
         }
-        const { record, rateLimit } = server;
-        const detail = `${record.id} takes ${rateLimit.requestsPerSecond()} requests per second from all instances`;
-        const isNear = now + limitedMs < req.deadlineAt;
-        return refuse(req, RefusalReason.RateLimited, detail, isNear ? limitedMs : undefined);
+        const detail = describeThrottling(server, now);
+        const isNear = now + throttledMs < req.deadlineAt;
+        return refuse(req, RefusalReason.Throttled, detail, isNear ? throttledMs : undefined);
     };
 
     /** Returns the decision, or the server that the request must wait for. */
@@ -123,8 +129,8 @@
                     : { placement: choice };
             case ChoiceKind.NoServer:
                 return refuse(req, RefusalReason.NoServer);
-            case ChoiceKind.RateLimited:
-                return decideRateLimited(req, choice, rejectAt);
+            case ChoiceKind.Throttled:
+                return decideThrottled(req, choice, rejectAt);
             case ChoiceKind.Full:
                 return { waitFor: choice.server };
         }
--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -19,10 +19,10 @@
     | Placement
     | { kind: ChoiceKind.Full; server: BackendState }
     | {
-          kind: ChoiceKind.RateLimited;
+          kind: ChoiceKind.Throttled;
           server: BackendState;
           /** Time in milliseconds until the server may get the request; Infinity if not from this instance. */
-          limitedMs: number;
+          throttledMs: number;
       }
     | { kind: ChoiceKind.NoServer };
 
@@ -35,7 +35,7 @@
     /** Clock time at which the request was written to the server; undefined if it never was. */
     writtenAt?: number;
     /** Set if there was a response of the server itself. */
-    response?: { rateLimit: RateLimitReport | undefined };
+    response?: { rateLimit: RateLimitReport | undefined; retryAfterMs: number | undefined };
     responseBytes?: number;
 }
 
@@ -100,7 +100,7 @@
     const isWithinColdLimit = (server: BackendState, now: number): boolean =>
         now >= server.coldUntil || server.coldLimit.hasCapacity(now);
 
-    /** Whether the server may receive the request, apart from its rate limit. */
+    /** Whether the server may receive the request, apart from its rate limit and a pause that it has asked for. */
     const isEligible = (server: BackendState, req: RoutedRequest, now: number): boolean =>
         !server.isLeaving &&
         !req.tried.has(server.record.id) &&
@@ -109,7 +109,9 @@
         (req.route.allowedRegions.length === 0 || req.route.allowedRegions.includes(server.region));
 
     const isAvailable = (server: BackendState, req: RoutedRequest, now: number): boolean =>
-        isEligible(server, req, now) && server.rateLimit.hasCapacity(now);
+        isEligible(server, req, now) &&
+        now >= server.health.pausedUntil() &&
+        server.rateLimit.hasCapacity(now);
 
     /** Objects of an unhealthy server move to the next server of the zone. */
     const isHealthy = (server: BackendState, now: number): boolean =>
@@ -177,29 +179,31 @@
         return first;
     };
 
-    /** Returns the server whose rate limit allows the request first, if nothing but rate limits prevents it. */
-    const pickRateLimited = (req: RoutedRequest, now: number): Choice => {
+    /** Returns the server that wants the request first, if nothing but rate limits and pauses prevents it. */
+    const pickThrottled = (req: RoutedRequest, now: number): Choice => {
         let first: BackendState | undefined;
-        let limitedMs = Infinity;
+        let throttledMs = Infinity;
         for (const server of table.usable(req.service)) {
             if (isEligible(server, req, now)) {
-                const ms = server.rateLimit.msUntilCapacity(now, server.load.waiting());
-                if (first === undefined || ms < limitedMs) {
+                const pausedMs = server.health.pausedUntil() - now;
+                const limitedMs = server.rateLimit.msUntilCapacity(now, server.load.waiting());
+                const ms = Math.max(pausedMs, limitedMs);
+                if (first === undefined || ms < throttledMs) {
                     first = server;
-                    limitedMs = ms;
+                    throttledMs = ms;
                 }
             }
         }
         return first === undefined
             ? { kind: ChoiceKind.NoServer }
-            : { kind: ChoiceKind.RateLimited, server: first, limitedMs };
+            : { kind: ChoiceKind.Throttled, server: first, throttledMs };
     };
 
     const choose = (req: RoutedRequest): Choice => {
         const now = clock.now();
         const best = pick(req, now);
         if (best === undefined) {
-            return pickRateLimited(req, now);
+            return pickThrottled(req, now);
         }
         return best.hasCapacity ? best : { kind: ChoiceKind.Full, server: best.server };
     };
@@ -239,6 +243,7 @@
             }
             if (response !== undefined && writtenAt !== undefined) {
                 server.rateLimit.report(response.rateLimit, writtenAt, now);
+                server.health.pause(response.retryAfterMs ?? 0, now);
             }
             if (outcome === ServerOutcome.Success && firstByteMs !== undefined) {
                 costs.recordResponse(req, placement, firstByteMs, responseBytes);
--- a/packages/balancing/src/placement.ts
+++ b/packages/balancing/src/placement.ts
@@ -19,8 +19,8 @@
     Send = "send",
     /** All eligible servers are at capacity. */
     Full = "full",
-    /** All eligible servers have a rate limit that this instance has used up. */
-    RateLimited = "rate-limited",
+    /** All eligible servers want the request only later: they have a rate limit, or have asked for a pause. */
+    Throttled = "throttled",
     /** No server is eligible for the request. */
     NoServer = "no-server",
 }
--- a/packages/balancing/src/server-health.ts
+++ b/packages/balancing/src/server-health.ts
@@ -25,6 +25,10 @@
     /** Estimated failure rate, from 0 to 1. */
     failureRate(now: number): number;
     recordOutcome(outcome: ServerOutcome, now: number): void;
+    /** Sends nothing to the server for the given time, as it has asked for. */
+    pause(forMs: number, now: number): void;
+    /** Clock time until which the server has asked to get nothing. */
+    pausedUntil(): number;
 }
 
 /** Backoff in milliseconds after the first connection failure. */
@@ -44,6 +48,9 @@
 /** Time constant in milliseconds with which the failure rate decays, so that the server is eventually tried again. */
 const failureDecayMs = 3000;
 
+/** Longest pause in milliseconds, so that a faulty value does not exclude a server for good. */
+const maxPauseMs = 3_600_000;
+
 const severity: Record<ServerOutcome, number> = {
     [ServerOutcome.Success]: 0,
     [ServerOutcome.Failure]: 1,
@@ -60,6 +67,7 @@
     let consecutiveUnreachable = 0;
     let consecutiveSheds = 0;
     let backoffUntil = -Infinity;
+    let pausedUntil = -Infinity;
 
     const currentRate = (now: number) =>
         rate === 0 ? 0 : rate * Math.exp(-(now - updatedAt) / failureDecayMs);
@@ -70,6 +78,10 @@
             return now >= backoffUntil && (!isProbing || inFlight === 0);
         },
         failureRate: currentRate,
+        pause: (forMs, now) => {
+            pausedUntil = Math.max(pausedUntil, now + Math.min(forMs, maxPauseMs));
+        },
+        pausedUntil: () => pausedUntil,
         recordOutcome: (outcome, now) => {
             if (outcome === ServerOutcome.Cancelled) {
                 return;
--- a/packages/balancing/test/rate-limited-requests.test.ts
+++ b/packages/balancing/test/throttled-requests.test.ts
@@ -41,7 +41,7 @@
     assert.equal(choice.kind, ChoiceKind.Send);
     send(instance, retried, choice);
     const next = balancer.choose(createRequest("2", { tried: new Set(["i-2"]) }));
-    assert.equal(next.kind, ChoiceKind.RateLimited);
+    assert.equal(next.kind, ChoiceKind.Throttled);
 });
 
 function admit(instance: Instance, fields: Partial<RoutedRequest> = {}) {
@@ -60,7 +60,7 @@
     assert.equal(decisions.length, 1);
     assert.ok("refusal" in decisions[0]!);
     const { reason, retryAfterMs, detail } = decisions[0].refusal;
-    assert.equal(reason, RefusalReason.RateLimited);
+    assert.equal(reason, RefusalReason.Throttled);
     assert.ok(Math.abs(retryAfterMs - 1000 / 1.8) < 1, `${retryAfterMs} ms`);
     assert.match(detail ?? "", /^i-1 takes 2 requests per second/);
 });
@@ -97,3 +97,33 @@
     instance.table.apply(createServer("i-1", "n-a", { startedAt: 2 }), true);
     assert.equal(instance.table.find("i-1")!.rateLimit.requestsPerSecond(), undefined);
 });
+
+function rejectFor(instance: Instance, id: string, retryAfterMs: number): void {
+    instance.table.find(id)!.health.pause(retryAfterMs, instance.clock.now());
+}
+
+// Guards against requests to a server that has asked for a pause, by retries and hedges as well.
+test("a server that has asked for a pause gets nothing until its end", () => {
+    const instance = createInstance([createServer("i-1", "n-a"), createServer("i-2", "n-a")]);
+    const { balancer, createRequest, clock } = instance;
+    rejectFor(instance, "i-1", 2000);
+    const choose = (tried: string[]) => balancer.choose(createRequest("1", { tried: new Set(tried) }));
+    assert.equal(choose([]).kind, ChoiceKind.Send);
+    assert.equal(choose(["i-2"]).kind, ChoiceKind.Throttled);
+    rejectFor(instance, "i-1", 500);
+    clock.jump(1900);
+    assert.equal(choose(["i-2"]).kind, ChoiceKind.Throttled, "a shorter pause does not end a longer one");
+    clock.jump(200);
+    assert.equal(choose(["i-2"]).kind, ChoiceKind.Send);
+});
+
+test("a request is rejected at once while all servers pause, with the time to return", () => {
+    const instance = createInstance([createServer("i-1", "n-a"), createServer("i-2", "n-a")]);
+    rejectFor(instance, "i-1", 900);
+    rejectFor(instance, "i-2", 600);
+    const { decisions } = admit(instance);
+    assert.ok("refusal" in decisions[0]!, "rejected");
+    assert.equal(decisions[0].refusal.reason, RefusalReason.Throttled);
+    assert.equal(decisions[0].refusal.retryAfterMs, 600);
+    assert.match(decisions[0].refusal.detail ?? "", /^i-2 has asked for no requests/);
+});
--- a/packages/relay/src/wire-protocol.ts
+++ b/packages/relay/src/wire-protocol.ts
@@ -23,6 +23,8 @@
     /** Whether the response carries the server's signature. */
     isSigned: boolean;
     load: LoadReport | undefined;
+    /** Time in milliseconds for which the server wants no requests from this instance, if it rejected one. */
+    retryAfterMs: number | undefined;
     /** Whether the server announces that it shuts down and wants no further requests. */
     isLeaving: boolean;
     /** Limit for the requests of all instances together; undefined if the response names none. */
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -50,6 +50,7 @@
             isSigned: headers.has("x-signature"),
             load: undefined,
             rateLimit: undefined,
+            retryAfterMs: headers.has("x-retry-ms") ? Number(headers.get("x-retry-ms")) : undefined,
             isLeaving: headers.has("x-leaving"),
         };
     }
