--- a/packages/gateway/src/peer-view.ts
+++ b/packages/gateway/src/peer-view.ts
@@ -4,7 +4,7 @@
  */
 import { ServerPhase } from "@waxwingdale/balancing";
 import type { BackendTable, ServerRecord } from "@waxwingdale/balancing";
-import { getErrorMessage } from "@waxwingdale/core";
+import { addressSchema, getErrorMessage } from "@waxwingdale/core";
 import type {
     Clock,
     Logger,
@@ -61,7 +61,7 @@
     id: v.string(),
     startedAt: v.number(),
     service: v.string(),
-    address: v.string(),
+    address: addressSchema,
     zone: v.string(),
     slots: v.number(),
     phase: v.enum(ServerPhase),
