fix(relay): a rejection without an id is no response to a request on a reused connection (REFUSED, TWICE)

A faulty server that writes an earlier rejection once more, without an id, in front of its response made the relay take the copy for the response to the later request: the caller was told 'not run', or the request ran at a second server (2 and 2 requests instead of 2 and 1). A copy with its id was skipped already.

Cause: a rejection without an id matched any request.

Change: a response without an id is accepted for the first request of a connection only; on a connection that is in use again it is skipped, and the connection closed afterwards. A request without an id gets a connection of its own.

Measured: 'a repeated rejection without an id is not matched to a later request' failed before and passes now; all relay tests pass.

--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -350,7 +350,10 @@
         sends += 1;
         balancer.start(routed, placement);
         const { server } = placement;
-        const { connection, idleMs } = pool.acquire(server, isIdempotent);
+        const { connection, idleMs } = pool.acquire(server, {
+            isIdempotent,
+            hasId: info.requestId !== undefined,
+        });
         const attempt: RunningAttempt = {
             placement,
             connection,
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -89,6 +89,8 @@
     events: ExchangeEvents;
     sentAt: number;
     isWritten: boolean;
+    /** Whether it is the first one on its connection. */
+    isFirst: boolean;
     head?: ResponseHead;
     info?: ResponseInfo;
     firstByteAt?: number;
@@ -115,6 +117,7 @@
         allowHalfOpen: true,
     });
     let exchange: Exchange | undefined;
+    let exchanges = 0;
     let isConnected = false;
     let isClosed = false;
     /** Whether the connection must not be reused, since a response on it was skipped. */
@@ -201,7 +204,9 @@
         onHead: head => {
             const info = protocol.readResponse(head.status, head.headers);
             const isExpected =
-                exchange !== undefined && !exchange.isComplete && isResponseTo(exchange.req, info);
+                exchange !== undefined &&
+                !exchange.isComplete &&
+                isResponseTo(exchange.req, info, exchange.isFirst);
             isDiscarding = !isExpected || head.status < 200;
             if (isDiscarding) {
                 // Later responses on the connection may be out of order, too.
@@ -292,11 +297,13 @@
                 events,
                 sentAt: clock.now(),
                 isWritten: false,
+                isFirst: exchanges === 0,
                 chunks: [],
                 bodyBytes: 0,
                 receivedBytes: 0,
                 isComplete: false,
             };
+            exchanges += 1;
             if (isConnected) {
                 write(exchange);
             }
@@ -318,12 +325,15 @@
     return receivedBytes - bodyBytes * (1 + maxOverheadPerBodyByte);
 }
 
-/** A response without an id also matches if it states that the request was not executed or was misdirected. */
-function isResponseTo(req: UpstreamRequest, info: ResponseInfo): boolean {
-    return (
-        req.requestId === info.requestId ||
-        (info.requestId === undefined && (info.isNotRun || info.isMisdirected))
-    );
+/**
+ * Whether a response belongs to the request. One without an id is accepted for the first request of a connection only,
+ * if the request has none either or was not executed: later it may be a copy of an earlier response.
+ */
+function isResponseTo(req: UpstreamRequest, info: ResponseInfo, isFirst: boolean): boolean {
+    if (info.requestId !== undefined) {
+        return info.requestId === req.requestId;
+    }
+    return isFirst && (req.requestId === undefined || info.isNotRun || info.isMisdirected);
 }
 
 /** Parses the timeout of a `Keep-Alive` header such as "timeout=5, max=100", in milliseconds. */
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -7,8 +7,11 @@
 import type { WireProtocol } from "./wire-protocol.js";
 
 export interface UpstreamPool {
-    /** Returns an idle connection that is still fresh enough for the request, or opens a new one. */
-    acquire(server: BackendState, isIdempotent: boolean): AcquiredConnection;
+    /**
+     * Returns an idle connection that is still fresh enough for the request, or opens a new one. A request without an id
+     * needs a new one, since its response could not be told from others.
+     */
+    acquire(server: BackendState, req: { isIdempotent: boolean; hasId: boolean }): AcquiredConnection;
     /** Records that a reused connection had already been closed by the server when a request was sent on it. */
     recordStale(idleMs: number): void;
     /** Closes the idle connections to a server that gets no more requests. */
@@ -85,7 +88,10 @@
     ) => [...idle].filter(shouldDestroy).forEach(connection => connection.destroy());
 
     return {
-        acquire: (server, isIdempotent) => {
+        acquire: (server, { isIdempotent, hasId }) => {
+            if (!hasId) {
+                return { connection: open(server), idleMs: undefined };
+            }
             const limitMs = idleLimit.limitMs(isIdempotent);
             const { idle } = getConnections(server.record.id);
             const now = clock.now();
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -88,6 +88,45 @@
     assert.equal(totalSent(), 1);
 });
 
+// Guards against telling a caller that its request did not run, and running it twice, because a faulty server wrote an
+// earlier rejection once more on a connection that is in use again.
+const repeatedIds = { "with the id of the earlier request": "X-Id: first\r\n", "without an id": "" };
+for (const [name, idHeader] of Object.entries(repeatedIds)) {
+    test(`a repeated rejection ${name} is not matched to a later request`, async t => {
+        const rejection = `HTTP/1.1 503 X\r\n${idHeader}X-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull`;
+        const script: Script = (text, socket, count) => {
+            if (count === 0) {
+                socket.write(formatResponse(text, "full", { status: 503, extra: "X-Not-Run: 1\r\n" }));
+                return;
+            }
+            socket.write(rejection);
+            setTimeout(() => socket.write(formatResponse(text, `body of ${getRequestId(text)}`)), 20);
+        };
+        const { instance, requestCounts } = await setUp(t, script, respond);
+        await sendRaw(instance.port, formatRequest(Idempotent, "first"), 1);
+        const [first, second] = requestCounts();
+        // The server that has rejected a request is used again after a while.
+        await new Promise(resolve => setTimeout(resolve, 100));
+        const text = await sendRaw(instance.port, formatRequest(NonIdempotent, "later"), 1);
+        assert.match(text, /body of later$/);
+        assert.deepEqual(requestCounts(), [first! + 1, second]);
+    });
+}
+
+// Guards against a request without an id whose response is mistaken for that of another one.
+test("a request without an id is served on a connection of its own", async t => {
+    const echo: Script = (text, socket) =>
+        void socket.write(formatResponse(text, "body").replace("X-Id: \r\n", ""));
+    const { instance, servers } = await setUp(t, echo);
+    const connections = new Set<unknown>();
+    servers[0]!.onConnection(socket => connections.add(socket));
+    const withoutId = formatRequest(Idempotent, "").replace("X-Id: \r\n", "");
+    for (const text of [formatRequest(Idempotent, "a"), withoutId, withoutId]) {
+        assert.match(await sendRaw(instance.port, text, 1), /^HTTP\/1\.1 200/);
+    }
+    assert.equal(connections.size, 3);
+});
+
 // Guards against forwarding a truncated response as if it were complete.
 test("a truncated response is not forwarded, and an idempotent request is retried on another server", async t => {
     const truncate: Script = (text, socket) =>
