refactor(relay): deadline, verdict on a response and running attempts in modules of their own

forward-request.ts had grown to 406 lines; what needs none of its state moves out, and the rule which statuses promise 'not run' stands once. A request that waited for startup is dropped if its caller's stream has ended, not only when its socket is destroyed.

--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -13,10 +13,15 @@
 import type { Clock, EventLoopMonitor } from "@waxwingdale/core";
 import { sendUpstreamResponse, sendLocalResponse } from "./caller-response.js";
 import { formatRequestHead } from "./end-to-end-headers.js";
+import { getCallerDeadlineMs, getDeadline } from "./request-deadline.js";
+import type { Arrival } from "./request-deadline.js";
 import { RequestOutcome } from "./request-outcome.js";
 import type { AttemptRecord, RequestRecord } from "./request-outcome.js";
+import { ResponseVerdict, canForwardFailure, judgeResponse } from "./response-verdict.js";
+import { createAttemptRecord, isStale } from "./running-attempt.js";
+import type { RunningAttempt } from "./running-attempt.js";
 import { ExchangeFailure } from "./upstream-connection.js";
-import type { UpstreamResponse, UpstreamConnection } from "./upstream-connection.js";
+import type { UpstreamResponse } from "./upstream-connection.js";
 import type { UpstreamPool } from "./upstream-pool.js";
 import type { RequestInfo, WireProtocol } from "./wire-protocol.js";
 
@@ -37,54 +42,31 @@
     onLeaving: (serverId: string) => void;
 }
 
-/** Used if the caller sends no deadline, so that the route's timeout decides. */
-const defaultDeadlineMs = 60_000;
 /** Multiple of the expected response time after which a hedged attempt starts. */
 const hedgeFactor = 3;
 /** Added to the hedge delay, for the variance of short requests. */
 const hedgeSlackMs = 120;
-/** Time beyond one round trip within which a reused connection turns out to have been closed by the server. */
-const staleSlackMs = 8;
 /** A retry starts if this fraction of its expected response time fits before the deadline. */
 const retryTimeFraction = 0.9;
 
-/** Callers give up a request that has not been read for this fraction of their time. */
-const maxUnreadFraction = 1 / 3;
-
 /** A request with its route and its complete body. */
-export interface RelayedRequest {
+export interface RelayedRequest extends Arrival {
     req: IncomingMessage;
     res: ServerResponse;
     info: RequestInfo;
     route: Route;
     service: string;
-    arrivedAt: number;
-    /** Maximum time in milliseconds for which the request may have been pending before it was read. */
-    unreadMs: number;
     configVersion: number;
     body: Buffer | undefined;
 }
 
-interface RunningAttempt {
-    placement: Placement;
-    connection: UpstreamConnection;
-    sentAt: number;
-    /** How long the connection had been idle; undefined for a new connection. */
-    idleMs: number | undefined;
-    /** Clock time at which the request was written; undefined until then. */
-    writtenAt: number | undefined;
-    /** Whether the caller's connection was not being read at that time. */
-    wasCallerPaused: boolean;
-}
-
 /** Forwards one request. It ends with exactly one response, or when the caller disconnects. */
 export function forwardRequest(options: ForwardingOptions, request: RelayedRequest): void {
     const { clock, protocol, balancer, admission, pool } = options;
     const { req, res, info, route, service, arrivedAt } = request;
     const isIdempotent = route.kind !== RequestKind.NonIdempotent;
-    const callerDeadlineMs = info.deadlineMs ?? defaultDeadlineMs;
-    const timeoutMs = Math.min(callerDeadlineMs, route.timeoutMs);
-    const deadlineAt = arrivedAt + timeoutMs - estimateWaitMs(request.unreadMs, timeoutMs);
+    const callerDeadlineMs = getCallerDeadlineMs(info.deadlineMs);
+    const deadlineAt = getDeadline(request, callerDeadlineMs, route);
     const retryBudget = options.getRetryBudget(service);
     const head = formatRequestHead(req, request.body, protocol);
     const routed: RoutedRequest = {
@@ -161,6 +143,11 @@
         sendLocalResponse(res, status, reason, headers);
     };
 
+    const forwardResponse = (response: UpstreamResponse) => {
+        settle(RequestOutcome.Answered, response.head.status, "");
+        sendUpstreamResponse(res, response);
+    };
+
     const refuse = ({ reason, retryAfterMs }: Pick<Refusal, "retryAfterMs"> & { reason: string }) => {
         if (mayHaveExecuted) {
             fail(RequestOutcome.Failed, 502, lastFailure);
@@ -196,16 +183,7 @@
             writtenAt: attempt.writtenAt,
             response: response?.info.isMisdirected ? undefined : response?.info,
         });
-        attempts.push({
-            server: placement.server.record.id,
-            zone: placement.server.record.zone,
-            result,
-            expectedMs: Math.round(placement.expectedMs),
-            tookMs: Math.round(clock.now() - attempt.sentAt),
-            writtenAfterMs: attempt.writtenAt === undefined ? undefined : attempt.writtenAt - arrivedAt,
-            wasCallerPaused: attempt.wasCallerPaused,
-            isReused: attempt.idleMs !== undefined,
-        });
+        attempts.push(createAttemptRecord(attempt, result, arrivedAt, clock.now()));
     };
 
     /** Retries if the attempt limit, the retry budget and the deadline allow it; otherwise calls `giveUp`. */
@@ -239,10 +217,6 @@
         }
     };
 
-    /** Whether the server had already closed the reused connection: the attempt then fails within one round trip. */
-    const isStale = ({ idleMs, sentAt, placement }: RunningAttempt): boolean =>
-        idleMs !== undefined && clock.now() - sentAt < placement.roundTripMs + staleSlackMs;
-
     const onFailure = (attempt: RunningAttempt, failure: ExchangeFailure, detail: string) => {
         if (failure === ExchangeFailure.NotWritten) {
             sends -= 1;
@@ -259,7 +233,7 @@
             retry(false, () => refuse({ reason: lastFailure, retryAfterMs: getRetryDelayMs() }));
             return;
         }
-        if (isStale(attempt)) {
+        if (isStale(attempt, clock.now())) {
             // The server had closed the connection before the request arrived, so it has very likely not executed it.
             pool.recordStale(attempt.idleMs ?? 0);
             sends -= 1;
@@ -297,32 +271,31 @@
         endAttempt(attempt, ServerOutcome.Failure, `status ${status}`, response);
         mayHaveExecuted = true;
         lastFailure = `the backend server answered ${status}`;
-        // These statuses would tell the caller that the request was not executed, which the server did not state.
-        const impliesNotExecuted = status === 503 || status === 429 || status === 408 || status === 421;
         const giveUp = () => {
-            if (impliesNotExecuted || !response.info.isSigned) {
-                fail(RequestOutcome.Failed, 502, lastFailure);
+            if (canForwardFailure(response)) {
+                forwardResponse(response);
             } else {
-                settle(RequestOutcome.Answered, status, "");
-                sendUpstreamResponse(res, response);
+                fail(RequestOutcome.Failed, 502, lastFailure);
             }
         };
         retryIfIdempotent(giveUp);
     };
 
     const onResponse = (attempt: RunningAttempt, response: UpstreamResponse) => {
-        const { status } = response.head;
         if (response.info.isLeaving && !response.info.isMisdirected) {
             options.onLeaving(attempt.placement.server.record.id);
         }
-        if (response.info.isNotRun || response.info.isMisdirected) {
-            onNotRun(attempt, response);
-        } else if (status >= 500 || status === 429 || status === 408 || !response.info.isSigned) {
-            onServerFailure(attempt, response);
-        } else {
-            endAttempt(attempt, ServerOutcome.Success, `status ${status}`, response);
-            settle(RequestOutcome.Answered, status, "");
-            sendUpstreamResponse(res, response);
+        switch (judgeResponse(response)) {
+            case ResponseVerdict.NotExecuted:
+                onNotRun(attempt, response);
+                break;
+            case ResponseVerdict.Failure:
+                onServerFailure(attempt, response);
+                break;
+            case ResponseVerdict.Success:
+                endAttempt(attempt, ServerOutcome.Success, `status ${response.head.status}`, response);
+                forwardResponse(response);
+                break;
         }
     };
 
@@ -396,11 +369,3 @@
         }
     });
 }
-
-/**
- * Estimates how long a request waited before it was read, which counts against its deadline: half of the time for which
- * it may have been pending, as it can have arrived at any moment of it.
- */
-function estimateWaitMs(unreadMs: number, timeoutMs: number): number {
-    return Math.min(unreadMs / 2, timeoutMs * maxUnreadFraction);
-}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -5,8 +5,9 @@
 import type { Random } from "@waxwingdale/core";
 import { sendLocalResponse } from "./caller-response.js";
 import { forwardRequest } from "./forward-request.js";
-import type { ForwardingOptions, RelayedRequest } from "./forward-request.js";
+import type { ForwardingOptions } from "./forward-request.js";
 import { readBody } from "./request-body.js";
+import type { Arrival } from "./request-deadline.js";
 import { RequestOutcome } from "./request-outcome.js";
 import type { StartupGate } from "./startup-gate.js";
 import type { RequestInfo } from "./wire-protocol.js";
@@ -27,9 +28,6 @@
     active(): number;
 }
 
-/** When a request was read, and for how long it may have been pending before. */
-type Arrival = Pick<RelayedRequest, "arrivedAt" | "unreadMs">;
-
 /** Retry delay sent to callers while the instance has no configuration. */
 const noConfigRetryMs = 300;
 /** Maximum wait for startup: two round trips to a store in another region, doubled. */
@@ -130,7 +128,7 @@
         await options.startupGate.wait(
             Math.min(maxStartupWaitMs, (info.deadlineMs ?? Infinity) * startupWaitFraction),
         );
-        if (!req.socket.destroyed) {
+        if (!req.socket.destroyed && !req.socket.readableEnded) {
             handle(req, res, info, arrival);
         }
     };
--- /dev/null
+++ b/packages/relay/src/response-verdict.ts
@@ -0,0 +1,27 @@
+/** What a backend server's response means for the request. */
+import type { UpstreamResponse } from "./upstream-connection.js";
+
+export enum ResponseVerdict {
+    /** The response can be forwarded. */
+    Success = "success",
+    /** The server states that it did not execute the request. */
+    NotExecuted = "not-run",
+    /** The server may have executed the request, but failed or sent no valid response. */
+    Failure = "failure",
+}
+
+/** Statuses that tell the caller that its request was not executed. */
+const notExecutedStatuses = new Set([503, 429, 408, 421]);
+
+export function judgeResponse({ head, info }: UpstreamResponse): ResponseVerdict {
+    if (info.isNotRun || info.isMisdirected) {
+        return ResponseVerdict.NotExecuted;
+    }
+    const isFailure = head.status >= 500 || notExecutedStatuses.has(head.status);
+    return isFailure || !info.isSigned ? ResponseVerdict.Failure : ResponseVerdict.Success;
+}
+
+/** Whether a failed response may be forwarded: it must not tell the caller what the server did not state. */
+export function canForwardFailure({ head, info }: UpstreamResponse): boolean {
+    return info.isSigned && !notExecutedStatuses.has(head.status);
+}
