--- a/packages/carrier/src/backend-upstream.ts
+++ b/packages/carrier/src/backend-upstream.ts
@@ -10,6 +10,7 @@
 import type { Slot } from "@waxwingdale/core";
 import { AttemptKind, Upstream, openResponseSink } from "./attempt.js";
 import type { AttemptResult, ResponseCapture } from "./attempt.js";
+import { isStillWanted } from "./caller-presence.js";
 import type { CarrierOptions } from "./carrier-options.js";
 import { DispatchPhase, dispatchRequest, abortedBeforeSending } from "./dispatch-request.js";
 import type { DispatchResult } from "./dispatch-request.js";
@@ -81,17 +82,16 @@
         }
     }
 
-    private dispatch(
+    private async dispatch(
         ctx: RequestContext,
         slot: Slot,
         capture: ResponseCapture | undefined,
     ): Promise<DispatchResult> {
         const { options } = this;
         const { res, req, body } = ctx;
-        const remainingMs = ctx.deadlineAt - options.clock.now();
         const pace = createResponsePacer(options, ctx);
-        if (!ctx.maySend()) {
-            return Promise.resolve(abortedBeforeSending);
+        if (!(await isStillWanted(ctx, options.eventLoop)) || !ctx.maySend()) {
+            return abortedBeforeSending;
         }
         return dispatchRequest({
             pool: options.pools.get(slot.server.address, slot.server.slots),
@@ -100,7 +100,7 @@
             path: ctx.path,
             headers: createRequestHeaders(req.headers, {
                 requestId: ctx.id,
-                remainingMs,
+                remainingMs: ctx.deadlineAt - options.clock.now(),
                 bodyLength: body.length,
                 client: ctx.client,
             }),
--- a/packages/carrier/src/carrier-options.ts
+++ b/packages/carrier/src/carrier-options.ts
@@ -3,6 +3,7 @@
     ClaimService,
     Clock,
     CrashGuard,
+    EventLoopMonitor,
     LinkShaper,
     Logger,
     MemberView,
@@ -32,6 +33,7 @@
     id: string;
     region: string;
     clock: Clock;
+    eventLoop: EventLoopMonitor;
     logger: Logger;
     fleetKey: string;
     view: MemberView;
--- a/packages/carrier/src/peer-upstream.ts
+++ b/packages/carrier/src/peer-upstream.ts
@@ -4,6 +4,7 @@
 import { AttemptKind, Upstream, openResponseSink } from "./attempt.js";
 import type { AttemptResult, ResponseCapture } from "./attempt.js";
 import { classifyInterrupted } from "./backend-upstream.js";
+import { isStillWanted } from "./caller-presence.js";
 import type { CarrierOptions } from "./carrier-options.js";
 import { DispatchPhase, dispatchRequest, abortedBeforeSending } from "./dispatch-request.js";
 import type { DispatchResult, ResponseHeaders } from "./dispatch-request.js";
@@ -77,6 +78,9 @@
     ): Promise<DispatchResult> {
         const { options, region } = this;
         const { res, req, body } = ctx;
+        if (!(await isStillWanted(ctx, options.eventLoop)) || !ctx.maySend()) {
+            return abortedBeforeSending;
+        }
         const remainingMs = ctx.deadlineAt - options.clock.now();
         const fields = { requestId: ctx.id, remainingMs, bodyLength: body.length, client: ctx.client };
         const headers = createRequestHeaders(req.headers, fields);
@@ -88,9 +92,6 @@
         if (caller !== undefined) {
             headers[callerAuthorizationHeader] = caller;
         }
-        if (!ctx.maySend()) {
-            return abortedBeforeSending;
-        }
         return dispatchRequest({
             pool: options.pools.get(peer.peerAddress, maxConnectionsPerPeer),
             clock: options.clock,
--- a/packages/carrier/test/carrier-fixture.ts
+++ b/packages/carrier/test/carrier-fixture.ts
@@ -15,6 +15,7 @@
     ReasonCode,
     RequestClass,
     SteeringReason,
+    createEventLoopMonitor,
     createRandom,
     createSilentLogger,
     createSystemClock,
@@ -24,6 +25,8 @@
 import { startBackendServer } from "@waxwingdale/stand-ins";
 import type { BackendBehavior, RunningBackendServer } from "@waxwingdale/stand-ins";
 
+/** Interval of the event loop monitor in milliseconds, as in the entry. */
+const tickIntervalMs = 100;
 const base = { timeoutMs: 2000, maxBodyBytes: 10_000_000, retryBudget: 1 };
 
 export const routes: RouteSpec[] = [
@@ -129,10 +132,13 @@
     };
     const table = createRouteTable([service]);
     const pools = createConnectionPools(() => clock.now());
+    const eventLoop = createEventLoopMonitor(clock, tickIntervalMs);
+    const tickTimer = setInterval(() => eventLoop.tick(), tickIntervalMs);
     const options: CarrierOptions = {
         id: "e1",
         region: "north",
         clock,
+        eventLoop,
         logger: createSilentLogger(),
         fleetKey: "a key of the fleet",
         view: {
@@ -187,6 +193,7 @@
         backends,
         options,
         close: async () => {
+            clearInterval(tickTimer);
             server.close();
             server.closeAllConnections();
             await pools.close();
--- a/packages/carrier/test/carrier.test.ts
+++ b/packages/carrier/test/carrier.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
@@ -103,6 +104,34 @@
     assert.deepEqual(fixture.slotResults, [SlotResult.Broken]);
 });
 
+// Guards against work for callers whose close a late process has not read yet.
+test("late process: a read is not sent if its caller has closed, a write runs for its key", async t => {
+    const fixture = await setUp(t, [{}]);
+    const port = Number(new URL(fixture.url).port);
+    const open = async () => {
+        const socket = connect(port, "127.0.0.1");
+        await once(socket, "connect");
+        return socket;
+    };
+    const [reader, writer] = [await open(), await open()];
+    const head = "HTTP/1.1\r\nHost: h\r\n";
+    reader.write(`GET /register/detectors/1 ${head}\r\n`);
+    const write = `Idempotency-Key: k1\r\nContent-Length: 2\r\n\r\n{}`;
+    writer.write(`POST /register/certificates ${head}${write}`);
+    reader.destroy();
+    writer.destroy();
+    const until = performance.now() + 600;
+    while (performance.now() < until) {
+        // Busy on purpose: the event loop is late.
+    }
+    await new Promise(resolve => setTimeout(resolve, 200));
+    assert.deepEqual(
+        fixture.claimOutcomes.map(({ kind }) => kind),
+        ["ran"],
+    );
+    assert.equal(fixture.backends[0]!.record.summary.started, 1);
+});
+
 test("a write completes and its outcome is recorded if its caller disconnects", async t => {
     const fixture = await setUp(t, [{ workMs: 100 }]);
     const abort = new AbortController();
--- a/packages/entry/src/compose-carrier.ts
+++ b/packages/entry/src/compose-carrier.ts
@@ -7,6 +7,7 @@
 } from "@waxwingdale/carrier";
 import type { RequestRecord, RouteTable } from "@waxwingdale/carrier";
 import type { AcceptedConfig } from "@waxwingdale/config";
+import { createEventLoopMonitor } from "@waxwingdale/core";
 import { createRetryBudget } from "@waxwingdale/limits";
 import type { RetryBudget } from "@waxwingdale/limits";
 import type { ReportMeter } from "@waxwingdale/reports";
@@ -16,6 +17,8 @@
 import { tokens } from "./entry-tokens.js";
 import type { RegisterComponent } from "./entry-tokens.js";
 
+/** Interval in milliseconds at which the readiness is updated and the delay of the event loop is measured. */
+export const tickIntervalMs = 100;
 /** Retry ratio of non-idempotent routes. Their requests are retried only if they certainly did not run. */
 const nonIdempotentRetryRatio = 0.1;
 
@@ -33,6 +36,7 @@
 }
 
 export function composeCarrier(add: RegisterComponent): void {
+    add(tokens.eventLoop, get => createEventLoopMonitor(get(tokens.context).clock, tickIntervalMs));
     add(tokens.pools, get => createConnectionPools(() => get(tokens.context).clock.now()));
     add(tokens.records, get => createRequestRecords(get(tokens.context).settings.requestRecords));
     add(tokens.metrics, () => createEntryMetrics());
@@ -45,6 +49,7 @@
             id: settings.id,
             region: settings.region,
             clock,
+            eventLoop: get(tokens.eventLoop),
             logger,
             fleetKey,
             view: get(tokens.membership),
--- a/packages/entry/src/entry-tokens.ts
+++ b/packages/entry/src/entry-tokens.ts
@@ -15,7 +15,7 @@
 import type { Settings } from "./settings.js";
 import type { SlotReadiness } from "./slot-readiness.js";
 import { createToken } from "@waxwingdale/core";
-import type { Resolve, Token } from "@waxwingdale/core";
+import type { EventLoopMonitor, Resolve, Token } from "@waxwingdale/core";
 import type { TraceTap } from "./trace-tap.js";
 
 /** Values and services that exist before any component is created. */
@@ -34,6 +34,7 @@
 
 export const tokens = {
     context: createToken<EntryContext>("context"),
+    eventLoop: createToken<EventLoopMonitor>("eventLoop"),
     rpcServer: createToken<RpcServer>("rpcServer"),
     rpcClient: createToken<RpcClient>("rpcClient"),
     membership: createToken<Membership>("membership"),
--- a/packages/entry/src/run-entry.ts
+++ b/packages/entry/src/run-entry.ts
@@ -11,6 +11,7 @@
 import { createHttpObjectStore } from "@waxwingdale/store";
 import { createCallerApp } from "./caller-listener.js";
 import { composeEntry } from "./compose-entry.js";
+import { tickIntervalMs } from "./compose-carrier.js";
 import { tokens } from "./entry-tokens.js";
 import type { EntryContext } from "./entry-tokens.js";
 import { createEntryDump, createEntryStatus, getNotReadyReason } from "./entry-state.js";
@@ -43,8 +44,6 @@
     stop: () => Promise<void>;
 }
 
-/** Interval of the readiness checks. */
-const readinessCheckIntervalMs = 100;
 /** Interval of the checks for idle connection pools. */
 const poolCheckIntervalMs = 10_000;
 
@@ -193,8 +192,9 @@
         },
         ready: async () => {
             while (!signal.aborted) {
+                resolve(tokens.eventLoop).tick();
                 resolve(tokens.membership).setReady(getNotReadyReason(resolve) === undefined);
-                await clock.sleep(readinessCheckIntervalMs, signal);
+                await clock.sleep(tickIntervalMs, signal);
             }
         },
         pools: async () => {
