--- a/packages/gateway/src/server-report-exchange.ts
+++ b/packages/gateway/src/server-report-exchange.ts
@@ -21,8 +21,8 @@
     logger: Logger;
 }
 
-/** Maximum number of servers in a digest: leaving ones first, then the ones heard of last. */
-const maxEntries = 64;
+/** Servers in a digest, which bounds its bytes. Where there are more, further digests go on with the next ones. */
+const maxEntries = 8;
 
 const nonNegativeNumber = v.pipe(v.number(), v.finite(), v.minValue(0));
 const entrySchema = v.object({
@@ -48,17 +48,18 @@
     clock,
     logger,
 }: ServerReportExchangeOptions): ServerReportExchange {
+    /** Index of the first server in the next digest. */
+    let next = 0;
+
     const createEntry = (server: BackendState, now: number): Entry | undefined => {
         const { record, hasAnnouncedLeaving: isLeaving } = server;
-        const rateLimit = server.rateLimit.observation(now);
+        const observation = server.rateLimit.observation(now);
+        const rateLimit = observation && { ...observation, ageMs: Math.round(observation.ageMs) };
         return rateLimit !== undefined || isLeaving
             ? { server: record.id, startedAt: record.startedAt, rateLimit, isLeaving }
             : undefined;
     };
 
-    /** Sorts by how soon others should hear of it. */
-    const getAgeMs = ({ isLeaving, rateLimit }: Entry): number => (isLeaving ? 0 : (rateLimit?.ageMs ?? 0));
-
     const applyEntry = (server: BackendState, { rateLimit, isLeaving }: Entry, now: number) => {
         if (rateLimit !== undefined) {
             const { requestsPerSecond, ageMs } = rateLimit;
@@ -72,12 +73,13 @@
     return {
         getDigest: () => {
             const now = clock.now();
-            return table
+            const entries = table
                 .all()
                 .map(server => createEntry(server, now))
-                .filter(entry => entry !== undefined)
-                .sort((a, b) => getAgeMs(a) - getAgeMs(b))
-                .slice(0, maxEntries);
+                .filter(entry => entry !== undefined);
+            const first = next < entries.length ? next : 0;
+            next = first + maxEntries;
+            return entries.slice(first, next);
         },
         handlePeerDigest: digest => {
             const parsed = v.safeParse(digestSchema, digest);
--- a/packages/gateway/test/server-report-exchange.test.ts
+++ b/packages/gateway/test/server-report-exchange.test.ts
@@ -5,7 +5,7 @@
 import { createManualClock, createSilentLogger } from "@waxwingdale/core";
 import { createServerReportExchange } from "../src/server-report-exchange.js";
 
-function createInstance(startedAt = 1) {
+function createInstance(startedAt = 1, serverCount = 2) {
     const clock = createManualClock(10_000);
     const table: BackendTable = createBackendTable({
         clock,
@@ -17,7 +17,7 @@
         rateLimits: { random: () => 0, countInstances: () => 1, recentCandidates: () => [[]] },
         onServerRemoved: () => undefined,
     });
-    for (const id of ["i-1", "i-2"]) {
+    for (const id of Array.from({ length: serverCount }, (_, index) => `i-${index + 1}`)) {
         table.apply(
             {
                 id,
@@ -80,14 +80,14 @@
         [1],
         [{ ...entry, rateLimit: { ...rateLimit, requestsPerSecond: -1 } }],
         [{ ...entry, rateLimit: { ...rateLimit, ageMs: -5 } }],
-        Array.from({ length: 65 }, () => entry),
+        Array.from({ length: 9 }, () => entry),
     ];
     malformed.forEach(digest => exchange.handlePeerDigest(digest));
     exchange.handlePeerDigest([{ ...entry, server: "i-9" }]);
     assert.equal(limitOf("i-1"), undefined);
 });
 
-test("a digest has the limits that were heard of last", () => {
+test("a digest has the servers that are limited", () => {
     const { exchange, nameLimit } = createInstance();
     assert.deepEqual(exchange.getDigest(), []);
     nameLimit(5);
@@ -110,3 +110,16 @@
     restarted.exchange.handlePeerDigest(sender.getDigest());
     assert.equal(restarted.table.usable("files").length, 2);
 });
+
+// Guards against gossip that grows with the number of servers in need.
+test("a digest is bounded, and consecutive ones have all servers", () => {
+    const sender = createInstance(1, 40);
+    const receiver = createInstance(1, 40);
+    sender.table.all().forEach(({ record }) => sender.table.markLeaving(record.id, ReportSource.Response));
+    for (let round = 0; round < 5; round++) {
+        const digest = sender.getDigest() as unknown[];
+        assert.ok(digest.length <= 8, `${digest.length} entries`);
+        receiver.exchange.handlePeerDigest(digest);
+    }
+    assert.equal(receiver.table.usable("files").length, 0);
+});
