--- a/packages/relay/test/disconnect.test.ts
+++ b/packages/relay/test/disconnect.test.ts
@@ -210,6 +210,41 @@
     });
 }
 
+/** Makes each turn of the event loop take a while, as in a process that has much to do after a pause. */
+function slowDownTurns(turnMs: number, forMs: number): void {
+    const until = performance.now() + forMs;
+    const burn = () => {
+        block(turnMs);
+        if (performance.now() < until) {
+            setImmediate(burn);
+        }
+    };
+    setImmediate(burn);
+}
+
+// Guards against a process that looks on time while connections still wait: it accepts one in each turn. Found by the
+// soak, seeds 1 to 6.
+for (const [way, close] of Object.entries(leave)) {
+    test(`late process: no request from a long accept queue is sent if its caller ${way}`, async t => {
+        const respondLater: Script = (text, socket) => void setTimeout(() => respond(text, socket, 0), 30);
+        const { instance, sent, openCaller } = await setUp(t, [respondLater]);
+        const served = await Promise.all(Array.from({ length: 5 }, () => openCaller(false)));
+        const responses = served.map(caller => once(caller, "data"));
+        served.forEach(caller => caller.write(formatRequest(Idempotent, "first")));
+        await Promise.all(responses);
+        assert.equal(instance.connectionCount(), 5, "connections to the server are open");
+        slowDownTurns(8, 1500);
+        const queued = Array.from({ length: 100 }, () => connect(instance.port, "127.0.0.1"));
+        t.after(() => queued.forEach(socket => socket.destroy()));
+        await Promise.all(queued.map(socket => once(socket, "connect")));
+        const leaver = await openCaller(false);
+        leaver.write(formatRequest(Idempotent, "a"));
+        close(leaver);
+        await sleep(2500);
+        assert.equal(sent("a"), 0);
+    });
+}
+
 test("late process: requests of callers that stay are served", async t => {
     const { sent, openCaller } = await setUp(t, [respond, respond]);
     const callers = [await openCaller(), await openCaller(false)];
