--- a/packages/core/src/event-loop-monitor.ts
+++ b/packages/core/src/event-loop-monitor.ts
@@ -12,8 +12,9 @@
     /**
      * Calls back once the events that are pending now have been handled: immediately if the event loop is on time, so
      * that this is free in normal operation, otherwise at the end of the next turn.
+     * @param isLate Whether the caller knows of events that have been pending for long.
      */
-    afterPending(callback: () => void): void;
+    afterPending(callback: () => void, isLate?: boolean): void;
 }
 
 /** Number of intervals without a tick, counted from the last tick but one, from which the event loop counts as late. */
@@ -38,8 +39,8 @@
             lastTick = clock.now();
         },
         pendingMs,
-        afterPending: callback => {
-            if (pendingMs() === 0) {
+        afterPending: (callback, isLate = false) => {
+            if (!isLate && pendingMs() === 0) {
                 callback();
                 return;
             }
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -119,6 +119,7 @@
     const directory = get(tokens.directory);
     const ttlSeconds = Math.min(lookupTtlSeconds, settings.bounds.lookupTtlSeconds);
     const callers = await openListener(settings.listen.callers, (req, res) => relay.handle(req, res));
+    callers.server.on("connection", socket => relay.handleConnection(socket));
     const peerHandler = createPeerHandler({
         fleetKey: hash64Hex(settings.store),
         rpc: get(tokens.rpcServer),
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -340,6 +340,7 @@
             {
                 requestId: info.requestId,
                 hasResponseBody: req.method !== "HEAD",
+                isLate: request.unreadMs > 0,
                 deadlineAt,
                 formatHead: remainingMs =>
                     `${head}${protocol.formatAttemptHeaders(remainingMs, server.record.id)}\r\n`,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,4 +1,5 @@
 /** HTTP/1.1 reverse proxy between callers and backend servers. */
+export * from "./accept-delay.js";
 export * from "./caller-response.js";
 export * from "./caller-server-options.js";
 export * from "./response-parser.js";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,8 +1,10 @@
 /** Accepts requests of callers: selects route and service, reads the body and forwards the request. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { createServiceSplit } from "@waxwingdale/balancing";
 import type { Route, RouteIndex, ServiceSplit } from "@waxwingdale/balancing";
 import type { Random } from "@waxwingdale/core";
+import { createAcceptDelay } from "./accept-delay.js";
 import { sendLocalResponse } from "./caller-response.js";
 import { forwardRequest } from "./forward-request.js";
 import type { ForwardingOptions } from "./forward-request.js";
@@ -23,6 +25,8 @@
 }
 
 export interface Relay {
+    /** Must be called for each connection of a caller when it is accepted. */
+    handleConnection(socket: Socket): void;
     handle(req: IncomingMessage, res: ServerResponse): void;
     /** Number of requests in progress. */
     active(): number;
@@ -37,6 +41,7 @@
 
 export function createRelay(options: RelayOptions): Relay {
     const { clock, protocol } = options;
+    const acceptDelay = createAcceptDelay(clock, options.eventLoop);
     let active = 0;
     let splitsVersion = -1;
     const splits = new Map<string, ServiceSplit>();
@@ -135,9 +140,10 @@
 
     return {
         active: () => active,
+        handleConnection: socket => acceptDelay.recordConnection(socket),
         handle: (req, res) => {
             const info = protocol.readRequest(req.headers);
-            const unreadMs = options.eventLoop.pendingMs();
+            const unreadMs = Math.max(options.eventLoop.pendingMs(), acceptDelay.pendingMs(req.socket));
             const arrival = { arrivedAt: clock.now(), unreadMs };
             if (options.startupGate.isOpen()) {
                 handle(req, res, info, arrival);
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -38,6 +38,8 @@
 
 export interface UpstreamRequest {
     requestId: string | undefined;
+    /** Whether its caller may have disconnected without this having been noticed yet. */
+    isLate: boolean;
     /** Clock time from which the request is not written any more. The owner of the exchange ends it then. */
     deadlineAt: number;
     /** Formats the request line and headers with the remaining time in milliseconds. */
@@ -179,7 +181,7 @@
             if (exchange === current && clock.now() < current.req.deadlineAt) {
                 writeNow(current);
             }
-        });
+        }, current.req.isLate);
 
     /** Delivers the response. The whole chunk has been parsed by now, so extra data after the response is detected. */
     const complete = (current: Exchange, isReusable: boolean) => {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -235,6 +235,7 @@
         onLeaving: id => table.markLeaving(id, ReportSource.Response),
     });
     const server = createHttpServer(callerServerOptions, (req, res) => relay.handle(req, res));
+    server.on("connection", socket => relay.handleConnection(socket));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     return {
         port: (server.address() as AddressInfo).port,
