--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 const nullRule = { selector: "Literal[raw='null']", message: "Use undefined instead of null." };
 const platformMessage = "Names of the users' platform are decoded in platform/; use the project's names.";
 const platformNames =
-    "/^(cold-remaining-s|cold-per-s|heartbeat-s|path-prefix|allowed-regions|session-affinity|expect-instance|affinity-key|server-stamp|server-load|not-executed|deadline-ms|delete-requested|wait-ms)$/i";
+    "/^(cold-remaining-s|cold-per-s|heartbeat-s|path-prefix|allowed-regions|session-affinity|expect-instance|affinity-key|server-stamp|server-load|server-limit|server-leaving|not-executed|deadline-ms|delete-requested|wait-ms)$/i";
 
 export default tseslint.config(
     { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -166,7 +166,7 @@
                 return;
             }
             server.hasAnnouncedLeaving = true;
-            logger.info("server-leaving", { server: id, zone: server.record.zone, source });
+            logger.info("server-shutdown", { server: id, zone: server.record.zone, source });
             if (!server.isLeaving) {
                 server.isLeaving = true;
                 invalidateUsable();
