fix(relay): time in the accept queue does not shorten a deadline

While connections arrive in each turn of the event loop the bound of the time in the accept queue grows, although most have waited for a small part of it; up to a third of their deadline was taken from callers in a surge. The bound now only makes the relay look for a close before it writes; the time for which a late event loop kept a request unread still counts.

--- a/packages/relay/src/accept-delay.ts
+++ b/packages/relay/src/accept-delay.ts
@@ -10,7 +10,8 @@
     recordConnection(socket: Socket): void;
     /**
      * Returns the maximum time in milliseconds for which a request may have been pending that arrived together with its
-     * connection; 0 for later requests, or if the connection was accepted in time.
+     * connection; 0 for later requests, or if the connection was accepted in time. An upper bound that most requests do
+     * not reach while connections arrive in each turn.
      */
     pendingMs(socket: Socket): number;
 }
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -124,7 +124,7 @@
             reason,
             detail,
             configVersion: request.configVersion,
-            unreadMs: request.unreadMs,
+            unreadMs: Math.max(request.unreadMs, request.queuedMs),
             waitedMs,
             tookMs: clock.now() - arrivedAt,
             deadlineMs: callerDeadlineMs,
@@ -340,7 +340,7 @@
             {
                 requestId: info.requestId,
                 hasResponseBody: req.method !== "HEAD",
-                isLate: request.unreadMs > 0,
+                isLate: request.unreadMs > 0 || request.queuedMs > 0,
                 deadlineAt,
                 formatHead: remainingMs =>
                     `${head}${protocol.formatAttemptHeaders(remainingMs, server.record.id)}\r\n`,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -143,8 +143,11 @@
         handleConnection: socket => acceptDelay.recordConnection(socket),
         handle: (req, res) => {
             const info = protocol.readRequest(req.headers);
-            const unreadMs = Math.max(options.eventLoop.pendingMs(), acceptDelay.pendingMs(req.socket));
-            const arrival = { arrivedAt: clock.now(), unreadMs };
+            const arrival = {
+                arrivedAt: clock.now(),
+                unreadMs: options.eventLoop.pendingMs(),
+                queuedMs: acceptDelay.pendingMs(req.socket),
+            };
             if (options.startupGate.isOpen()) {
                 handle(req, res, info, arrival);
             } else {
--- a/packages/relay/src/request-deadline.ts
+++ b/packages/relay/src/request-deadline.ts
@@ -11,6 +11,11 @@
     arrivedAt: number;
     /** Maximum time in milliseconds for which the request may have been pending before it was read. */
     unreadMs: number;
+    /**
+     * Maximum time in milliseconds for which the request may have waited in the accept queue. It does not count against
+     * the deadline: while many connections arrive, most have waited for a small part of it.
+     */
+    queuedMs: number;
 }
 
 /** Returns how long the caller waits, in milliseconds. */
--- a/packages/relay/test/disconnect.test.ts
+++ b/packages/relay/test/disconnect.test.ts
@@ -245,6 +245,20 @@
     });
 }
 
+// Guards against a deadline that is cut in a surge of connections, most of which have hardly waited.
+test("the time in the accept queue does not shorten the deadline of a caller that stays", async t => {
+    const { instance, servers, openCaller } = await setUp(t, [respond]);
+    slowDownTurns(8, 1200);
+    const queued = Array.from({ length: 60 }, () => connect(instance.port, "127.0.0.1"));
+    t.after(() => queued.forEach(socket => socket.destroy()));
+    await Promise.all(queued.map(socket => once(socket, "connect")));
+    const caller = await openCaller(false);
+    caller.write(formatRequest(Idempotent, "a"));
+    await once(caller, "data");
+    const text = servers[0]!.requests.find(request => getRequestId(request) === "a")!;
+    assert.ok(Number(/X-Deadline: (\d+)/.exec(text)![1]) > 500, "most of 700 ms are left");
+});
+
 test("late process: requests of callers that stay are served", async t => {
     const { sent, openCaller } = await setUp(t, [respond, respond]);
     const callers = [await openCaller(), await openCaller(false)];
