--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -104,7 +104,7 @@
             arrivedAt + route.targetLatencyMs * maxWaitFraction,
         );
 
-    /** A request waits for a rate limit or the end of a pause only if it is certain to be sent before it would be rejected. */
+    /** A request waits for a rate limit or the end of a pause only if that comes before the request would be rejected. */
     const decideThrottled = (
         req: RoutedRequest,
         { server, throttledMs }: Choice & { kind: ChoiceKind.Throttled },
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -8,6 +8,7 @@
 import type { ServerRecord } from "./server-record.js";
 import type { Service } from "./traffic-config.js";
 
+/** What the instances that share the rate limits of servers have in common. */
 export interface RateLimitFleet extends Pick<ServerRateLimitOptions, "random" | "countInstances"> {
     /** Lists of the instances that may send to the rate-limited servers of a region, from `CandidateHistory`. */
     recentCandidates: (region: string) => readonly (readonly string[])[];
@@ -23,7 +24,6 @@
     self: string;
     /** Ids of the instances that may send to the cold servers of a zone. Returns a new array when they change. */
     coldSenders: (zone: string, region: string) => readonly string[];
-    /** What the instances that share the rate limits of servers have in common. */
     rateLimits: RateLimitFleet;
     /** Called when a server has been removed, so that its connections can be closed. */
     onServerRemoved: (server: BackendState) => void;
