--- a/packages/relay/test/disconnect.test.ts
+++ b/packages/relay/test/disconnect.test.ts
@@ -284,24 +284,26 @@
 });
 
 // Guards against a disconnect that is not noticed because Node has stopped reading the caller's connection.
-test("a request behind which large pipelined responses wait is aborted when its caller disconnects", async t => {
-    const largeBody = "x".repeat(100_000);
-    const script: Script = (text, socket) => {
-        if (getRequestId(text) !== "a") {
-            socket.write(formatResponse(text, largeBody));
-        }
-    };
-    const { findRecord, openCaller } = await setUp(t, [script, script]);
-    const caller = await openCaller(false);
-    caller.write(["a", "b"].map(id => formatRequest(Idempotent, id)).join(""));
-    await waitUntil(() => findRecord("b") !== undefined);
-    // Node pauses the connection when a further request arrives.
-    caller.write(formatRequest(Idempotent, "c"));
-    await sleep(20);
-    caller.destroy();
-    await sleep(settleMs);
-    assert.equal(findRecord("a")?.outcome, RequestOutcome.CallerLeft);
-});
+for (const [way, close] of Object.entries(leave)) {
+    test(`a request behind which large pipelined responses wait is aborted when its caller ${way}`, async t => {
+        const largeBody = "x".repeat(100_000);
+        const script: Script = (text, socket) => {
+            if (getRequestId(text) !== "a") {
+                socket.write(formatResponse(text, largeBody));
+            }
+        };
+        const { findRecord, openCaller } = await setUp(t, [script, script]);
+        const caller = await openCaller(false);
+        caller.write(["a", "b"].map(id => formatRequest(Idempotent, id)).join(""));
+        await waitUntil(() => findRecord("b") !== undefined);
+        // Node pauses the connection when a further request arrives.
+        caller.write(formatRequest(Idempotent, "c"));
+        await sleep(20);
+        close(caller);
+        await sleep(settleMs);
+        assert.equal(findRecord("a")?.outcome, RequestOutcome.CallerLeft);
+    });
+}
 
 // Guards against the same during startup, when the body of a request is not read yet.
 test("a request with a large body that waited for startup is not sent after its caller disconnected", async t => {
