--- a/packages/balancing/src/cold-limit.ts
+++ b/packages/balancing/src/cold-limit.ts
@@ -1,5 +1,5 @@
 /** Limits the requests of this instance to a cold backend server, so that all instances together respect its limit. */
-import { rankOwners } from "@waxwingdale/core";
+import { getSenderShare } from "./rate-limit-share.js";
 import { createSlidingWindowCounter } from "./sliding-window-counter.js";
 
 export interface ColdLimitOptions {
@@ -22,22 +22,6 @@
 /** Fraction of the limit that is used; the margin covers requests that arrive closer together than they were sent. */
 const usableFraction = 0.75;
 
-/**
- * Requests per second that one instance may send to a cold server. If an equal share would be below one request, the
- * limit is divided among a few instances, which all instances choose alike; otherwise the server would not be used.
- */
-function getColdShare(
-    serverId: string,
-    requestsPerSecond: number,
-    self: string,
-    senders: readonly string[],
-): number {
-    const usablePerSecond = usableFraction * requestsPerSecond;
-    const count = Math.min(senders.length, Math.max(1, Math.floor(usablePerSecond)));
-    const isSender = rankOwners(serverId, senders).slice(0, count).includes(self);
-    return isSender ? usablePerSecond / Math.max(1, count) : 0;
-}
-
 export function createColdLimit(options: ColdLimitOptions): ColdLimit {
     const sent = createSlidingWindowCounter(windowMs);
     let senders: readonly string[] | undefined;
@@ -47,7 +31,12 @@
         const current = options.senders();
         if (current !== senders) {
             senders = current;
-            share = getColdShare(options.serverId, options.requestsPerSecond, options.self, current);
+            share = getSenderShare(
+                options.serverId,
+                usableFraction * options.requestsPerSecond,
+                options.self,
+                current,
+            );
         }
         return share;
     };
