feat(gateway): log what counts for and against the suspicion that a request crashes servers

The log had only the end of the story, request-quarantined. lost-server-examined tells what was taken as a crash and what was not, suspicion-cleared by which request a suspicion ended. They tell the hypotheses of the incident apart: a clearing by another caller's request, no examination at all, a server that is found alive although it ended.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -23,7 +23,7 @@
 import { createInstanceDirectory } from "./instance-directory.js";
 import { createInstanceTopology } from "./instance-topology.js";
 import { createServerReportExchange } from "./server-report-exchange.js";
-import { logRequest } from "./request-log.js";
+import { createCrashLog, logRequest } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
 import { createStoreWatches } from "./store-watches.js";
 import { createTrafficDocument } from "./traffic-document.js";
@@ -265,6 +265,7 @@
             admission: get(tokens.admission),
             pool: get(tokens.pool),
             crashSuspects: get(tokens.crashSuspects),
+            crashObserver: createCrashLog(logger),
             getRetryBudget: get(tokens.retryBudgets),
             routes: () => config.routes(),
             instances: () => get(tokens.topology).budgetDivisor(),
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -1,7 +1,7 @@
 /** Logs one line per request, with everything that determined its outcome. */
 import type { Logger } from "@waxwingdale/core";
 import { RequestOutcome } from "@waxwingdale/relay";
-import type { RequestRecord } from "@waxwingdale/relay";
+import type { CrashObserver, RequestRecord } from "@waxwingdale/relay";
 
 /** Logs a request. Requests that were not answered use separate events, each with its own rate limit. */
 export function logRequest(logger: Logger, record: RequestRecord): void {
@@ -42,3 +42,13 @@
     // What a server sent may be part of the result; commas and semicolons separate the fields and the attempts.
     return `${server},${result.replace(/[,;]/g, " ")},expected=${expectedMs},took=${tookMs},written=${written}${flags}`;
 }
+
+/** Logs what counts for and against the suspicion that a request crashes servers. */
+export function createCrashLog(logger: Logger): CrashObserver {
+    return {
+        onExamined: ({ requestId, serverId, verdict, crashes }) =>
+            logger.info("lost-server-examined", { request: requestId, server: serverId, verdict, crashes }),
+        onCleared: ({ requestId, fingerprint, crashes }) =>
+            logger.info("suspicion-cleared", { request: requestId, fingerprint, crashes }),
+    };
+}
--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -28,9 +28,39 @@
     crashesBefore: number;
 }
 
+/** What was found out about a server to which a request's connection was lost. */
+export interface LossExamination {
+    requestId: string;
+    serverId: string;
+    verdict: ServerVerdict;
+    /** Crashes that are known of the request now. */
+    crashes: number;
+}
+
+export enum ServerVerdict {
+    Alive = "alive",
+    Crashed = "crashed",
+}
+
+/** A response that cleared a suspicion. */
+export interface ClearedSuspicion {
+    requestId: string;
+    fingerprint: string;
+    /** Crashes that were known of the request before. */
+    crashes: number;
+}
+
+/** Is told why requests are, or are no longer, suspected to crash servers. */
+export interface CrashObserver {
+    onExamined(examination: LossExamination): void;
+    onCleared(cleared: ClearedSuspicion): void;
+}
+
 export interface CrashWatchOptions {
+    requestId: string;
     clock: Clock;
     suspects: CrashSuspects;
+    observer: CrashObserver;
     /** Resolves to whether the server accepts connections. */
     isServerAlive: (server: BackendState) => Promise<boolean>;
     fingerprint: () => string;
@@ -53,11 +83,17 @@
     const knownCrashes = () => (suspects.isEmpty() ? 0 : suspects.countCrashes(getFingerprint()));
 
     const examine = async ({ server, crashesBefore }: LostAttempt, isAfterLast: boolean) => {
-        if (await options.isServerAlive(server)) {
-            return;
+        const isAlive = await options.isServerAlive(server);
+        if (!isAlive) {
+            const before = Math.max(crashesBefore, isAfterLast ? shownCrashes : 0);
+            shownCrashes = suspects.recordCrash(getFingerprint(), before);
         }
-        const before = Math.max(crashesBefore, isAfterLast ? shownCrashes : 0);
-        shownCrashes = suspects.recordCrash(getFingerprint(), before);
+        options.observer.onExamined({
+            requestId: options.requestId,
+            serverId: server.record.id,
+            verdict: isAlive ? ServerVerdict.Alive : ServerVerdict.Crashed,
+            crashes: knownCrashes(),
+        });
     };
 
     return {
@@ -77,8 +113,14 @@
             }
         },
         recordResponse: () => {
-            if (!suspects.isEmpty()) {
+            const crashes = knownCrashes();
+            if (crashes > 0) {
                 suspects.recordResponse(getFingerprint());
+                options.observer.onCleared({
+                    requestId: options.requestId,
+                    fingerprint: getFingerprint(),
+                    crashes,
+                });
             }
         },
     };
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -15,6 +15,7 @@
 import { fingerprintRequest } from "./crash-suspects.js";
 import type { CrashSuspects } from "./crash-suspects.js";
 import { createCrashWatch } from "./crash-watch.js";
+import type { CrashObserver } from "./crash-watch.js";
 import { formatRequestHead } from "./end-to-end-headers.js";
 import { getCallerDeadlineMs, getDeadline } from "./request-deadline.js";
 import type { Arrival } from "./request-deadline.js";
@@ -38,6 +39,7 @@
     pool: UpstreamPool;
     /** Requests that may crash servers. */
     crashSuspects: CrashSuspects;
+    crashObserver: CrashObserver;
     /** Retry budget of a service. */
     getRetryBudget: (service: string) => WindowedRetryBudget;
     onRequest: (record: RequestRecord) => void;
@@ -83,7 +85,9 @@
         tried: new Set(),
     };
     const crashWatch = createCrashWatch({
+        requestId: info.requestId ?? "",
         clock,
+        observer: options.crashObserver,
         suspects: options.crashSuspects,
         isServerAlive: server => pool.isAlive(server),
         fingerprint: () => fingerprintRequest(req, request.body),
--- a/packages/relay/test/crashing-request.test.ts
+++ b/packages/relay/test/crashing-request.test.ts
@@ -4,6 +4,7 @@
 import type { TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RequestKind } from "@waxwingdale/balancing";
+import { ServerVerdict } from "@waxwingdale/relay";
 import { formatRequest, formatResponse, sendRaw, startInstance, startServer } from "./fixtures.js";
 import type { Script, ScriptedServer } from "./fixtures.js";
 
@@ -106,3 +107,28 @@
     const res = await sendRaw(instance.port, formatRequest(RequestKind.NonIdempotent, "y", "1"), 1);
     assert.match(res, / 200 /);
 });
+
+// Guards against a log that does not tell what counted for or against a suspicion.
+test("an examination of a lost server and the response that clears a suspicion are reported", async t => {
+    let crashes = 0;
+    const { instance } = await setUp(t, (server, text, socket) => {
+        if (text.includes("/bad ") && crashes < 1) {
+            crashes += 1;
+            crash(server);
+        } else {
+            socket.write(formatResponse(text, "ok"));
+        }
+    });
+    await sendRaw(instance.port, formatRequest(RequestKind.NonIdempotent, "x", "bad"), 1);
+    await sleep(settleMs);
+    await sendRaw(instance.port, formatRequest(RequestKind.NonIdempotent, "y", "bad"), 1);
+    const [examination] = instance.examinations;
+    assert.deepEqual(
+        { requestId: examination?.requestId, verdict: examination?.verdict, crashes: examination?.crashes },
+        { requestId: "x", verdict: ServerVerdict.Crashed, crashes: 1 },
+    );
+    assert.deepEqual(
+        instance.cleared.map(({ requestId, crashes }) => ({ requestId, crashes })),
+        [{ requestId: "y", crashes: 1 }],
+    );
+});
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -23,7 +23,13 @@
     createStartupGate,
     createUpstreamPool,
 } from "@waxwingdale/relay";
-import type { ResponseInfo, RequestInfo, RequestRecord } from "@waxwingdale/relay";
+import type {
+    ClearedSuspicion,
+    LossExamination,
+    RequestInfo,
+    RequestRecord,
+    ResponseInfo,
+} from "@waxwingdale/relay";
 
 /** Protocol with short header names. */
 class TestProtocol extends WireProtocol {
@@ -122,6 +128,8 @@
 export interface TestInstance {
     port: number;
     records: RequestRecord[];
+    examinations: LossExamination[];
+    cleared: ClearedSuspicion[];
     /** Number of requests in progress. */
     active(): number;
     /** Number of connections to backend servers, including those that are being opened. */
@@ -218,6 +226,8 @@
     const routes = [RequestKind.Idempotent, RequestKind.NonIdempotent].map(createTestRoute);
     const index = createRouteIndex({ version: 1, routes, services: [], limits });
     const records: RequestRecord[] = [];
+    const examinations: LossExamination[] = [];
+    const cleared: ClearedSuspicion[] = [];
     const startupGate = createStartupGate(clock);
     if (!isStarting) {
         startupGate.open();
@@ -230,6 +240,10 @@
         admission: createAdmissionControl({ clock, balancer }),
         pool,
         crashSuspects,
+        crashObserver: {
+            onExamined: examination => examinations.push(examination),
+            onCleared: suspicion => cleared.push(suspicion),
+        },
         getRetryBudget: () => retryBudget,
         routes: () => (startupGate.isOpen() ? index : undefined),
         instances: () => 1,
@@ -246,6 +260,8 @@
     return {
         port: (server.address() as AddressInfo).port,
         records,
+        examinations,
+        cleared,
         active: () => relay.active(),
         connectionCount: () => pool.connectionCount(),
         openGate: () => startupGate.open(),
