fix(relay): what is taken as proof that a request crashes servers, or does not, and for whom (BUDGET)

Callers' requests were lost on servers that one request crashed again and again, and callers of the same path were rejected for ten minutes in other cases. Five causes of one class, evidence that is taken for more than it shows: - a response to anybody cleared the request of all, since a fingerprint had method, path and body only; and a rejection concerned all. Crashes are now counted for the request of one caller (address and object) and, apart from it, for all; a success clears that of its caller and that of all, a rejection of all needs crashes under different callers. - any response cleared it, also a 500. Now only a success does. - an attempt that ended at its deadline, or whose caller had left, was not looked at again. Its server is examined 0.25 and 1.5 s later, one that is late at the time at which it would be hedged. - an open port was taken for a living server: a hung process accepts connections, and another server may have the address. A server lives if it responds, under its id, to a request or a health check. An instance that reaches no server draws no conclusion. - a bound forgot rejected requests for newer first crashes, and all after ten minutes. From the second crash on, instances leave the trial to each other by rank, so that a wave costs one server. A suspect goes to servers that its own fingerprint picks, not to those of the callers that it took down with it.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -7,12 +7,24 @@
     createCandidateHistory,
     createWindowedRetryBudget,
 } from "@waxwingdale/balancing";
-import type { WindowedRetryBudget } from "@waxwingdale/balancing";
+import type { BackendState, BackendTable, WindowedRetryBudget } from "@waxwingdale/balancing";
 import { createDocumentExchange } from "@waxwingdale/config";
-import { createEventLoopMonitor, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
+import {
+    createEventLoopMonitor,
+    createRpcClient,
+    createRpcServer,
+    rankOwners,
+    register,
+} from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
 import { configKey } from "@waxwingdale/platform";
-import { createCrashSuspects, createRelay, createStartupGate, createUpstreamPool } from "@waxwingdale/relay";
+import {
+    createCrashSuspects,
+    createRelay,
+    createServerExaminer,
+    createStartupGate,
+    createUpstreamPool,
+} from "@waxwingdale/relay";
 import { createRelayedStore } from "@waxwingdale/store";
 import { container } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
@@ -37,6 +49,10 @@
 /** Store prefixes that an instance watches at the same time: configuration, servers, evacuations. */
 const watchedPrefixCount = 3;
 
+/** Time in milliseconds between the instances that may try a suspected request again; a crash is known within it. */
+const trialDelayStepMs = 200;
+const maxTrialDelayMs = 2000;
+
 /** Creates the dependency container of an instance. Nothing is started yet. */
 export function composeGateway(context: GatewayContext): DependencyContainer {
     const scope = container.createChildContainer();
@@ -233,11 +249,27 @@
             protocol,
             roundTripMs: server => balancer.roundTripMs(server),
             recordConnectTime: (server, connectMs) => balancer.recordConnectTime(server, connectMs),
+            healthPath: name => {
+                const services = get(tokens.config).current()?.services;
+                return services?.find(other => other.name === name)?.healthPath ?? "/";
+            },
+        });
+    });
+    add(tokens.serverExaminer, get => {
+        const { clock } = get(tokens.context);
+        const table = get(tokens.table);
+        return createServerExaminer({
+            clock,
+            pool: get(tokens.pool),
+            mayCheckHealth: server => canTakeHealthCheck(server, table, clock.now()),
         });
     });
     add(tokens.crashSuspects, get => {
         const { clock, logger } = get(tokens.context);
-        const suspects = createCrashSuspects(clock);
+        const { self } = get(tokens.context);
+        const suspects = createCrashSuspects(clock, fingerprint =>
+            getTrialDelayMs(fingerprint, self.id, get(tokens.topology).all()),
+        );
         const exchange = createCrashReportExchange({
             suspects,
             members: () => get(tokens.membership),
@@ -266,6 +298,7 @@
             pool: get(tokens.pool),
             crashSuspects: get(tokens.crashSuspects),
             crashObserver: createCrashLog(logger),
+            serverExaminer: get(tokens.serverExaminer),
             getRetryBudget: get(tokens.retryBudgets),
             routes: () => config.routes(),
             instances: () => get(tokens.topology).budgetDivisor(),
@@ -281,3 +314,19 @@
         });
     });
 }
+
+/** Whether a health check breaks no limit of the server, and no evacuation. */
+function canTakeHealthCheck(server: BackendState, table: BackendTable, now: number): boolean {
+    return (
+        !table.evacuatedZones().includes(server.record.zone) &&
+        (now >= server.coldUntil || server.coldLimit.hasCapacity(now)) &&
+        now >= server.health.pausedUntil() &&
+        server.rateLimit.requestsPerSecond() === undefined
+    );
+}
+
+/** Returns for how many milliseconds an instance leaves a trial to those that rank before it for the fingerprint. */
+function getTrialDelayMs(fingerprint: string, self: string, instances: readonly string[]): number {
+    const rank = rankOwners(fingerprint, instances).indexOf(self);
+    return rank < 0 ? maxTrialDelayMs : Math.min(maxTrialDelayMs, rank * trialDelayStepMs);
+}
--- a/packages/gateway/src/crash-report-exchange.ts
+++ b/packages/gateway/src/crash-report-exchange.ts
@@ -4,7 +4,7 @@
  */
 import { MemberStatus, getErrorMessage } from "@waxwingdale/core";
 import type { Clock, Logger, MemberView, PeerTransport, RpcRegistry } from "@waxwingdale/core";
-import { quarantineCrashes } from "@waxwingdale/relay";
+import { quarantineCrashes, trialCrashes } from "@waxwingdale/relay";
 import type { CrashReport, CrashSuspects } from "@waxwingdale/relay";
 import * as v from "valibot";
 
@@ -30,16 +30,22 @@
 const collectMs = 10;
 /** Reports in one message, which bounds its bytes. */
 const maxReports = 8;
+/** Of these, reports of first crashes; the others tell an instance that starts which requests to reject. */
+const minFirstCrashes = 3;
 const maxFingerprintLength = 64;
 
 const countSchema = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const fingerprintSchema = v.pipe(v.string(), v.maxLength(maxFingerprintLength));
 const reportsSchema = v.pipe(
     v.array(
         v.object({
-            fingerprint: v.pipe(v.string(), v.maxLength(maxFingerprintLength)),
+            fingerprint: fingerprintSchema,
             epoch: countSchema,
             crashes: countSchema,
             ageMs: countSchema,
+            crashAgeMs: v.optional(v.pipe(v.number(), v.safeInteger())),
+            source: v.optional(fingerprintSchema),
+            isShared: v.optional(v.boolean()),
         }),
     ),
     v.maxLength(maxReports),
@@ -49,8 +55,8 @@
     const { suspects, transport, clock, logger } = options;
     /** Changes that have not been sent, by fingerprint. */
     const unsent = new Map<string, CrashReport>();
-    /** Index of the first report in the next digest. */
-    let next = 0;
+    const takeFirstCrashes = createRotation<CrashReport>();
+    const takeOthers = createRotation<CrashReport>();
 
     const handleReports = (reports: unknown) => {
         const parsed = v.safeParse(reportsSchema, reports);
@@ -85,7 +91,7 @@
             clock.setTimer(collectMs, sendChanges);
         }
         unsent.set(report.fingerprint, report);
-        if (report.crashes === quarantineCrashes) {
+        if (report.crashes >= quarantineCrashes) {
             logger.warn("request-quarantined", { fingerprint: report.fingerprint, crashes: report.crashes });
         }
     });
@@ -97,10 +103,23 @@
     return {
         getDigest: () => {
             const reports = suspects.reports();
-            const first = next < reports.length ? next : 0;
-            next = first + maxReports;
-            return reports.slice(first, next);
+            const firstCrashes = reports.filter(({ crashes }) => crashes < trialCrashes);
+            const others = takeOthers(
+                reports.filter(({ crashes }) => crashes >= trialCrashes),
+                maxReports - Math.min(minFirstCrashes, firstCrashes.length),
+            );
+            return [...others, ...takeFirstCrashes(firstCrashes, maxReports - others.length)];
         },
         handleReports,
     };
 }
+
+/** Returns a function that returns the next `count` items of a list with each call, and begins anew at its end. */
+function createRotation<T>(): (items: readonly T[], count: number) => T[] {
+    let next = 0;
+    return (items, count) => {
+        const first = next < items.length ? next : 0;
+        next = first + count;
+        return items.slice(first, next);
+    };
+}
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -21,7 +21,14 @@
     Token,
 } from "@waxwingdale/core";
 import type { Membership } from "@waxwingdale/membership";
-import type { CrashSuspects, Relay, StartupGate, UpstreamPool, WireProtocol } from "@waxwingdale/relay";
+import type {
+    CrashSuspects,
+    Relay,
+    ServerExaminer,
+    StartupGate,
+    UpstreamPool,
+    WireProtocol,
+} from "@waxwingdale/relay";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import type { InstanceDirectory } from "./instance-directory.js";
 import type { InstanceTopology } from "./instance-topology.js";
@@ -66,6 +73,7 @@
     retryBudgets: createToken<(service: string) => WindowedRetryBudget>("retryBudgets"),
     pool: createToken<UpstreamPool>("pool"),
     crashSuspects: createToken<CrashSuspects>("crashSuspects"),
+    serverExaminer: createToken<ServerExaminer>("serverExaminer"),
     startupGate: createToken<StartupGate>("startupGate"),
     relay: createToken<Relay>("relay"),
 };
--- a/packages/gateway/src/instance-topology.ts
+++ b/packages/gateway/src/instance-topology.ts
@@ -5,6 +5,8 @@
 
 /** The methods return the same arrays until a member changes. */
 export interface InstanceTopology {
+    /** Returns the ids of all active instances. */
+    all(): readonly string[];
     /** Returns the ids of the active instances in a zone. */
     inZone(zone: string): readonly string[];
     inRegion(region: string): readonly string[];
@@ -77,6 +79,7 @@
     const inZone = (zone: string) => current().byZone.get(zone) ?? noIds;
     const inRegion = (region: string) => current().byRegion.get(region) ?? noIds;
     return {
+        all: () => current().all,
         inZone,
         inRegion,
         inRegionOrAll: region => {
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -46,8 +46,16 @@
 /** Logs what counts for and against the suspicion that a request crashes servers. */
 export function createCrashLog(logger: Logger): CrashObserver {
     return {
-        onExamined: ({ requestId, serverId, verdict, crashes }) =>
-            logger.info("lost-server-examined", { request: requestId, server: serverId, verdict, crashes }),
+        onExamined: ({ requestId, fingerprint, serverId, loss, verdict, crashes, crashesOfAll }) =>
+            logger.info("lost-server-examined", {
+                request: requestId,
+                fingerprint,
+                server: serverId,
+                loss,
+                verdict,
+                crashes,
+                crashesOfAll,
+            }),
         onCleared: ({ requestId, fingerprint, crashes }) =>
             logger.info("suspicion-cleared", { request: requestId, fingerprint, crashes }),
     };
--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -1,48 +1,66 @@
 /** Follows one request through its attempts and tells whether it may crash the servers that run it. */
 import type { BackendState } from "@waxwingdale/balancing";
 import type { Clock } from "@waxwingdale/core";
+import { trialCrashes } from "./crash-suspects.js";
 import type { CrashSuspects } from "./crash-suspects.js";
+import type { RequestIdentity } from "./request-identity.js";
+import { isCrash } from "./server-examiner.js";
+import type { ServerExaminer, ServerVerdict } from "./server-examiner.js";
 
 export interface CrashWatch {
     /** Returns for how many milliseconds the request is rejected; 0 if it is not. */
-    quarantineMs(): number;
-    /** Number of crashes that are known of the request; an attempt keeps it for `recordLoss`. */
-    knownCrashes(): number;
+    rejectedMs(): number;
+    /** Must be called before the first attempt. */
+    begin(): void;
     /** Whether it may have crashed a server: it is not sent to two at the same time then. */
     isSuspect(): boolean;
+    /** Fingerprint of the request of its caller. */
+    fingerprint(): string;
     /** Whether it has crashed so many servers that it is not sent again. */
     isExhausted(): boolean;
     /**
      * Records that the connection to the server was lost while it may have run the request. Calls `onDecided` when it is
-     * known whether the request may be sent again: at once for the first loss, then when the lost servers are examined.
+     * known whether the request may be sent again: at once for a first loss, then when the lost servers are examined.
      */
-    recordLoss(attempt: LostAttempt, onDecided: () => void): void;
-    /** Records that a server has answered the request, and so has not crashed. */
-    recordResponse(): void;
+    recordLoss(attempt: WatchedAttempt, onDecided: () => void): void;
+    /** Records that the server has not responded in the time that was expected; the attempt goes on. */
+    recordDelay(attempt: WatchedAttempt): void;
+    /** Records that the attempt was ended without a response. Its server may still run the request, and crash later. */
+    recordAbandoned(attempt: WatchedAttempt): void;
+    /** Records that a server has run the request to a good end, and so has not crashed. */
+    recordSuccess(): void;
+    /** Must be called when the request has ended. `wasRun` tells whether a server may have run it. */
+    end(wasRun: boolean): void;
 }
 
-export interface LostAttempt {
+export interface WatchedAttempt {
     server: BackendState;
     sentAt: number;
-    /** `knownCrashes` when the attempt began. */
-    crashesBefore: number;
 }
 
-/** What was found out about a server to which a request's connection was lost. */
+/** What was found out about a server that has not responded to a request. */
 export interface LossExamination {
     requestId: string;
+    fingerprint: string;
     serverId: string;
+    /** How the attempt ended. */
+    loss: AttemptLoss;
     verdict: ServerVerdict;
-    /** Crashes that are known of the request now. */
+    /** Crashes that are known of the request of this caller now, and of the request whoever sends it. */
     crashes: number;
+    crashesOfAll: number;
 }
 
-export enum ServerVerdict {
-    Alive = "alive",
-    Crashed = "crashed",
+/** How an attempt ended without a response. */
+export enum AttemptLoss {
+    ConnectionLost = "connection-lost",
+    /** The response is late; the attempt goes on. */
+    Delayed = "delayed",
+    /** The instance ended it, at the deadline or since the caller had left. */
+    Abandoned = "abandoned",
 }
 
-/** A response that cleared a suspicion. */
+/** A success that cleared a suspicion. */
 export interface ClearedSuspicion {
     requestId: string;
     fingerprint: string;
@@ -60,68 +78,124 @@
     requestId: string;
     clock: Clock;
     suspects: CrashSuspects;
+    examiner: ServerExaminer;
     observer: CrashObserver;
-    /** Resolves to whether the server accepts connections. */
-    isServerAlive: (server: BackendState) => Promise<boolean>;
-    fingerprint: () => string;
+    identify: () => RequestIdentity;
 }
 
-/** Number of crashes after which a request is not sent again for the same attempt of its caller. */
-const maxCrashes = 2;
+/** Times in milliseconds after the end of an attempt at which its server is examined. */
+const abandonedChecksMs = [250, 1500];
+/** Fraction of that time after whose end a response shows that the server lives. */
+const responseFraction = 0.6;
 
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
-    const { clock, suspects } = options;
-    let fingerprint: string | undefined;
+    const { clock, suspects, examiner } = options;
+    let identity: RequestIdentity | undefined;
     let losses = 0;
-    let lastLossAt = -Infinity;
-    /** Crashes that the attempts so far have shown. */
-    let shownCrashes = 0;
+    let isTrial = false;
+    /** Attempts whose server is known to have crashed. */
+    const crashed = new Set<WatchedAttempt>();
     /** Resolves when the earlier losses have been examined. */
     let examined: Promise<void> = Promise.resolve();
 
-    const getFingerprint = () => (fingerprint ??= options.fingerprint());
-    const knownCrashes = () => (suspects.isEmpty() ? 0 : suspects.countCrashes(getFingerprint()));
+    const identify = () => (identity ??= options.identify());
+    const countCrashes = () =>
+        suspects.isEmpty() ? { ofCaller: 0, ofAll: 0 } : suspects.countCrashes(identify());
+    const rejectedMs = () => (suspects.isEmpty() ? 0 : suspects.rejectedMs(identify()));
 
-    const examine = async ({ server, crashesBefore }: LostAttempt, isAfterLast: boolean) => {
-        const isAlive = await options.isServerAlive(server);
-        if (!isAlive) {
-            const before = Math.max(crashesBefore, isAfterLast ? shownCrashes : 0);
-            shownCrashes = suspects.recordCrash(getFingerprint(), before);
+    const recordVerdict = (
+        attempt: WatchedAttempt,
+        loss: AttemptLoss,
+        lostAt: number,
+        verdict: ServerVerdict,
+    ) => {
+        if (isCrash(verdict) && !crashed.has(attempt)) {
+            crashed.add(attempt);
+            suspects.recordCrash(identify(), { sentAt: attempt.sentAt, lostAt }, isTrial);
         }
+        const { ofCaller, ofAll } = countCrashes();
         options.observer.onExamined({
             requestId: options.requestId,
-            serverId: server.record.id,
-            verdict: isAlive ? ServerVerdict.Alive : ServerVerdict.Crashed,
-            crashes: knownCrashes(),
+            fingerprint: identify().caller(),
+            serverId: attempt.server.record.id,
+            loss,
+            verdict,
+            crashes: ofCaller,
+            crashesOfAll: ofAll,
         });
     };
 
+    const examineLoss = async (attempt: WatchedAttempt, lostAt: number) =>
+        recordVerdict(
+            attempt,
+            AttemptLoss.ConnectionLost,
+            lostAt,
+            await examiner.examineLoss(attempt.server, lostAt),
+        );
+
+    const examineDelay = async (attempt: WatchedAttempt) => {
+        const verdict = await examiner.examineSilence(attempt.server, attempt.sentAt);
+        if (isCrash(verdict)) {
+            recordVerdict(attempt, AttemptLoss.Delayed, clock.now(), verdict);
+        }
+    };
+
+    const examineAbandoned = async (attempt: WatchedAttempt, endedAt: number) => {
+        for (const checkMs of abandonedChecksMs) {
+            await clock.sleep(endedAt + checkMs - clock.now());
+            const since = endedAt + checkMs * responseFraction;
+            const verdict = await examiner.examineSilence(attempt.server, since);
+            if (isCrash(verdict)) {
+                recordVerdict(attempt, AttemptLoss.Abandoned, endedAt, verdict);
+                return;
+            }
+        }
+    };
+
     return {
-        quarantineMs: () => (suspects.isEmpty() ? 0 : suspects.quarantineMs(getFingerprint())),
-        knownCrashes,
-        isSuspect: () => losses > 0 || knownCrashes() > 0,
-        isExhausted: () => shownCrashes >= maxCrashes || knownCrashes() >= maxCrashes,
+        rejectedMs,
+        begin: () => {
+            isTrial = !suspects.isEmpty() && suspects.beginTrial(identify());
+        },
+        isSuspect: () => {
+            const { ofCaller, ofAll } = countCrashes();
+            return losses > 0 || ofCaller > 0 || ofAll > 0;
+        },
+        fingerprint: () => identify().caller(),
+        isExhausted: () => countCrashes().ofCaller >= trialCrashes || rejectedMs() > 0,
         recordLoss: (attempt, onDecided) => {
             losses += 1;
-            const isAfterLast = attempt.sentAt >= lastLossAt;
-            lastLossAt = clock.now();
-            examined = examined.then(() => examine(attempt, isAfterLast));
-            if (losses === 1) {
+            const lostAt = clock.now();
+            const isFirst = losses === 1 && countCrashes().ofAll === 0;
+            examined = examined.then(() => examineLoss(attempt, lostAt));
+            if (isFirst) {
                 onDecided();
             } else {
                 void examined.then(onDecided);
             }
         },
-        recordResponse: () => {
-            const crashes = knownCrashes();
+        recordDelay: attempt => void examineDelay(attempt),
+        recordAbandoned: attempt => {
+            if (!crashed.has(attempt)) {
+                // The request, with its body, is not kept until the server is examined.
+                identify().caller();
+                void examineAbandoned(attempt, clock.now());
+            }
+        },
+        recordSuccess: () => {
+            const crashes = suspects.isEmpty() ? 0 : suspects.recordSuccess(identify());
             if (crashes > 0) {
-                suspects.recordResponse(getFingerprint());
                 options.observer.onCleared({
                     requestId: options.requestId,
-                    fingerprint: getFingerprint(),
+                    fingerprint: identify().caller(),
                     crashes,
                 });
             }
         },
+        end: wasRun => {
+            if (isTrial && !wasRun) {
+                suspects.withdrawTrial(identify());
+            }
+        },
     };
 }
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -12,18 +12,19 @@
 } from "@waxwingdale/balancing";
 import type { Clock, EventLoopMonitor } from "@waxwingdale/core";
 import { onceResponseCloses, sendLocalResponse, sendUpstreamResponse } from "./caller-response.js";
-import { fingerprintRequest } from "./crash-suspects.js";
 import type { CrashSuspects } from "./crash-suspects.js";
 import { createCrashWatch } from "./crash-watch.js";
 import type { CrashObserver } from "./crash-watch.js";
 import { formatRequestHead } from "./end-to-end-headers.js";
 import { getCallerDeadlineMs, getDeadline } from "./request-deadline.js";
 import type { Arrival } from "./request-deadline.js";
+import { identifyRequest } from "./request-identity.js";
 import { RequestOutcome } from "./request-outcome.js";
 import type { AttemptRecord, RequestRecord } from "./request-outcome.js";
 import { ResponseVerdict, canForwardFailure, judgeResponse } from "./response-verdict.js";
 import { createAttemptRecord, isStale } from "./running-attempt.js";
 import type { RunningAttempt } from "./running-attempt.js";
+import type { ServerExaminer } from "./server-examiner.js";
 import { ExchangeFailure } from "./upstream-connection.js";
 import type { UpstreamResponse } from "./upstream-connection.js";
 import type { UpstreamPool } from "./upstream-pool.js";
@@ -40,6 +41,7 @@
     /** Requests that may crash servers. */
     crashSuspects: CrashSuspects;
     crashObserver: CrashObserver;
+    serverExaminer: ServerExaminer;
     /** Retry budget of a service. */
     getRetryBudget: (service: string) => WindowedRetryBudget;
     onRequest: (record: RequestRecord) => void;
@@ -84,13 +86,15 @@
         deadlineAt,
         tried: new Set(),
     };
+    // The address is known only as long as the connection is open.
+    const callerAddress = req.socket.remoteAddress;
     const crashWatch = createCrashWatch({
         requestId: info.requestId ?? "",
         clock,
         observer: options.crashObserver,
         suspects: options.crashSuspects,
-        isServerAlive: server => pool.isAlive(server),
-        fingerprint: () => fingerprintRequest(req, request.body),
+        examiner: options.serverExaminer,
+        identify: () => identifyRequest(req, callerAddress, info, request.body),
     });
     const running = new Set<RunningAttempt>();
     const attempts: AttemptRecord[] = [];
@@ -101,13 +105,15 @@
     let forwarded: UpstreamResponse | undefined;
     /** Whether a server may have executed the request although no response can be forwarded. */
     let mayHaveExecuted = false;
+    /** Whether an attempt was ended without a response after it had been written. */
+    let wasAbandoned = false;
     let isWritten = false;
     let lastFailure = "";
     let detail: string | undefined;
     let cancelAdmission: () => void = () => undefined;
 
     const deadlineTimer = clock.setTimer(deadlineAt - clock.now(), () => onDeadline());
-    let hedgeTimer = { cancel: () => undefined as void };
+    let delayTimer = { cancel: () => undefined as void };
 
     const onCallerDisconnect = () => {
         if (!isDone) {
@@ -119,17 +125,37 @@
     req.socket.once("end", onCallerDisconnect);
     req.socket.once("close", onCallerDisconnect);
 
+    /**
+     * Sends a suspect to servers that its own fingerprint picks. Others that it has taken down with it, of the same object
+     * and just as suspect, go elsewhere, so that they are not lost with it again.
+     */
+    const separateSuspect = () => {
+        routed.objectKey = crashWatch.fingerprint();
+    };
+
+    /** The server may go on with a request that it has received, whether or not anybody waits for the response. */
+    const watchAbandoned = (attempt: RunningAttempt) => {
+        if (attempt.writtenAt !== undefined) {
+            wasAbandoned = true;
+            crashWatch.recordAbandoned(attempt.watched);
+        }
+    };
+
     const settle = (outcome: RequestOutcome, status: number, reason: string) => {
         isDone = true;
         req.socket.off("end", onCallerDisconnect);
         req.socket.off("close", onCallerDisconnect);
         deadlineTimer.cancel();
-        hedgeTimer.cancel();
+        delayTimer.cancel();
         cancelAdmission();
         for (const attempt of running) {
             attempt.connection.destroy();
             endAttempt(attempt, ServerOutcome.Cancelled, outcome);
+            if (outcome !== RequestOutcome.Answered) {
+                watchAbandoned(attempt);
+            }
         }
+        crashWatch.end(mayHaveExecuted || forwarded !== undefined || wasAbandoned);
         options.onRequest({
             requestId: info.requestId ?? "",
             route: route.name,
@@ -274,10 +300,12 @@
         lastFailure = "the backend server's answer was lost";
         const giveUp = () => fail(RequestOutcome.Failed, 502, lastFailure);
         if (failure !== ExchangeFailure.ConnectionLost) {
+            watchAbandoned(attempt);
             retryIfIdempotent(giveUp);
             return;
         }
-        crashWatch.recordLoss({ ...attempt, server: attempt.placement.server }, () => {
+        separateSuspect();
+        crashWatch.recordLoss(attempt.watched, () => {
             if (!isDone) {
                 retryIfIdempotent(giveUp);
             }
@@ -330,8 +358,8 @@
             options.onLeaving(attempt.placement.server.record.id);
         }
         const verdict = judgeResponse(response);
-        if (verdict !== ResponseVerdict.NotExecuted) {
-            crashWatch.recordResponse();
+        if (verdict === ResponseVerdict.Success) {
+            crashWatch.recordSuccess();
         }
         switch (verdict) {
             case ResponseVerdict.NotExecuted:
@@ -354,24 +382,32 @@
         }
     };
 
-    const scheduleHedge = (placement: Placement) => {
-        hedgeTimer.cancel();
+    /** Sends an idempotent request to a second server, if no response has come in the time that was expected. */
+    const hedge = (placement: Placement) => {
         if (!isIdempotent || sentTo.size >= route.maxAttempts || crashWatch.isSuspect()) {
             return;
         }
-        hedgeTimer = clock.setTimer(placement.expectedMs * hedgeFactor + hedgeSlackMs, () => {
-            const choice = balancer.choose(routed);
-            const fits =
-                !crashWatch.isSuspect() &&
-                choice.kind === ChoiceKind.Send &&
-                isWithinAttempts(choice) &&
-                choice.waitMs === 0 &&
-                clock.now() + choice.expectedMs < deadlineAt &&
-                retryBudget.tryAcquire(clock.now());
-            if (fits) {
-                balancer.recordNoResponse(placement);
-                send(choice);
+        const choice = balancer.choose(routed);
+        const fits =
+            choice.kind === ChoiceKind.Send &&
+            isWithinAttempts(choice) &&
+            choice.waitMs === 0 &&
+            clock.now() + choice.expectedMs < deadlineAt &&
+            retryBudget.tryAcquire(clock.now());
+        if (fits) {
+            balancer.recordNoResponse(placement);
+            send(choice);
+        }
+    };
+
+    const scheduleDelayCheck = (attempt: RunningAttempt) => {
+        delayTimer.cancel();
+        const { placement } = attempt;
+        delayTimer = clock.setTimer(placement.expectedMs * hedgeFactor + hedgeSlackMs, () => {
+            if (running.has(attempt) && attempt.writtenAt !== undefined) {
+                crashWatch.recordDelay(attempt.watched);
             }
+            hedge(placement);
         });
     };
 
@@ -387,7 +423,7 @@
             placement,
             connection,
             sentAt: now,
-            crashesBefore: crashWatch.knownCrashes(),
+            watched: { server, sentAt: now },
             idleMs,
             writtenAt: undefined,
             wasCallerPaused: false,
@@ -414,12 +450,12 @@
                 onFailure: (...failure) => onFailure(attempt, ...failure),
             },
         );
-        scheduleHedge(placement);
+        scheduleDelayCheck(attempt);
     };
 
     /** Returns whether the request was rejected, since it crashes servers. */
     const refuseIfQuarantined = (): boolean => {
-        const retryAfterMs = crashWatch.quarantineMs();
+        const retryAfterMs = crashWatch.rejectedMs();
         if (retryAfterMs > 0) {
             refuse({ reason: "the request crashed servers", retryAfterMs });
         }
@@ -429,6 +465,9 @@
     if (refuseIfQuarantined()) {
         return;
     }
+    if (crashWatch.isSuspect()) {
+        separateSuspect();
+    }
     retryBudget.countRequest(arrivedAt);
     cancelAdmission = admission.request(routed, admitted => {
         waitedMs = clock.now() - arrivedAt;
@@ -439,6 +478,7 @@
             detail = admitted.refusal.detail;
             refuse(admitted.refusal);
         } else {
+            crashWatch.begin();
             send(admitted.placement);
         }
     });
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -7,7 +7,9 @@
 export * from "./invalid-response-error.js";
 export * from "./crash-suspects.js";
 export * from "./crash-watch.js";
+export * from "./request-identity.js";
 export * from "./response-parser.js";
+export * from "./server-examiner.js";
 
 export * from "./forward-request.js";
 export * from "./end-to-end-headers.js";
--- a/packages/relay/src/running-attempt.ts
+++ b/packages/relay/src/running-attempt.ts
@@ -1,5 +1,6 @@
 /** An attempt to forward a request that is in flight at a backend server. */
 import type { Placement } from "@waxwingdale/balancing";
+import type { WatchedAttempt } from "./crash-watch.js";
 import type { AttemptRecord } from "./request-outcome.js";
 import type { UpstreamConnection } from "./upstream-connection.js";
 
@@ -8,8 +9,8 @@
     connection: UpstreamConnection;
     /** Clock time at which the server was chosen. */
     sentAt: number;
-    /** Crashes of the request that were known then. */
-    crashesBefore: number;
+    /** The same attempt, as it is followed for crashes of its server. */
+    watched: WatchedAttempt;
     /** How long the connection had been idle; undefined for a new connection. */
     idleMs: number | undefined;
     /** Clock time at which the request was written; undefined until then. */
--- /dev/null
+++ b/packages/relay/src/server-examiner.ts
@@ -0,0 +1,116 @@
+/** Finds out whether a backend server still lives after a request to it has ended without a response. */
+import type { BackendState } from "@waxwingdale/balancing";
+import type { Clock } from "@waxwingdale/core";
+import { ProbeResult } from "./upstream-pool.js";
+import type { UpstreamPool } from "./upstream-pool.js";
+
+export enum ServerVerdict {
+    Alive = "alive",
+    /** It accepts no connection. */
+    Gone = "gone",
+    /** Another server has its address. */
+    Replaced = "replaced",
+    /** It closed all its connections at the same time, and lives. */
+    Restarted = "restarted",
+    /** It accepts connections and does not respond, or cannot be reached. */
+    Silent = "silent",
+    /** It accepts connections and must get no health check now, or no server responds to this instance. */
+    Unknown = "unknown",
+}
+
+export interface ServerExaminer {
+    /** Examines a server to which a connection was lost at the given clock time. */
+    examineLoss(server: BackendState, lostAt: number): Promise<ServerVerdict>;
+    /** Examines a server that has not responded to a request. Any response since the given clock time shows that it lives. */
+    examineSilence(server: BackendState, since: number): Promise<ServerVerdict>;
+}
+
+export interface ServerExaminerOptions {
+    clock: Clock;
+    pool: UpstreamPool;
+    /** Whether the server may get a health check; otherwise a connection is opened only. */
+    mayCheckHealth: (server: BackendState) => boolean;
+}
+
+/** Time in milliseconds within which a process that ends closes all its connections. */
+const closeTogetherMs = 20;
+/** Number of connections that a server closes together when it ends; fewer may be lost for other reasons. */
+const minClosedTogether = 3;
+/** Time in milliseconds for which the result of a probe is kept. */
+const resultMs = 2000;
+
+interface Probe {
+    startedAt: number;
+    result: Promise<ProbeResult>;
+}
+
+export function createServerExaminer({ clock, pool, mayCheckHealth }: ServerExaminerOptions): ServerExaminer {
+    /** The last probe of each server. */
+    const probes = new Map<string, Probe>();
+
+    /** Returns the result of a probe that began at the given time or later. */
+    const probe = (server: BackendState, since: number): Promise<ProbeResult> => {
+        const { id } = server.record;
+        const last = probes.get(id);
+        if (last !== undefined && last.startedAt >= since) {
+            return last.result;
+        }
+        const next = { startedAt: clock.now(), result: pool.probe(server, mayCheckHealth(server)) };
+        probes.set(id, next);
+        clock.setTimer(resultMs, () => {
+            if (probes.get(id) === next) {
+                probes.delete(id);
+            }
+        });
+        return next.result;
+    };
+
+    /** Whether this instance reaches any other server. */
+    const isConnected = async (server: BackendState, since: number): Promise<boolean> => {
+        const other = pool.lastResponder(server);
+        if (other === undefined) {
+            return false;
+        }
+        return pool.respondedAt(other) >= since || (await probe(other, since)) === ProbeResult.Responded;
+    };
+
+    const examine = async (server: BackendState, since: number): Promise<ServerVerdict> => {
+        const result = await probe(server, since);
+        switch (result) {
+            case ProbeResult.Responded:
+                return ServerVerdict.Alive;
+            case ProbeResult.Connected:
+                return ServerVerdict.Unknown;
+            case ProbeResult.Refused:
+                return ServerVerdict.Gone;
+            case ProbeResult.Replaced:
+                return ServerVerdict.Replaced;
+            case ProbeResult.NoResponse:
+                if (pool.respondedAt(server) >= since) {
+                    return ServerVerdict.Alive;
+                }
+                return (await isConnected(server, since)) ? ServerVerdict.Silent : ServerVerdict.Unknown;
+        }
+    };
+
+    return {
+        examineLoss: async (server, lostAt) => {
+            await clock.sleep(closeTogetherMs);
+            if (pool.hasConnectionFrom(server, lostAt)) {
+                return ServerVerdict.Alive;
+            }
+            const verdict = await examine(server, lostAt);
+            const closed = pool.countLost(server, lostAt - closeTogetherMs, lostAt + closeTogetherMs);
+            return verdict === ServerVerdict.Alive && closed >= minClosedTogether
+                ? ServerVerdict.Restarted
+                : verdict;
+        },
+        examineSilence: async (server, since) =>
+            pool.respondedAt(server) >= since ? ServerVerdict.Alive : examine(server, since),
+    };
+}
+
+/** Whether the verdict counts as a crash of the server. */
+export function isCrash(verdict: ServerVerdict): boolean {
+    return verdict !== ServerVerdict.Alive && verdict !== ServerVerdict.Unknown;
+}
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -77,10 +77,14 @@
     onConnected(connectMs: number): void;
     /** Called when the connection is ready for another request. */
     onIdle(): void;
-    /** Called once when the connection is closed. */
-    onClosed(): void;
+    /** Called when a complete response has arrived. */
+    onResponded(): void;
+    /** Called once when the connection is closed. `byServer` tells whether the server, or the network, has closed it. */
+    onClosed(byServer: boolean): void;
 }
 
+/** Detail of a failure to connect for want of any answer; other details say that the connection was refused. */
+export const connectTimeoutDetail = "connect timeout";
 /** How long before the server's keep-alive timeout a connection is retired, so that no request races with the close. */
 const keepAliveMarginMs = 1500;
 /** Assumed keep-alive timeout of a server that does not announce one. */
@@ -135,7 +139,7 @@
     let isDiscarding = false;
 
     const connectTimer: Timer = clock.setTimer(options.connectTimeoutMs, () =>
-        close(ExchangeFailure.NotConnected, "connect timeout"),
+        close(ExchangeFailure.NotConnected, connectTimeoutDetail),
     );
 
     /** A reset discards the bytes of a request that the kernel still holds, instead of delivering them later. */
@@ -147,7 +151,7 @@
         }
     };
 
-    const close = (failure: ExchangeFailure, detail: string) => {
+    const close = (failure: ExchangeFailure, detail: string, byServer = false) => {
         if (isClosed) {
             return;
         }
@@ -157,7 +161,7 @@
         closeSocket(current?.isWritten === true && !current.isComplete);
         current?.memory.release();
         exchange = undefined;
-        options.onClosed();
+        options.onClosed(byServer);
         const unwritten = isConnected ? ExchangeFailure.NotWritten : ExchangeFailure.NotConnected;
         current?.events.onFailure(current.isWritten ? failure : unwritten, detail, current.receivedBytes > 0);
     };
@@ -203,6 +207,7 @@
             isFollowedByOther,
             firstByteMs: current.firstByteAt! - current.sentAt,
         };
+        options.onResponded();
         if (isReusable && !mustClose && head!.keepsAlive) {
             options.onIdle();
         } else {
@@ -298,11 +303,11 @@
         if (err === undefined && exchange?.isComplete) {
             completeUnlessReset(exchange);
         } else {
-            close(ExchangeFailure.ConnectionLost, err?.message ?? "connection closed by the server");
+            close(ExchangeFailure.ConnectionLost, err?.message ?? "connection closed by the server", true);
         }
     });
-    socket.on("error", err => close(ExchangeFailure.ConnectionLost, err.message));
-    socket.on("close", () => close(ExchangeFailure.ConnectionLost, "connection closed"));
+    socket.on("error", err => close(ExchangeFailure.ConnectionLost, err.message, true));
+    socket.on("close", () => close(ExchangeFailure.ConnectionLost, "connection closed", true));
 
     return {
         exchange: (req, events) => {
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -3,9 +3,9 @@
 import type { Clock, EventLoopMonitor } from "@waxwingdale/core";
 import { createBodyMemory } from "./body-memory.js";
 import { createIdleLimit } from "./idle-limit.js";
-import { openUpstreamConnection } from "./upstream-connection.js";
+import { ExchangeFailure, connectTimeoutDetail, openUpstreamConnection } from "./upstream-connection.js";
 import type { UpstreamConnection } from "./upstream-connection.js";
-import type { WireProtocol } from "./wire-protocol.js";
+import type { ResponseInfo, WireProtocol } from "./wire-protocol.js";
 
 export interface UpstreamPool {
     /**
@@ -13,11 +13,16 @@
      * needs a new one, since its response could not be told from others.
      */
     acquire(server: BackendState, req: { isIdempotent: boolean; hasId: boolean }): AcquiredConnection;
-    /**
-     * Resolves to whether the server accepts connections and keeps them open. The connection that is opened for it
-     * becomes an idle one.
-     */
-    isAlive(server: BackendState): Promise<boolean>;
+    /** Opens a connection to the server, and sends a health check on it if `checksHealth` is set. */
+    probe(server: BackendState, checksHealth: boolean): Promise<ProbeResult>;
+    /** Returns the clock time of the last complete response of the server; -Infinity if there was none. */
+    respondedAt(server: BackendState): number;
+    /** Returns the server other than the given one that has responded last. */
+    lastResponder(except: BackendState): BackendState | undefined;
+    /** Whether a connection to the server that was established before the given clock time is still open. */
+    hasConnectionFrom(server: BackendState, before: number): boolean;
+    /** Returns the number of connections that the server has closed between two clock times, which are at most 2 s ago. */
+    countLost(server: BackendState, from: number, until: number): number;
     /** Records that a reused connection had already been closed by the server when a request was sent on it. */
     recordStale(idleMs: number): void;
     /** Closes the idle connections to a server that gets no more requests. */
@@ -30,6 +35,18 @@
     destroy(): void;
 }
 
+/** What an instance learns of a server by connecting to it. */
+export enum ProbeResult {
+    Responded = "responded",
+    /** The connection was opened; no health check was sent. */
+    Connected = "connected",
+    Refused = "refused",
+    /** Another server responded. */
+    Replaced = "replaced",
+    /** The connection timed out, or was lost, or no response came in time. */
+    NoResponse = "no-response",
+}
+
 export interface AcquiredConnection {
     connection: UpstreamConnection;
     /** Milliseconds since its last use; undefined for a new connection. */
@@ -43,6 +60,8 @@
     /** Round-trip time to a server in milliseconds. */
     roundTripMs: (server: BackendState) => number;
     recordConnectTime: (server: BackendState, connectMs: number) => void;
+    /** Path of the health check of a service. */
+    healthPath: (service: string) => string;
 }
 
 /** Added to two round trips for the connect timeout, to allow for the accept queue of a busy server. */
@@ -52,86 +71,131 @@
 /** Limit in bytes for the bodies of all responses together that are being received or forwarded. */
 const maxResponseMemoryBytes = 160 * 1024 * 1024;
 const maxIdleMs = 60_000;
-/** Time in milliseconds for which a server that is alive keeps a new connection open. */
-const aliveCheckMs = 50;
+/** Time in milliseconds after the round trip within which a server responds to a health check. */
+const healthCheckMs = 1000;
+/** Number of times at which a server closed a connection that are kept. */
+const maxLossTimes = 16;
 
-interface ConnectionEvents {
+interface OpenEvents {
     onConnected?: () => void;
     onClosed?: () => void;
 }
 
+interface OpenConnection {
+    connection: UpstreamConnection;
+    /** Clock time at which it was established; undefined until then. */
+    connectedAt: number | undefined;
+}
+
 interface ServerConnections {
+    server: BackendState;
     idle: UpstreamConnection[];
-    all: Set<UpstreamConnection>;
+    all: Set<OpenConnection>;
+    respondedAt: number;
+    /** Clock times at which the server closed connections, the last ones. */
+    lostAt: number[];
 }
 
 export function createUpstreamPool(options: UpstreamPoolOptions): UpstreamPool {
-    const { clock } = options;
+    const { clock, protocol } = options;
     const byServer = new Map<string, ServerConnections>();
     const idleLimit = createIdleLimit(clock);
     const responseMemory = createBodyMemory(maxResponseMemoryBytes);
 
-    const getConnections = (serverId: string): ServerConnections => {
-        let found = byServer.get(serverId);
+    const getConnections = (server: BackendState): ServerConnections => {
+        const { id } = server.record;
+        let found = byServer.get(id);
         if (found === undefined) {
-            found = { idle: [], all: new Set() };
-            byServer.set(serverId, found);
+            found = { server, idle: [], all: new Set(), respondedAt: -Infinity, lostAt: [] };
+            byServer.set(id, found);
         }
         return found;
     };
 
-    const open = (
-        server: BackendState,
-        { onConnected, onClosed }: ConnectionEvents = {},
-    ): UpstreamConnection => {
-        const connections = getConnections(server.record.id);
+    const recordClosed = (connections: ServerConnections, open: OpenConnection, byServer: boolean) => {
+        connections.all.delete(open);
+        remove(connections.idle, open.connection);
+        if (byServer && open.connectedAt !== undefined) {
+            connections.lostAt.push(clock.now());
+            connections.lostAt.splice(0, connections.lostAt.length - maxLossTimes);
+        }
+    };
+
+    const open = (server: BackendState, events: OpenEvents = {}): UpstreamConnection => {
+        const connections = getConnections(server);
         const connection = openUpstreamConnection({
             address: server.record.address,
             clock,
             eventLoop: options.eventLoop,
-            protocol: options.protocol,
+            protocol,
             connectTimeoutMs: 2 * options.roundTripMs(server) + connectSlackMs,
             maxResponseBytes,
             responseMemory,
             onConnected: connectMs => {
+                opened.connectedAt = clock.now();
                 options.recordConnectTime(server, connectMs);
-                onConnected?.();
+                events.onConnected?.();
             },
             onIdle: () => connections.idle.push(connection),
-            onClosed: () => {
-                connections.all.delete(connection);
-                remove(connections.idle, connection);
-                onClosed?.();
+            onResponded: () => {
+                connections.respondedAt = clock.now();
+            },
+            onClosed: isByServer => {
+                recordClosed(connections, opened, isByServer);
+                events.onClosed?.();
             },
         });
-        connections.all.add(connection);
+        const opened: OpenConnection = { connection, connectedAt: undefined };
+        connections.all.add(opened);
         return connection;
     };
 
-    /** Makes a connection that has not been used an idle one, unless its server gets no more requests. */
-    const keepIdle = (serverId: string, connection: UpstreamConnection) => {
-        const connections = byServer.get(serverId);
-        if (connections?.all.has(connection)) {
-            connections.idle.push(connection);
-        } else {
-            connection.destroy();
-        }
-    };
+    const formatHealthCheck = ({ record }: BackendState, remainingMs: number) =>
+        `GET ${options.healthPath(record.service)} HTTP/1.1\r\nHost: ${record.address}\r\n` +
+        `${protocol.formatAttemptHeaders(remainingMs, record.id)}\r\n`;
 
-    const checkAlive = (server: BackendState) =>
-        new Promise<boolean>(resolve => {
-            const connection = open(server, {
-                onConnected: () =>
-                    clock.setTimer(aliveCheckMs, () => {
-                        keepIdle(server.record.id, connection);
-                        resolve(true);
-                    }),
-                onClosed: () => resolve(false),
+    const checkHealth = (server: BackendState) =>
+        new Promise<ProbeResult>(resolve => {
+            const deadlineAt = clock.now() + connectSlackMs + 4 * options.roundTripMs(server) + healthCheckMs;
+            const connection = open(server);
+            const timer = clock.setTimer(deadlineAt - clock.now(), () => {
+                connection.destroy();
+                resolve(ProbeResult.NoResponse);
             });
+            const end = (result: ProbeResult) => {
+                timer.cancel();
+                resolve(result);
+            };
+            connection.exchange(
+                {
+                    requestId: undefined,
+                    isLate: false,
+                    deadlineAt,
+                    formatHead: remainingMs => formatHealthCheck(server, remainingMs),
+                    body: undefined,
+                    hasResponseBody: true,
+                },
+                {
+                    onWritten: () => undefined,
+                    onResponse: response => {
+                        response.memory.release();
+                        end(isFrom(server, response.info) ? ProbeResult.Responded : ProbeResult.Replaced);
+                    },
+                    onFailure: (failure, detail) => end(getProbeFailure(failure, detail)),
+                },
+            );
         });
 
-    /** Checks that are going on, by server, so that many lost connections to it need one. */
-    const checks = new Map<string, Promise<boolean>>();
+    const connectOnly = (server: BackendState) =>
+        new Promise<ProbeResult>(resolve => {
+            const connection = open(server, {
+                onConnected: () => {
+                    resolve(ProbeResult.Connected);
+                    connection.destroy();
+                },
+                onClosed: () => resolve(ProbeResult.Refused),
+            });
+        });
 
     const destroyIdle = (
         { idle }: ServerConnections,
@@ -139,18 +203,26 @@
     ) => [...idle].filter(shouldDestroy).forEach(connection => connection.destroy());
 
     return {
-        isAlive: server => {
-            const { id } = server.record;
-            const check = checks.get(id) ?? checkAlive(server).finally(() => checks.delete(id));
-            checks.set(id, check);
-            return check;
+        probe: (server, checksHealth) => (checksHealth ? checkHealth(server) : connectOnly(server)),
+        respondedAt: ({ record }) => byServer.get(record.id)?.respondedAt ?? -Infinity,
+        lastResponder: except => {
+            const others = [...byServer.values()].filter(
+                ({ server, respondedAt }) => server.record.id !== except.record.id && respondedAt > -Infinity,
+            );
+            return others.sort((a, b) => b.respondedAt - a.respondedAt)[0]?.server;
         },
+        hasConnectionFrom: ({ record }, before) =>
+            [...(byServer.get(record.id)?.all ?? [])].some(
+                ({ connectedAt }) => connectedAt !== undefined && connectedAt < before,
+            ),
+        countLost: ({ record }, from, until) =>
+            (byServer.get(record.id)?.lostAt ?? []).filter(at => at >= from && at <= until).length,
         acquire: (server, { isIdempotent, hasId }) => {
             if (!hasId) {
                 return { connection: open(server), idleMs: undefined };
             }
             const limitMs = idleLimit.limitMs(isIdempotent);
-            const { idle } = getConnections(server.record.id);
+            const { idle } = getConnections(server);
             const now = clock.now();
             // The most recently used connection is the least likely to have been closed by the server.
             for (let connection = idle.pop(); connection !== undefined; connection = idle.pop()) {
@@ -177,10 +249,21 @@
         },
         connectionCount: () => [...byServer.values()].reduce((sum, { all }) => sum + all.size, 0),
         responseBytes: () => responseMemory.heldBytes(),
-        destroy: () => byServer.forEach(({ all }) => [...all].forEach(connection => connection.destroy())),
+        destroy: () =>
+            byServer.forEach(({ all }) => [...all].forEach(({ connection }) => connection.destroy())),
     };
 }
 
+/** Whether a response to a health check comes from the server that was meant. */
+function isFrom({ record }: BackendState, { isMisdirected, serverId = record.id }: ResponseInfo): boolean {
+    return !isMisdirected && serverId === record.id;
+}
+
+function getProbeFailure(failure: ExchangeFailure, detail: string): ProbeResult {
+    const isRefused = failure === ExchangeFailure.NotConnected && detail !== connectTimeoutDetail;
+    return isRefused ? ProbeResult.Refused : ProbeResult.NoResponse;
+}
+
 function remove<T>(items: T[], item: T): void {
     const index = items.indexOf(item);
     if (index >= 0) {
--- a/packages/relay/src/wire-protocol.ts
+++ b/packages/relay/src/wire-protocol.ts
@@ -16,6 +16,8 @@
 export interface ResponseInfo {
     /** Id of the request that the response belongs to. */
     requestId: string | undefined;
+    /** Id of the server, if the response names it, as those to health checks do. */
+    serverId: string | undefined;
     /** Whether the server states that it did not execute the request. */
     isNotRun: boolean;
     /** Whether the request reached another server, which now uses the address. It was not executed. */
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -20,6 +20,7 @@
     callerServerOptions,
     createCrashSuspects,
     createRelay,
+    createServerExaminer,
     createStartupGate,
     createUpstreamPool,
 } from "@waxwingdale/relay";
@@ -52,6 +53,7 @@
     override readResponse(status: number, headers: ReadonlyMap<string, string>): ResponseInfo {
         return {
             requestId: headers.get("x-id"),
+            serverId: headers.get("x-server"),
             isNotRun: headers.has("x-not-run"),
             isMisdirected: status === 421,
             isSigned: headers.has("x-signature"),
@@ -67,6 +69,12 @@
     }
 }
 
+const healthPath = "/health";
+
+function respondHealthy(_text: string, socket: Socket): void {
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+}
+
 /** Responds to one request, given as raw text. `count` is the number of requests before it. */
 export type Script = (text: string, socket: Socket, count: number) => void;
 
@@ -76,6 +84,8 @@
     connections: Set<Socket>;
     /** Calls `onSocket` for each new connection, before the script gets its data. */
     onConnection(onSocket: (socket: Socket) => void): void;
+    /** Responds to health checks in place of a response that the server is healthy. They are not among `requests`. */
+    onHealthCheck(listener: (text: string, socket: Socket) => void): void;
     close(): void;
 }
 
@@ -84,6 +94,7 @@
     const requests: string[] = [];
     const connections = new Set<Socket>();
     let onSocket: (socket: Socket) => void = () => undefined;
+    let onHealthCheck = respondHealthy;
     const server: Server = createServer(socket => {
         connections.add(socket);
         socket.on("error", () => undefined);
@@ -91,6 +102,10 @@
         onSocket(socket);
         socket.on("data", chunk => {
             const text = chunk.toString("latin1");
+            if (text.startsWith(`GET ${healthPath} `)) {
+                onHealthCheck(text, socket);
+                return;
+            }
             requests.push(text);
             script(text, socket, requests.length - 1);
         });
@@ -103,6 +118,9 @@
         onConnection: listener => {
             onSocket = listener;
         },
+        onHealthCheck: listener => {
+            onHealthCheck = listener;
+        },
         close: () => {
             connections.forEach(socket => socket.destroy());
             server.close();
@@ -221,6 +239,7 @@
         protocol,
         roundTripMs: () => 1,
         recordConnectTime: () => undefined,
+        healthPath: () => healthPath,
     });
     const crashSuspects = createCrashSuspects(clock);
     const routes = [RequestKind.Idempotent, RequestKind.NonIdempotent].map(createTestRoute);
@@ -240,6 +259,7 @@
         admission: createAdmissionControl({ clock, balancer }),
         pool,
         crashSuspects,
+        serverExaminer: createServerExaminer({ clock, pool, mayCheckHealth: () => true }),
         crashObserver: {
             onExamined: examination => examinations.push(examination),
             onCleared: suspicion => cleared.push(suspicion),
