--- a/packages/core/src/http-client.ts
+++ b/packages/core/src/http-client.ts
@@ -5,6 +5,7 @@
 import { createByteCollector } from "./byte-collector.js";
 import { WaxwingdaleError } from "./errors.js";
 import type { ErrorOptions } from "./errors.js";
+import { createPieceLimit } from "./piece-limit.js";
 import { splitAddress } from "./settings-file.js";
 
 /** Code of an `HttpCallError` caused by a connect timeout. */
@@ -60,6 +61,10 @@
 /** Idle timeout in milliseconds; shorter than the usual 5 s of servers, so that this side closes first. */
 const idleMs = 4000;
 
+const maxInterimResponses = 16;
+/** Number of small chunks in which a response may come; some servers write large documents in tiny pieces. */
+const maxSmallPieces = 1_000_000;
+
 /** Creates a client with its own connection pool. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
     const agent = new Agent({
@@ -114,6 +119,13 @@
         setConnectTimeout(req, options.connectTimeoutMs, () =>
             fail("the connection did not open in time", connectTimeoutCode),
         );
+        let interimResponses = 0;
+        req.on("information", () => {
+            interimResponses += 1;
+            if (interimResponses > maxInterimResponses) {
+                fail(`more than ${maxInterimResponses} interim responses`, undefined);
+            }
+        });
         req.once("response", res =>
             readText(res, options.maxResponseBytes, {
                 onText: text => {
@@ -147,10 +159,13 @@
 
 function readText(res: IncomingMessage, maxBytes: number, events: BodyHandlers): void {
     const body = createByteCollector();
+    const pieces = createPieceLimit(maxSmallPieces);
     res.on("data", (chunk: Buffer) => {
         body.add(chunk);
         if (body.byteLength > maxBytes) {
             events.onFailure(`the answer has more than ${maxBytes} bytes`);
+        } else if (pieces.isExceededBy(chunk.length)) {
+            events.onFailure("the answer has too many small chunks");
         }
     });
     res.once("end", () => events.onText(body.toBuffer().toString()));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./outcome.js";
 export * from "./peer.js";
 export * from "./random.js";
+export * from "./piece-limit.js";
 export * from "./rendezvous.js";
 export * from "./request-class.js";
 export * from "./rpc-client.js";
--- a/packages/core/test/http-client.test.ts
+++ b/packages/core/test/http-client.test.ts
@@ -172,3 +172,45 @@
         await assert.rejects(call(address), HttpCallError);
     });
 }
+
+/** Pours text into a connection until the client closes it. */
+function pour(socket: Socket, text: string): void {
+    const write = () => {
+        while (!socket.destroyed && socket.writable && socket.write(text)) {
+            // The client still reads.
+        }
+    };
+    socket.on("drain", write);
+    write();
+}
+
+/** Guards against a process that spends its time on a faulty store or peer until the call times out (LOST). */
+for (const { name, head, filler, detail } of [
+    {
+        name: "interim responses",
+        head: "",
+        filler: "HTTP/1.1 102 X\r\n\r\n".repeat(100),
+        detail: /more than 16 interim responses/,
+    },
+    {
+        name: "small chunks",
+        head: "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+        filler: "1\r\nx\r\n".repeat(1000),
+        detail: /too many small chunks/,
+    },
+]) {
+    test(`endless ${name}: the call fails long before its timeout`, async () => {
+        const address = await listen(socket => {
+            socket.write(head);
+            pour(socket, filler);
+        });
+        client = createHttpClient({
+            connections: 1,
+            connectTimeoutMs: 300,
+            maxResponseBytes: 32 * 1024 * 1024,
+        });
+        const startedAt = performance.now();
+        await assert.rejects(call(address, { timeoutMs: 10_000 }), detail);
+        assert.ok(performance.now() - startedAt < 5000);
+    });
+}
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -5,6 +5,7 @@
 import {
     WaxwingdaleError,
     createByteCollector,
+    createPieceLimit,
     isFleetKey,
     maxRpcBodyBytes,
     splitAddress,
@@ -71,9 +72,10 @@
 }): Handler {
     const handleRpc = async (req: IncomingMessage, res: ServerResponse) => {
         const body = createByteCollector();
-        for await (const chunk of req) {
-            body.add(chunk as Buffer);
-            if (body.byteLength > maxRpcBodyBytes) {
+        const pieces = createPieceLimit();
+        for await (const chunk of req as AsyncIterable<Buffer>) {
+            body.add(chunk);
+            if (body.byteLength > maxRpcBodyBytes || pieces.isExceededBy(chunk.length)) {
                 res.writeHead(413).end();
                 return;
             }
--- a/packages/relay/src/body-reader.ts
+++ b/packages/relay/src/body-reader.ts
@@ -1,4 +1,5 @@
 /** Finds the end of a response body. */
+import { createPieceLimit } from "@waxwingdale/core";
 import { InvalidResponseError, quote } from "./invalid-response-error.js";
 import { createLineReader } from "./line-reader.js";
 
@@ -71,6 +72,7 @@
 /** A body in chunks (RFC 9112, section 7.1). Its trailers are dropped. */
 export class ChunkedBodyReader extends BodyReader {
     private readonly lines = createLineReader(maxLineBytes);
+    private readonly chunks = createPieceLimit();
     private part = ChunkPart.Size;
     /** Bytes of the current chunk that have not been read. */
     private remaining = 0;
@@ -134,6 +136,9 @@
             throw new InvalidResponseError(`a chunk has the size ${quote(line)}`);
         }
         this.remaining = parseInt(digits, 16);
+        if (this.chunks.isExceededBy(this.remaining)) {
+            throw new InvalidResponseError("a body has too many small chunks");
+        }
         this.part = this.remaining === 0 ? ChunkPart.Trailer : ChunkPart.Data;
     }
 }
--- a/packages/relay/src/head-reader.ts
+++ b/packages/relay/src/head-reader.ts
@@ -53,26 +53,60 @@
 
 export function createHeadReader(): HeadReader {
     /** The beginning of a head whose end has not been received. */
-    let start: Buffer | undefined;
+    let start: GrowingBuffer | undefined;
+
+    const toResult = (bytes: Buffer, length: number, nextOffset: number) => {
+        start = undefined;
+        return { head: parseHead(bytes.subarray(0, length)), nextOffset };
+    };
+
+    const readStart = (chunk: Buffer, offset: number) => {
+        const from = skipEmptyLines(chunk, offset);
+        const received = chunk.subarray(from);
+        const length = findHeadLength(received, 0);
+        if (length !== undefined) {
+            return toResult(received, length, from + length);
+        }
+        if (received.length > 0) {
+            start = createGrowingBuffer();
+            start.add(received);
+        }
+        return undefined;
+    };
+
+    const readOn = (held: GrowingBuffer, chunk: Buffer, offset: number) => {
+        const heldBytes = held.bytes().length;
+        held.add(chunk.subarray(offset));
+        const length = findHeadLength(held.bytes(), Math.max(0, heldBytes - 2));
+        return length === undefined ? undefined : toResult(held.bytes(), length, offset + length - heldBytes);
+    };
+
     return {
         isInside: () => start !== undefined,
-        read: (chunk, offset) => {
-            const from = start === undefined ? skipEmptyLines(chunk, offset) : offset;
-            const received =
-                start === undefined ? chunk.subarray(from) : Buffer.concat([start, chunk.subarray(from)]);
-            checkStart(received);
-            const length = findHeadLength(received);
-            if ((length ?? received.length) > maxHeadBytes) {
-                throw new InvalidResponseError(`the head exceeds ${maxHeadBytes} bytes`);
-            }
-            if (length === undefined) {
-                start = received.length === 0 ? undefined : received;
-                return undefined;
+        read: (chunk, offset) =>
+            start === undefined ? readStart(chunk, offset) : readOn(start, chunk, offset),
+    };
+}
+
+interface GrowingBuffer {
+    /** Adds a piece. Each byte is copied a few times at most, however small the pieces are. */
+    add(piece: Buffer): void;
+    bytes(): Buffer;
+}
+
+function createGrowingBuffer(): GrowingBuffer {
+    let block = Buffer.alloc(0);
+    let used = 0;
+    return {
+        add: piece => {
+            if (used + piece.length > block.length) {
+                const larger = Buffer.allocUnsafeSlow(2 * (used + piece.length));
+                block.copy(larger, 0, 0, used);
+                block = larger;
             }
-            const nextOffset = from + length - (start?.length ?? 0);
-            start = undefined;
-            return { head: parseHead(received.subarray(0, length)), nextOffset };
+            used += piece.copy(block, used);
         },
+        bytes: () => block.subarray(0, used),
     };
 }
 
@@ -92,9 +126,22 @@
     }
 }
 
-/** Returns the length of a head with the empty line that ends it; undefined if it is not complete. */
-function findHeadLength(bytes: Buffer): number | undefined {
-    for (let index = bytes.indexOf(lineFeed); index >= 0; index = bytes.indexOf(lineFeed, index + 1)) {
+/**
+ * Returns the length of a head with the empty line that ends it; undefined if it is not complete. The empty line does not
+ * begin before `from`.
+ * @throws InvalidResponseError if the bytes are no head, or too many.
+ */
+function findHeadLength(bytes: Buffer, from: number): number | undefined {
+    checkStart(bytes);
+    const length = findEmptyLineEnd(bytes, from);
+    if ((length ?? bytes.length) > maxHeadBytes) {
+        throw new InvalidResponseError(`the head exceeds ${maxHeadBytes} bytes`);
+    }
+    return length;
+}
+
+function findEmptyLineEnd(bytes: Buffer, from: number): number | undefined {
+    for (let index = bytes.indexOf(lineFeed, from); index >= 0; index = bytes.indexOf(lineFeed, index + 1)) {
         const next = bytes[index + 1] === carriageReturn ? index + 2 : index + 1;
         if (bytes[next] === lineFeed) {
             return next + 1;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -9,7 +9,7 @@
 import { onceResponseCloses, sendLocalResponse } from "./caller-response.js";
 import { forwardRequest } from "./forward-request.js";
 import type { ForwardingOptions } from "./forward-request.js";
-import { BodyRejection, readBody } from "./request-body.js";
+import { BodyRejection, discardBody, readBody } from "./request-body.js";
 import { getCallerDeadlineMs } from "./request-deadline.js";
 import type { Arrival } from "./request-deadline.js";
 import { RequestOutcome } from "./request-outcome.js";
@@ -105,7 +105,7 @@
         const index = options.routes();
         const route = index?.find(req.headers.host ?? "", getPath(req.url ?? "/"));
         if (index === undefined || route === undefined) {
-            req.resume();
+            discardBody(req, options.maxBodyBytes());
             reject(res, info, describeMissingRoute(index, protocol));
             return;
         }
@@ -117,7 +117,7 @@
         });
         const callerDeadlineMs = getCallerDeadlineMs(info.deadlineMs);
         if (arrival.arrivedAt + Math.min(callerDeadlineMs, route.timeoutMs) > endAt) {
-            req.resume();
+            discardBody(req, options.maxBodyBytes());
             reject(res, info, { ...describeShutdown(protocol), route, version: index.version });
             return;
         }
--- a/packages/relay/src/request-body.ts
+++ b/packages/relay/src/request-body.ts
@@ -1,10 +1,10 @@
 /** Buffers request bodies in memory, so that requests can be retried. */
 import type { IncomingMessage } from "node:http";
-import { createByteCollector } from "@waxwingdale/core";
+import { createByteCollector, createPieceLimit } from "@waxwingdale/core";
 import type { BodyHold } from "./body-memory.js";
 
 export enum BodyRejection {
-    /** The body exceeds the limit for one body. */
+    /** The body exceeds the limit for one body, or has too many small chunks. */
     TooLarge = "too-large",
     /** There is no memory for it beside the other bodies. */
     NoMemory = "no-memory",
@@ -30,6 +30,7 @@
     }
     const declaredBytes = Number(req.headers["content-length"] ?? 0);
     const body = createByteCollector(declaredBytes <= maxBytes ? declaredBytes : 0);
+    const pieces = createPieceLimit();
     let reservedBytes = 0;
     let isDone = false;
     const finish = (result: BodyResult) => {
@@ -57,7 +58,9 @@
         if (isDone) {
             return;
         }
-        const rejection = reserve(body.byteLength + chunk.length);
+        const rejection = pieces.isExceededBy(chunk.length)
+            ? BodyRejection.TooLarge
+            : reserve(body.byteLength + chunk.length);
         if (rejection === undefined) {
             body.add(chunk);
         } else {
@@ -66,3 +69,15 @@
     });
     req.on("end", () => finish({ body: body.toBuffer() }));
 }
+
+/** Reads a body that nobody needs. A caller that sends more than a body may have loses its connection. */
+export function discardBody(req: IncomingMessage, maxBytes: number): void {
+    const pieces = createPieceLimit();
+    let bytes = 0;
+    req.on("data", (chunk: Buffer) => {
+        bytes += chunk.length;
+        if (bytes > maxBytes || pieces.isExceededBy(chunk.length)) {
+            req.socket.destroy();
+        }
+    });
+}
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -4,6 +4,7 @@
 import type { ByteCollector, Clock, EventLoopMonitor, Timer } from "@waxwingdale/core";
 import type { BodyHold, BodyMemory } from "./body-memory.js";
 import type { ResponseHead } from "./head-reader.js";
+import { InvalidResponseError } from "./invalid-response-error.js";
 import { createResponseParser } from "./response-parser.js";
 import type { ResponseInfo, WireProtocol } from "./wire-protocol.js";
 
@@ -96,6 +97,9 @@
  */
 const maxOverheadBytes = 1024 * 1024;
 
+/** Maximum number of heads that a server sends for one request: interim responses, and copies of earlier ones. */
+const maxHeads = 16;
+
 interface Exchange {
     req: UpstreamRequest;
     events: ExchangeEvents;
@@ -110,6 +114,8 @@
     memory: BodyHold;
     /** Bytes received on the connection since the request was sent, framing included. */
     receivedBytes: number;
+    /** Number of heads received since then. */
+    heads: number;
     isComplete: boolean;
 }
 
@@ -216,8 +222,18 @@
         current.events.onResponse(response);
     };
 
+    const countHead = () => {
+        if (exchange !== undefined) {
+            exchange.heads += 1;
+            if (exchange.heads > maxHeads) {
+                throw new InvalidResponseError(`more than ${maxHeads} heads for one request`);
+            }
+        }
+    };
+
     const parser = createResponseParser({
         onHead: head => {
+            countHead();
             const info = protocol.readResponse(head.status, head.headers);
             const isExpected =
                 exchange !== undefined &&
@@ -322,6 +338,7 @@
                     close(ExchangeFailure.TooLarge, "the response body had to make room for others"),
                 ),
                 receivedBytes: 0,
+                heads: 0,
                 isComplete: false,
             };
             exchanges += 1;
--- a/packages/relay/test/endless-responses.test.ts
+++ b/packages/relay/test/endless-responses.test.ts
@@ -3,10 +3,13 @@
  * waiting, and a leaked connection.
  */
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { RequestKind } from "@waxwingdale/balancing";
+import { createResponseParser } from "@waxwingdale/relay";
 import {
     formatResponse,
     formatRequest,
@@ -68,6 +71,18 @@
         start: () => "",
         filler: "HTTP/1.1 102 Processing\r\n\r\n".repeat(kib),
     },
+    {
+        name: "sequence of responses to other requests",
+        start: () => "",
+        filler: "HTTP/1.1 200 X\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n".repeat(kib),
+    },
+    { name: "sequence of empty lines", start: () => "", filler: "\r\n".repeat(32 * kib) },
+    { name: "list of short headers", start: text => head(text, ""), filler: "a:\r\n".repeat(16 * kib) },
+    {
+        name: "body in chunks of five bytes",
+        start: text => head(text, "Transfer-Encoding: chunked\r\n\r\n"),
+        filler: "5\r\nxxxxx\r\n".repeat(10 * kib),
+    },
     {
         name: "chunk extension",
         start: text => head(text, "Transfer-Encoding: chunked\r\n\r\n5;x="),
@@ -166,3 +181,90 @@
     assert.equal(endless.connections.size, 0);
     assert.ok(sentBytes() < 8 * kib * kib, `${sentBytes()} bytes`);
 });
+
+/** Guards against requests of others that wait, as each of thousands of heads or chunks takes processor time (LOST). */
+for (const { name, start, filler, reason } of [
+    {
+        name: "interim responses",
+        start: () => "",
+        filler: "HTTP/1.1 102 Processing\r\n\r\n".repeat(kib),
+        reason: /^malformed: more than 16 heads/,
+    },
+    {
+        name: "responses to other requests",
+        start: () => "",
+        filler: "HTTP/1.1 200 X\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n".repeat(kib),
+        reason: /^malformed: more than 16 heads/,
+    },
+    {
+        name: "chunks of five bytes",
+        start: (text: string) => head(text, "Transfer-Encoding: chunked\r\n\r\n"),
+        filler: "5\r\nxxxxx\r\n".repeat(10 * kib),
+        reason: /^malformed: a body has too many small chunks/,
+    },
+]) {
+    test(`endless ${name}: the response fails after a few of them`, async t => {
+        const { instance } = await setUp(t, { name, start, filler });
+        await sendRaw(instance.port, formatRequest(RequestKind.NonIdempotent, "a"), 1);
+        assert.match(instance.records[0]!.attempts[0]!.result, reason);
+    });
+}
+
+test("interim responses and a copy of an earlier response are skipped", async t => {
+    const server = await startServer((text, socket) => {
+        socket.write("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(5));
+        socket.write(formatResponse(text, "copy", { id: "earlier" }));
+        socket.write(formatResponse(text, "ok"));
+    });
+    const instance = await startInstance([server]);
+    t.after(() => {
+        instance.close();
+        server.close();
+    });
+    const received = await sendRaw(instance.port, formatRequest(RequestKind.NonIdempotent, "a"), 1);
+    assert.match(received, /^HTTP\/1\.1 200 [^]*ok$/);
+});
+
+/** Guards against a head whose time to read grows by the square of its length, if it comes in small pieces (LOST). */
+test("a head in pieces of one byte is read in time", () => {
+    const maxProcessorMs = 1000;
+    let heads = 0;
+    const parser = createResponseParser({
+        onHead: () => {
+            heads += 1;
+            return true;
+        },
+        onBody: () => undefined,
+        onComplete: () => undefined,
+    });
+    const bytes = Buffer.from(`HTTP/1.1 204 X\r\n${"a:\r\n".repeat(19 * kib)}\r\n`);
+    const before = process.cpuUsage();
+    for (let index = 0; index < bytes.length; index++) {
+        assert.equal(parser.read(bytes.subarray(index, index + 1)), undefined);
+    }
+    const { user, system } = process.cpuUsage(before);
+    assert.equal(heads, 1);
+    assert.ok((user + system) / 1000 < maxProcessorMs, `${(user + system) / 1000} ms`);
+});
+
+/** Guards against a caller that keeps an instance reading for nothing, after its request was rejected (LOST). */
+for (const { name, target } of [
+    { name: "no route", target: "/none" },
+    { name: "a route", target: `/${RequestKind.NonIdempotent}/1` },
+]) {
+    test(`endless upload to ${name}: the connection is closed`, async t => {
+        const instance = await startInstance([]);
+        t.after(() => instance.close());
+        const socket = connect(instance.port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(`POST ${target} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n`);
+        const countSent = writeEndlessly(socket, `1000\r\n${"x".repeat(4 * kib)}\r\n`);
+        const closed = new Promise(resolve => socket.on("close", resolve));
+        assert.equal(
+            await Promise.race([closed.then(() => "closed"), sleep(maxResponseMs, "open")]),
+            "closed",
+        );
+        assert.ok(countSent() < maxSentBytes);
+        socket.destroy();
+    });
+}
