feat(gateway): who is paged sees the requests that are rejected for crashing servers, and lifts a rejection

A rejection could be seen in one log line with a fingerprint only, and ended with its time. /state lists the suspicions and which of them reject, a gauge counts these, a counter the examinations by loss and verdict; refused requests name the fingerprint. POST /crash-suspects/lift/FINGERPRINT at the control or metrics address of any instance ends it at all of them; the part before the dot stands for all callers.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -297,7 +297,7 @@
             admission: get(tokens.admission),
             pool: get(tokens.pool),
             crashSuspects: get(tokens.crashSuspects),
-            crashObserver: createCrashLog(logger),
+            crashObserver: createCrashLog(logger, metrics),
             serverExaminer: get(tokens.serverExaminer),
             getRetryBudget: get(tokens.retryBudgets),
             routes: () => config.routes(),
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -3,7 +3,7 @@
  * Route names are not used as labels, since configurations add and rename routes.
  */
 import { addGauge } from "@waxwingdale/core";
-import type { RequestRecord } from "@waxwingdale/relay";
+import type { LossExamination, RequestRecord } from "@waxwingdale/relay";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Upper bounds of the latency buckets in seconds. */
@@ -13,6 +13,7 @@
     registry: Registry;
     observe(record: RequestRecord): void;
     countLookup(): void;
+    countExamination(examination: LossExamination): void;
     /** Adds a gauge whose value is read at collection time. */
     addGauge(name: string, help: string, read: () => number): void;
     /** Adds a gauge for the view age of each store prefix; `read` returns the ages in milliseconds. */
@@ -59,6 +60,12 @@
         help: "Look-ups of clients",
         registers: [registry],
     });
+    const examinations = new Counter({
+        name: "waxwingdale_gateway_lost_server_examinations_total",
+        help: "Examinations of backend servers that did not respond to a request, by how the attempt ended and the verdict",
+        labelNames: ["loss", "verdict"],
+        registers: [registry],
+    });
     return {
         registry,
         observe: ({
@@ -82,6 +89,7 @@
             }
         },
         countLookup: () => lookups.inc(),
+        countExamination: ({ loss, verdict }) => examinations.inc({ loss, verdict }),
         addGauge: (name, help, read) => addGauge(registry, name, help, read),
         addViewAges: read => {
             new Gauge({
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -62,6 +62,9 @@
     };
 }
 
+/** Followed by the fingerprint of a request that an operator no longer wants to be rejected. */
+const liftPath = "/crash-suspects/lift/";
+
 /** Creates the handler of the peer listener: calls between instances, process state and metrics. */
 export function createPeerHandler(options: {
     fleetKey: string;
@@ -69,6 +72,8 @@
     logger: Logger;
     metrics: () => Promise<string>;
     state: () => unknown;
+    /** Ends suspicions that a request crashes servers. Returns their number. */
+    liftSuspicions: (fingerprint: string) => number;
 }): Handler {
     const handleRpc = async (req: IncomingMessage, res: ServerResponse) => {
         const body = createByteCollector();
@@ -89,6 +94,14 @@
             await handleRpc(req, res);
         } else if (req.url === "/metrics") {
             sendText(res, "text/plain; version=0.0.4", await options.metrics());
+        } else if (req.method === "POST" && req.url?.startsWith(liftPath) === true) {
+            req.resume();
+            const fingerprint = req.url.slice(liftPath.length);
+            sendText(
+                res,
+                "application/json",
+                JSON.stringify({ lifted: options.liftSuspicions(fingerprint) }),
+            );
         } else if (req.url === "/state") {
             sendText(res, "application/json", JSON.stringify(options.state()));
         } else {
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@waxwingdale/core";
 import { RequestOutcome } from "@waxwingdale/relay";
 import type { CrashObserver, RequestRecord } from "@waxwingdale/relay";
+import type { GatewayMetrics } from "./gateway-metrics.js";
 
 /** Logs a request. Requests that were not answered use separate events, each with its own rate limit. */
 export function logRequest(logger: Logger, record: RequestRecord): void {
@@ -43,10 +44,12 @@
     return `${server},${result.replace(/[,;]/g, " ")},expected=${expectedMs},took=${tookMs},written=${written}${flags}`;
 }
 
-/** Logs what counts for and against the suspicion that a request crashes servers. */
-export function createCrashLog(logger: Logger): CrashObserver {
+/** Logs and counts what counts for and against the suspicion that a request crashes servers. */
+export function createCrashLog(logger: Logger, metrics: GatewayMetrics): CrashObserver {
     return {
-        onExamined: ({ requestId, fingerprint, serverId, loss, verdict, crashes, crashesOfAll }) =>
+        onExamined: examination => {
+            const { requestId, fingerprint, serverId, loss, verdict, crashes, crashesOfAll } = examination;
+            metrics.countExamination(examination);
             logger.info("lost-server-examined", {
                 request: requestId,
                 fingerprint,
@@ -55,7 +58,8 @@
                 verdict,
                 crashes,
                 crashesOfAll,
-            }),
+            });
+        },
         onCleared: ({ requestId, fingerprint, crashes }) =>
             logger.info("suspicion-cleared", { request: requestId, fingerprint, crashes }),
     };
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -130,6 +130,11 @@
         logger,
         metrics: () => get(tokens.metrics).registry.metrics(),
         state: () => describeState(get),
+        liftSuspicions: fingerprint => {
+            const lifted = get(tokens.crashSuspects).lift(fingerprint);
+            logger.info("suspicions-lifted", { fingerprint, lifted });
+            return lifted;
+        },
     });
     const otherListeners = await Promise.all([
         openListener(settings.listen.readiness, createReadinessHandler(updateReadiness)),
@@ -222,6 +227,11 @@
     metrics.addGauge("waxwingdale_gateway_waiting_requests", "Requests that wait for room", () =>
         get(tokens.admission).waiting(),
     );
+    metrics.addGauge(
+        "waxwingdale_gateway_rejected_crashing_requests",
+        "Requests that are rejected, since they have crashed backend servers",
+        () => get(tokens.crashSuspects).rejected().length,
+    );
     metrics.addViewAges(() => get(tokens.storeWatches).ages());
     metrics.addGauge(
         "waxwingdale_gateway_rate_limited_servers",
@@ -247,6 +257,7 @@
         membership: get(tokens.membership).state(),
         balancer: get(tokens.balancer).describe(),
         evacuatedZones: get(tokens.table).evacuatedZones(),
+        crashSuspects: describeSuspects(get),
         servers: get(tokens.table)
             .all()
             .map(({ record, isLeaving, load, slowness, rateLimit }) => ({
@@ -258,3 +269,12 @@
             })),
     };
 }
+
+function describeSuspects(get: Get): unknown {
+    const suspects = get(tokens.crashSuspects);
+    const rejected = new Set(suspects.rejected());
+    return suspects
+        .reports()
+        .filter(({ crashes }) => crashes > 0)
+        .map(report => ({ ...report, isRejected: rejected.has(report.fingerprint) }));
+}
--- a/packages/relay/src/crash-suspects.ts
+++ b/packages/relay/src/crash-suspects.ts
@@ -57,8 +57,13 @@
     recordCrash(identity: RequestIdentity, span: CrashSpan, isTrial?: boolean): CrashCounts;
     /** Clears the suspicions of this caller's request and of that of all. Returns the crashes that were known. */
     recordSuccess(identity: RequestIdentity): number;
-    /** Ends a suspicion at all instances. Returns whether there was one. */
-    lift(fingerprint: string): boolean;
+    /**
+     * Ends suspicions at all instances: that of a caller's request, or with the fingerprint of a request those of all its
+     * callers. Returns their number.
+     */
+    lift(fingerprint: string): number;
+    /** Returns the fingerprints that are rejected now. */
+    rejected(): string[];
     merge(report: CrashReport): void;
     /** Returns the reports that other instances need, the most recently changed first. */
     reports(): CrashReport[];
@@ -286,7 +291,13 @@
             return countCrashes(identity);
         },
         recordSuccess: identity => Math.max(0, ...getKnown(identity).map(clear)),
-        lift: fingerprint => clear(fingerprint) > 0,
+        lift: fingerprint => {
+            const names = [...suspects.keys()].filter(
+                name => name === fingerprint || getRequestFingerprint(name) === fingerprint,
+            );
+            return names.map(clear).filter(crashes => crashes > 0).length;
+        },
+        rejected: () => [...suspects.keys()].filter(fingerprint => getRejectedMs(fingerprint) > 0),
         merge: report => {
             const known = find(report.fingerprint);
             const isNewer =
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -457,6 +457,7 @@
     const refuseIfQuarantined = (): boolean => {
         const retryAfterMs = crashWatch.rejectedMs();
         if (retryAfterMs > 0) {
+            detail = `fingerprint ${crashWatch.fingerprint()}`;
             refuse({ reason: "the request crashed servers", retryAfterMs });
         }
         return retryAfterMs > 0;
