--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -89,7 +89,9 @@
 const responseFraction = 0.6;
 
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
-    const { clock, suspects, examiner } = options;
+    const { requestId, clock, suspects, examiner, observer } = options;
+    /** Holds the request; undefined once the identity is complete, so that a body is not kept while servers are examined. */
+    let createIdentity: (() => RequestIdentity) | undefined = options.identify;
     let identity: RequestIdentity | undefined;
     let losses = 0;
     let isTrial = false;
@@ -98,7 +100,16 @@
     /** Resolves when the earlier losses have been examined. */
     let examined: Promise<void> = Promise.resolve();
 
-    const identify = () => (identity ??= options.identify());
+    const identify = () => (identity ??= createIdentity!());
+
+    const completeIdentity = (): string => {
+        const { request, caller } = identify();
+        const fingerprint = caller();
+        identity = { request, caller: () => fingerprint };
+        createIdentity = undefined;
+        return fingerprint;
+    };
+
     const countCrashes = () =>
         suspects.isEmpty() ? { ofCaller: 0, ofAll: 0 } : suspects.countCrashes(identify());
     const rejectedMs = () => (suspects.isEmpty() ? 0 : suspects.rejectedMs(identify()));
@@ -114,8 +125,8 @@
             suspects.recordCrash(identify(), { sentAt: attempt.sentAt, lostAt }, isTrial);
         }
         const { ofCaller, ofAll } = countCrashes();
-        options.observer.onExamined({
-            requestId: options.requestId,
+        observer.onExamined({
+            requestId,
             fingerprint: identify().caller(),
             serverId: attempt.server.record.id,
             loss,
@@ -161,7 +172,7 @@
             const { ofCaller, ofAll } = countCrashes();
             return losses > 0 || ofCaller > 0 || ofAll > 0;
         },
-        fingerprint: () => identify().caller(),
+        fingerprint: completeIdentity,
         isExhausted: () => countCrashes().ofCaller >= trialCrashes || rejectedMs() > 0,
         recordLoss: (attempt, onDecided) => {
             losses += 1;
@@ -177,16 +188,15 @@
         recordDelay: attempt => void examineDelay(attempt),
         recordAbandoned: attempt => {
             if (!crashed.has(attempt)) {
-                // The request, with its body, is not kept until the server is examined.
-                identify().caller();
+                completeIdentity();
                 void examineAbandoned(attempt, clock.now());
             }
         },
         recordSuccess: () => {
             const crashes = suspects.isEmpty() ? 0 : suspects.recordSuccess(identify());
             if (crashes > 0) {
-                options.observer.onCleared({
-                    requestId: options.requestId,
+                observer.onCleared({
+                    requestId,
                     fingerprint: identify().caller(),
                     crashes,
                 });
