--- a/packages/gateway/src/crash-report-exchange.ts
+++ b/packages/gateway/src/crash-report-exchange.ts
@@ -33,8 +33,11 @@
 /** Of these, reports of first crashes; the others tell an instance that starts which requests to reject. */
 const minFirstCrashes = 3;
 const maxFingerprintLength = 64;
+const maxServers = 8;
+const maxServerIdLength = 256;
 
 const countSchema = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const serverIdSchema = v.pipe(v.string(), v.maxLength(maxServerIdLength));
 const fingerprintSchema = v.pipe(v.string(), v.maxLength(maxFingerprintLength));
 const reportsSchema = v.pipe(
     v.array(
@@ -44,6 +47,8 @@
             crashes: countSchema,
             ageMs: countSchema,
             crashAgeMs: v.optional(v.pipe(v.number(), v.safeInteger())),
+            survivals: v.optional(countSchema),
+            servers: v.optional(v.pipe(v.array(serverIdSchema), v.maxLength(maxServers))),
             source: v.optional(fingerprintSchema),
             isShared: v.optional(v.boolean()),
         }),
--- a/packages/relay/src/crash-suspects.ts
+++ b/packages/relay/src/crash-suspects.ts
@@ -18,14 +18,19 @@
     ageMs: number;
     /** Time in milliseconds since the last of the crashes; negative while the outcome of a trial is open. */
     crashAgeMs?: number;
+    /** Runs that a server has survived since the first of the crashes, at the instance that saw most of them. */
+    survivals?: number;
+    /** Ids of the servers of the last crashes. */
+    servers?: string[];
     /** For the fingerprint of all callers: the first caller whose request crashed a server. */
     source?: string;
     /** For the fingerprint of all callers: whether requests of different callers crashed servers. */
     isShared?: boolean;
 }
 
-/** Time span of an attempt after which its server had crashed, on the clock of the instance. */
-export interface CrashSpan {
+/** An attempt whose server has crashed. Times are on the clock of the instance. */
+export interface CrashedAttempt {
+    serverId: string;
     sentAt: number;
     lostAt: number;
 }
@@ -52,9 +57,15 @@
     withdrawTrial(identity: RequestIdentity): void;
     /**
      * Records that the server of an attempt has crashed. It counts only if the attempt was sent after the crash before it,
-     * so that servers that crash at the same time count once. Returns the crashes that are known now.
+     * so that servers that crash at the same time count once, and if the server is not among those that crashed lately.
+     * Returns the crashes that are known now.
      */
-    recordCrash(identity: RequestIdentity, span: CrashSpan, isTrial?: boolean): CrashCounts;
+    recordCrash(identity: RequestIdentity, attempt: CrashedAttempt, isTrial?: boolean): CrashCounts;
+    /**
+     * Records that a server has survived the request, though it did not run it to a good end. A request that most servers
+     * survive is frequent, and was at servers that others crashed.
+     */
+    recordSurvival(identity: RequestIdentity): void;
     /** Clears the suspicions of this caller's request and of that of all. Returns the crashes that were known. */
     recordSuccess(identity: RequestIdentity): number;
     /**
@@ -78,8 +89,12 @@
 export const quarantineCrashes = 3;
 /** Number of crashes of one caller's request from which it is sent on trial, one at a time. */
 export const trialCrashes = quarantineCrashes - 1;
+/** Survivals for each crash from which a request is not rejected. It may have left a server's queue without being run. */
+const survivalsPerCrash = 8;
 /** Time in milliseconds until a rejected request is tried again; multiplied by the factor after each trial that crashed. */
 const firstRejectionMs = 30_000;
+/** The same for a request that is rejected for all callers: the harm is larger if it is not what crashes servers. */
+const firstSharedRejectionMs = 2000;
 const rejectionFactor = 10;
 const maxRejectionMs = 24 * 3_600_000;
 /** Time in milliseconds for which a suspicion is kept after its last change, beyond the time of the rejection. */
@@ -88,6 +103,9 @@
 const sameTrialMs = 500;
 /** Time in milliseconds for which a report of a first crash, or of a success, is passed on. */
 const freshMs = 60_000;
+/** Number of servers that are kept of a request's crashes, and the time in milliseconds in which one of them is back. */
+const maxServers = 4;
+const serverBackMs = 5000;
 /** Maximum number of reports. First crashes are dropped before those that reject requests. */
 const maxReports = 2048;
 
@@ -96,11 +114,20 @@
     crashes: number;
     changedAt: number;
     crashedAt: number;
+    survivals: number;
+    servers: readonly string[];
     source?: string;
     isShared?: boolean;
 }
 
-const unknown: Suspect = { epoch: 0, crashes: 0, changedAt: -Infinity, crashedAt: -Infinity };
+const unknown: Suspect = {
+    epoch: 0,
+    crashes: 0,
+    changedAt: -Infinity,
+    crashedAt: -Infinity,
+    survivals: 0,
+    servers: [],
+};
 
 /**
  * `trialDelayMs` returns for how many milliseconds this instance leaves a trial to others, so that a request that comes to
@@ -117,7 +144,7 @@
     const listeners: ((report: CrashReport) => void)[] = [];
 
     const isExpired = ({ crashes, changedAt }: Suspect) =>
-        clock.now() - changedAt >= memoryMs + getRejectionMs(crashes);
+        clock.now() - changedAt >= memoryMs + getRejectionMs(crashes, firstRejectionMs);
 
     const find = (fingerprint: string): Suspect => {
         const suspect = suspects.get(fingerprint);
@@ -171,7 +198,7 @@
     };
 
     const toReport = (fingerprint: string, suspect: Suspect): CrashReport => {
-        const { epoch, crashes, source, isShared } = suspect;
+        const { epoch, crashes, survivals, servers, source, isShared } = suspect;
         const now = clock.now();
         return {
             fingerprint,
@@ -179,35 +206,61 @@
             crashes,
             ageMs: Math.round(now - suspect.changedAt),
             ...(crashes > 0 ? { crashAgeMs: Math.round(now - suspect.crashedAt) } : {}),
+            ...(survivals > 0 ? { survivals } : {}),
+            ...(servers.length > 0 ? { servers: [...servers] } : {}),
             ...(source === undefined ? {} : { source, isShared: isShared === true }),
         };
     };
 
+    const report = (fingerprint: string) => {
+        const suspect = find(fingerprint);
+        listeners.forEach(listener => listener(toReport(fingerprint, suspect)));
+    };
+
     const change = (fingerprint: string, changes: Partial<Suspect>) => {
         const before = find(fingerprint);
         const suspect = { ...before, ...changes, changedAt: clock.now() };
         set(fingerprint, suspect);
         if (Math.max(suspect.crashes, before.crashes) > 1) {
-            listeners.forEach(listener => listener(toReport(fingerprint, suspect)));
+            report(fingerprint);
         }
     };
 
+    const isMostlySurvived = ({ crashes, survivals }: Suspect): boolean =>
+        survivals >= survivalsPerCrash * crashes;
+
     const isRejectable = (fingerprint: string): boolean => {
-        const { crashes, source, isShared } = find(fingerprint);
+        const suspect = find(fingerprint);
+        const { crashes, source, isShared } = suspect;
         const concernsAll = isCallerFingerprint(fingerprint) || source === undefined || isShared === true;
-        return crashes >= quarantineCrashes && concernsAll;
+        return crashes >= quarantineCrashes && concernsAll && !isMostlySurvived(suspect);
     };
 
-    const needsTrial = (fingerprint: string): boolean =>
-        isRejectable(fingerprint) ||
-        (isCallerFingerprint(fingerprint) && find(fingerprint).crashes === trialCrashes);
+    const needsTrial = (fingerprint: string): boolean => {
+        const suspect = find(fingerprint);
+        const isDecisive = isCallerFingerprint(fingerprint) && suspect.crashes === trialCrashes;
+        return isRejectable(fingerprint) || (isDecisive && !isMostlySurvived(suspect));
+    };
+
+    /** Counts a survival. Peers are told as soon as it ends a rejection. */
+    const countSurvival = (fingerprint: string) => {
+        const before = find(fingerprint);
+        const after = { ...before, survivals: before.survivals + 1 };
+        if (before.crashes > 0) {
+            suspects.set(fingerprint, after);
+        }
+        if (before.crashes >= trialCrashes && isMostlySurvived(after) && !isMostlySurvived(before)) {
+            report(fingerprint);
+        }
+    };
 
     const getRejectedMs = (fingerprint: string): number => {
         if (!needsTrial(fingerprint)) {
             return 0;
         }
         const { crashes, changedAt } = find(fingerprint);
-        const trialAt = changedAt + getRejectionMs(crashes) + trialDelayMs(fingerprint);
+        const firstMs = isCallerFingerprint(fingerprint) ? firstRejectionMs : firstSharedRejectionMs;
+        const trialAt = changedAt + getRejectionMs(crashes, firstMs) + trialDelayMs(fingerprint);
         return Math.max(0, trialAt - clock.now());
     };
 
@@ -218,25 +271,37 @@
             crashedAt: clock.now() + sameTrialMs,
         });
 
-    const recordCallerCrash = (caller: string, { sentAt, lostAt }: CrashSpan, isTrial: boolean) => {
-        const { crashes, crashedAt } = find(caller);
-        if (isTrial && crashes >= quarantineCrashes) {
-            change(caller, { crashedAt: lostAt });
-        } else if (sentAt >= crashedAt) {
-            change(caller, { crashes: crashes + 1, crashedAt: lostAt });
+    /** Whether the crash is another one than those that are known. */
+    const isFurtherCrash = (
+        { crashedAt, servers }: Suspect,
+        { serverId, sentAt, lostAt }: CrashedAttempt,
+    ): boolean => sentAt >= crashedAt && !(servers.includes(serverId) && lostAt - crashedAt < serverBackMs);
+
+    const describeCrash = ({ servers }: Suspect, { serverId, lostAt }: CrashedAttempt) => ({
+        crashedAt: lostAt,
+        servers: [serverId, ...servers].slice(0, maxServers),
+    });
+
+    const recordCallerCrash = (caller: string, attempt: CrashedAttempt, isTrial: boolean) => {
+        const suspect = find(caller);
+        if (isTrial && suspect.crashes >= quarantineCrashes) {
+            change(caller, describeCrash(suspect, attempt));
+        } else if (isFurtherCrash(suspect, attempt)) {
+            change(caller, { crashes: suspect.crashes + 1, ...describeCrash(suspect, attempt) });
         }
     };
 
     /** Crashes of one caller alone, however many, are no reason to reject the request of others. */
-    const recordSharedCrash = (request: string, caller: string, { sentAt, lostAt }: CrashSpan) => {
-        const { crashes, crashedAt, source = caller, isShared = false } = find(request);
-        if (sentAt < crashedAt) {
+    const recordSharedCrash = (request: string, caller: string, attempt: CrashedAttempt) => {
+        const suspect = find(request);
+        if (!isFurtherCrash(suspect, attempt)) {
             return;
         }
+        const { crashes, source = caller, isShared = false } = suspect;
         const isOfOthers = isShared || source !== caller;
         change(request, {
             crashes: isOfOthers ? crashes + 1 : Math.min(crashes + 1, trialCrashes),
-            crashedAt: lostAt,
+            ...describeCrash(suspect, attempt),
             source,
             isShared: isOfOthers,
         });
@@ -249,6 +314,8 @@
                 epoch: epoch + 1,
                 crashes: 0,
                 crashedAt: -Infinity,
+                survivals: 0,
+                servers: [],
                 source: undefined,
                 isShared: undefined,
             });
@@ -284,12 +351,13 @@
                     change(fingerprint, { epoch: epoch + 1, crashes: crashes - 1, crashedAt: lastAt });
                 }
             }),
-        recordCrash: (identity, span, isTrial = false) => {
+        recordCrash: (identity, attempt, isTrial = false) => {
             const caller = identity.caller();
-            recordCallerCrash(caller, span, isTrial);
-            recordSharedCrash(identity.request, caller, span);
+            recordCallerCrash(caller, attempt, isTrial);
+            recordSharedCrash(identity.request, caller, attempt);
             return countCrashes(identity);
         },
+        recordSurvival: identity => getKnown(identity).forEach(countSurvival),
         recordSuccess: identity => Math.max(0, ...getKnown(identity).map(clear)),
         lift: fingerprint => {
             const names = [...suspects.keys()].filter(
@@ -300,16 +368,21 @@
         rejected: () => [...suspects.keys()].filter(fingerprint => getRejectedMs(fingerprint) > 0),
         merge: report => {
             const known = find(report.fingerprint);
-            const isNewer =
-                report.epoch > known.epoch ||
-                (report.epoch === known.epoch && report.crashes > known.crashes);
+            const { epoch, crashes, ageMs, crashAgeMs = ageMs, servers = [], source, isShared } = report;
+            const isSameEpoch = epoch === known.epoch;
+            const isNewer = epoch > known.epoch || (isSameEpoch && crashes > known.crashes);
+            const survivals = Math.max(report.survivals ?? 0, isSameEpoch ? known.survivals : 0);
+            if (isSameEpoch && crashes === known.crashes && survivals > known.survivals) {
+                suspects.set(report.fingerprint, { ...known, survivals });
+            }
             const now = clock.now();
-            const { epoch, crashes, ageMs, crashAgeMs = ageMs, source, isShared } = report;
             const suspect = {
                 epoch,
                 crashes,
                 changedAt: now - ageMs,
                 crashedAt: now - crashAgeMs,
+                survivals,
+                servers,
                 source,
                 isShared,
             };
@@ -329,8 +402,8 @@
 }
 
 /** Returns the time in milliseconds for which a request is rejected after its last crash. */
-function getRejectionMs(crashes: number): number {
+function getRejectionMs(crashes: number, firstMs: number): number {
     return crashes < quarantineCrashes
         ? 0
-        : Math.min(maxRejectionMs, firstRejectionMs * rejectionFactor ** (crashes - quarantineCrashes));
+        : Math.min(maxRejectionMs, firstMs * rejectionFactor ** (crashes - quarantineCrashes));
 }
--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -1,11 +1,10 @@
 /** Follows one request through its attempts and tells whether it may crash the servers that run it. */
-import type { BackendState } from "@waxwingdale/balancing";
 import type { Clock } from "@waxwingdale/core";
 import { trialCrashes } from "./crash-suspects.js";
 import type { CrashSuspects } from "./crash-suspects.js";
 import type { RequestIdentity } from "./request-identity.js";
-import { isCrash } from "./server-examiner.js";
-import type { ServerExaminer, ServerVerdict } from "./server-examiner.js";
+import { ServerVerdict, isCrash } from "./server-examiner.js";
+import type { ServerExaminer, WatchedAttempt } from "./server-examiner.js";
 
 export interface CrashWatch {
     /** Returns for how many milliseconds the request is rejected; 0 if it is not. */
@@ -27,17 +26,14 @@
     recordDelay(attempt: WatchedAttempt): void;
     /** Records that the attempt was ended without a response. Its server may still run the request, and crash later. */
     recordAbandoned(attempt: WatchedAttempt): void;
+    /** Records that a server has responded with a failure: it has survived the request so far. */
+    recordFailure(): void;
     /** Records that a server has run the request to a good end, and so has not crashed. */
     recordSuccess(): void;
     /** Must be called when the request has ended. `wasRun` tells whether a server may have run it. */
     end(wasRun: boolean): void;
 }
 
-export interface WatchedAttempt {
-    server: BackendState;
-    sentAt: number;
-}
-
 /** What was found out about a server that has not responded to a request. */
 export interface LossExamination {
     requestId: string;
@@ -122,7 +118,8 @@
     ) => {
         if (isCrash(verdict) && !crashed.has(attempt)) {
             crashed.add(attempt);
-            suspects.recordCrash(identify(), { sentAt: attempt.sentAt, lostAt }, isTrial);
+            const { sentAt, server } = attempt;
+            suspects.recordCrash(identify(), { serverId: server.record.id, sentAt, lostAt }, isTrial);
         }
         const { ofCaller, ofAll } = countCrashes();
         observer.onExamined({
@@ -141,26 +138,31 @@
             attempt,
             AttemptLoss.ConnectionLost,
             lostAt,
-            await examiner.examineLoss(attempt.server, lostAt),
+            await examiner.examineLoss(attempt, lostAt),
         );
 
     const examineDelay = async (attempt: WatchedAttempt) => {
-        const verdict = await examiner.examineSilence(attempt.server, attempt.sentAt);
+        const delayedAt = clock.now();
+        const verdict = await examiner.examineSilence(attempt, delayedAt, attempt.sentAt);
         if (isCrash(verdict)) {
-            recordVerdict(attempt, AttemptLoss.Delayed, clock.now(), verdict);
+            recordVerdict(attempt, AttemptLoss.Delayed, delayedAt, verdict);
         }
     };
 
     const examineAbandoned = async (attempt: WatchedAttempt, endedAt: number) => {
+        let verdict = ServerVerdict.Unknown;
         for (const checkMs of abandonedChecksMs) {
             await clock.sleep(endedAt + checkMs - clock.now());
             const since = endedAt + checkMs * responseFraction;
-            const verdict = await examiner.examineSilence(attempt.server, since);
+            verdict = await examiner.examineSilence(attempt, endedAt, since);
             if (isCrash(verdict)) {
                 recordVerdict(attempt, AttemptLoss.Abandoned, endedAt, verdict);
                 return;
             }
         }
+        if (verdict === ServerVerdict.Alive && !crashed.has(attempt)) {
+            suspects.recordSurvival(identify());
+        }
     };
 
     return {
@@ -192,6 +194,11 @@
                 void examineAbandoned(attempt, clock.now());
             }
         },
+        recordFailure: () => {
+            if (!suspects.isEmpty()) {
+                suspects.recordSurvival(identify());
+            }
+        },
         recordSuccess: () => {
             const crashes = suspects.isEmpty() ? 0 : suspects.recordSuccess(identify());
             if (crashes > 0) {
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -333,6 +333,7 @@
     const onServerFailure = (attempt: RunningAttempt, response: UpstreamResponse) => {
         const { status } = response.head;
         endAttempt(attempt, ServerOutcome.Failure, `status ${status}`, response);
+        crashWatch.recordFailure();
         mayHaveExecuted = true;
         lastFailure = `the backend server answered ${status}`;
         const giveUp = () => {
--- a/packages/relay/src/running-attempt.ts
+++ b/packages/relay/src/running-attempt.ts
@@ -1,7 +1,7 @@
 /** An attempt to forward a request that is in flight at a backend server. */
 import type { Placement } from "@waxwingdale/balancing";
-import type { WatchedAttempt } from "./crash-watch.js";
 import type { AttemptRecord } from "./request-outcome.js";
+import type { WatchedAttempt } from "./server-examiner.js";
 import type { UpstreamConnection } from "./upstream-connection.js";
 
 export interface RunningAttempt {
--- a/packages/relay/src/server-examiner.ts
+++ b/packages/relay/src/server-examiner.ts
@@ -14,15 +14,28 @@
     Restarted = "restarted",
     /** It accepts connections and does not respond, or cannot be reached. */
     Silent = "silent",
-    /** It accepts connections and must get no health check now, or no server responds to this instance. */
+    /**
+     * It accepts connections and must get no health check now, or no server responds to this instance, or it had already
+     * ended when the attempt was sent.
+     */
     Unknown = "unknown",
 }
 
+/** An attempt to have a server run a request. */
+export interface WatchedAttempt {
+    server: BackendState;
+    /** Clock time at which the server was chosen. */
+    sentAt: number;
+}
+
 export interface ServerExaminer {
-    /** Examines a server to which a connection was lost at the given clock time. */
-    examineLoss(server: BackendState, lostAt: number): Promise<ServerVerdict>;
-    /** Examines a server that has not responded to a request. Any response since the given clock time shows that it lives. */
-    examineSilence(server: BackendState, since: number): Promise<ServerVerdict>;
+    /** Examines the server of an attempt whose connection was lost at the given clock time. */
+    examineLoss(attempt: WatchedAttempt, lostAt: number): Promise<ServerVerdict>;
+    /**
+     * Examines the server of an attempt that had no response at the clock time `silentAt`. Any response that has come since
+     * `aliveSince` shows that it lives.
+     */
+    examineSilence(attempt: WatchedAttempt, silentAt: number, aliveSince: number): Promise<ServerVerdict>;
 }
 
 export interface ServerExaminerOptions {
@@ -36,6 +49,8 @@
 const closeTogetherMs = 20;
 /** Number of connections that a server closes together when it ends; fewer may be lost for other reasons. */
 const minClosedTogether = 3;
+/** Number of servers whose end is kept. */
+const maxEnds = 1000;
 /** Time in milliseconds for which the result of a probe is kept. */
 const resultMs = 2000;
 
@@ -93,20 +108,49 @@
         }
     };
 
+    /** Clock times at which servers were first missed, until they respond again. */
+    const endedAt = new Map<string, number>();
+
+    /** Excludes a server that had been missed when the attempt was sent, which so did not end it. */
+    const excludeEarlierEnd = (
+        { server, sentAt }: WatchedAttempt,
+        missedAt: number,
+        verdict: ServerVerdict,
+    ): ServerVerdict => {
+        const { id } = server.record;
+        if (!isCrash(verdict)) {
+            return verdict;
+        }
+        const last = endedAt.get(id);
+        const isSameEnd = last !== undefined && pool.respondedAt(server) < last;
+        if (isSameEnd && sentAt > last) {
+            return ServerVerdict.Unknown;
+        }
+        endedAt.delete(id);
+        endedAt.set(id, isSameEnd ? Math.min(last, missedAt) : missedAt);
+        if (endedAt.size > maxEnds) {
+            const [oldest] = endedAt.keys();
+            endedAt.delete(oldest!);
+        }
+        return verdict;
+    };
+
     return {
-        examineLoss: async (server, lostAt) => {
+        examineLoss: async (attempt, lostAt) => {
+            const { server } = attempt;
             await clock.sleep(closeTogetherMs);
             if (pool.hasConnectionFrom(server, lostAt)) {
                 return ServerVerdict.Alive;
             }
             const verdict = await examine(server, lostAt);
             const closed = pool.countLost(server, lostAt - closeTogetherMs, lostAt + closeTogetherMs);
-            return verdict === ServerVerdict.Alive && closed >= minClosedTogether
-                ? ServerVerdict.Restarted
-                : verdict;
+            const isRestarted = verdict === ServerVerdict.Alive && closed >= minClosedTogether;
+            return excludeEarlierEnd(attempt, lostAt, isRestarted ? ServerVerdict.Restarted : verdict);
         },
-        examineSilence: async (server, since) =>
-            pool.respondedAt(server) >= since ? ServerVerdict.Alive : examine(server, since),
+        examineSilence: async (attempt, silentAt, aliveSince) =>
+            pool.respondedAt(attempt.server) >= aliveSince
+                ? ServerVerdict.Alive
+                : excludeEarlierEnd(attempt, silentAt, await examine(attempt.server, aliveSince)),
     };
 }
 
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -72,7 +72,7 @@
 const maxResponseMemoryBytes = 160 * 1024 * 1024;
 const maxIdleMs = 60_000;
 /** Time in milliseconds after the round trip within which a server responds to a health check. */
-const healthCheckMs = 1000;
+const healthCheckMs = 500;
 /** Number of times at which a server closed a connection that are kept. */
 const maxLossTimes = 16;
 
