--- a/packages/relay/src/crash-suspects.ts
+++ b/packages/relay/src/crash-suspects.ts
@@ -5,6 +5,8 @@
 import type { Clock } from "@waxwingdale/core";
 import { getRequestFingerprint, isCallerFingerprint } from "./request-identity.js";
 import type { RequestIdentity } from "./request-identity.js";
+import { createSuspectTable } from "./suspect-table.js";
+import type { Suspect } from "./suspect-table.js";
 
 /** What is known under a fingerprint. Of two reports, that of the later epoch holds, then that with more crashes. */
 export interface CrashReport {
@@ -106,28 +108,6 @@
 /** Number of servers that are kept of a request's crashes, and the time in milliseconds in which one of them is back. */
 const maxServers = 4;
 const serverBackMs = 5000;
-/** Maximum number of reports. First crashes are dropped before those that reject requests. */
-const maxReports = 2048;
-
-interface Suspect {
-    epoch: number;
-    crashes: number;
-    changedAt: number;
-    crashedAt: number;
-    survivals: number;
-    servers: readonly string[];
-    source?: string;
-    isShared?: boolean;
-}
-
-const unknown: Suspect = {
-    epoch: 0,
-    crashes: 0,
-    changedAt: -Infinity,
-    crashedAt: -Infinity,
-    survivals: 0,
-    servers: [],
-};
 
 /**
  * `trialDelayMs` returns for how many milliseconds this instance leaves a trial to others, so that a request that comes to
@@ -137,92 +117,38 @@
     clock: Clock,
     trialDelayMs: (fingerprint: string) => number = () => 0,
 ): CrashSuspects {
-    /** By fingerprint, in the order of their changes. */
-    const suspects = new Map<string, Suspect>();
-    /** Number of suspected callers of a request, by its fingerprint. */
-    const callers = new Map<string, number>();
     const listeners: ((report: CrashReport) => void)[] = [];
+    const table = createSuspectTable({
+        clock,
+        lifetimeMs: ({ crashes }) => memoryMs + getRejectionMs(crashes, firstRejectionMs),
+        isUnimportant: ({ crashes }) => crashes < trialCrashes,
+    });
+    const find = (fingerprint: string) => table.find(fingerprint);
 
-    const isExpired = ({ crashes, changedAt }: Suspect) =>
-        clock.now() - changedAt >= memoryMs + getRejectionMs(crashes, firstRejectionMs);
-
-    const find = (fingerprint: string): Suspect => {
-        const suspect = suspects.get(fingerprint);
-        return suspect === undefined || isExpired(suspect) ? unknown : suspect;
-    };
-
-    const countCallers = (fingerprint: string, change: number) => {
-        if (isCallerFingerprint(fingerprint)) {
-            const request = getRequestFingerprint(fingerprint);
-            const count = (callers.get(request) ?? 0) + change;
-            if (count === 0) {
-                callers.delete(request);
-            } else {
-                callers.set(request, count);
-            }
-        }
-    };
-
-    const remove = (fingerprint: string) => {
-        if (suspects.delete(fingerprint)) {
-            countCallers(fingerprint, -1);
-        }
-    };
-
-    const dropExpired = () => {
-        for (const [fingerprint, suspect] of suspects) {
-            if (isExpired(suspect)) {
-                remove(fingerprint);
-            }
-        }
-    };
-
-    const dropLeastImportant = () => {
-        const [oldest] = suspects.keys();
-        for (const [fingerprint, { crashes }] of suspects) {
-            if (crashes < trialCrashes) {
-                remove(fingerprint);
-                return;
-            }
-        }
-        remove(oldest!);
-    };
-
-    const set = (fingerprint: string, suspect: Suspect) => {
-        remove(fingerprint);
-        if (suspects.size >= maxReports) {
-            dropLeastImportant();
-        }
-        suspects.set(fingerprint, suspect);
-        countCallers(fingerprint, 1);
-    };
-
-    const toReport = (fingerprint: string, suspect: Suspect): CrashReport => {
-        const { epoch, crashes, survivals, servers, source, isShared } = suspect;
+    const toReport = (fingerprint: string): CrashReport => {
+        const { epoch, crashes, changedAt, crashedAt, survivals, servers, source, isShared } =
+            find(fingerprint);
         const now = clock.now();
         return {
             fingerprint,
             epoch,
             crashes,
-            ageMs: Math.round(now - suspect.changedAt),
-            ...(crashes > 0 ? { crashAgeMs: Math.round(now - suspect.crashedAt) } : {}),
+            ageMs: Math.round(now - changedAt),
+            ...(crashes > 0 ? { crashAgeMs: Math.round(now - crashedAt) } : {}),
             ...(survivals > 0 ? { survivals } : {}),
             ...(servers.length > 0 ? { servers: [...servers] } : {}),
             ...(source === undefined ? {} : { source, isShared: isShared === true }),
         };
     };
 
-    const report = (fingerprint: string) => {
-        const suspect = find(fingerprint);
-        listeners.forEach(listener => listener(toReport(fingerprint, suspect)));
-    };
+    const notify = (fingerprint: string) => listeners.forEach(listener => listener(toReport(fingerprint)));
 
     const change = (fingerprint: string, changes: Partial<Suspect>) => {
         const before = find(fingerprint);
-        const suspect = { ...before, ...changes, changedAt: clock.now() };
-        set(fingerprint, suspect);
-        if (Math.max(suspect.crashes, before.crashes) > 1) {
-            report(fingerprint);
+        const after = { ...before, ...changes, changedAt: clock.now() };
+        table.set(fingerprint, after);
+        if (Math.max(after.crashes, before.crashes) > 1) {
+            notify(fingerprint);
         }
     };
 
@@ -246,11 +172,12 @@
     const countSurvival = (fingerprint: string) => {
         const before = find(fingerprint);
         const after = { ...before, survivals: before.survivals + 1 };
-        if (before.crashes > 0) {
-            suspects.set(fingerprint, after);
+        if (before.crashes === 0) {
+            return;
         }
+        table.update(fingerprint, after);
         if (before.crashes >= trialCrashes && isMostlySurvived(after) && !isMostlySurvived(before)) {
-            report(fingerprint);
+            notify(fingerprint);
         }
     };
 
@@ -325,17 +252,17 @@
 
     /** Fingerprints to look up; that of the caller is not computed if nothing is known of the request. */
     const getKnown = ({ request, caller }: RequestIdentity): string[] => [
-        ...(callers.has(request) ? [caller()] : []),
-        ...(suspects.has(request) ? [request] : []),
+        ...(table.hasCallers(request) ? [caller()] : []),
+        ...(table.has(request) ? [request] : []),
     ];
 
     const countCrashes = ({ request, caller }: RequestIdentity): CrashCounts => ({
-        ofCaller: callers.has(request) ? find(caller()).crashes : 0,
+        ofCaller: table.hasCallers(request) ? find(caller()).crashes : 0,
         ofAll: find(request).crashes,
     });
 
     return {
-        isEmpty: () => suspects.size === 0,
+        isEmpty: () => table.size() === 0,
         countCrashes,
         rejectedMs: identity => Math.max(0, ...getKnown(identity).map(getRejectedMs)),
         beginTrial: identity => {
@@ -360,12 +287,12 @@
         recordSurvival: identity => getKnown(identity).forEach(countSurvival),
         recordSuccess: identity => Math.max(0, ...getKnown(identity).map(clear)),
         lift: fingerprint => {
-            const names = [...suspects.keys()].filter(
-                name => name === fingerprint || getRequestFingerprint(name) === fingerprint,
-            );
-            return names.map(clear).filter(crashes => crashes > 0).length;
+            const lifted = table
+                .fingerprints()
+                .filter(name => name === fingerprint || getRequestFingerprint(name) === fingerprint);
+            return lifted.map(clear).filter(crashes => crashes > 0).length;
         },
-        rejected: () => [...suspects.keys()].filter(fingerprint => getRejectedMs(fingerprint) > 0),
+        rejected: () => table.fingerprints().filter(fingerprint => getRejectedMs(fingerprint) > 0),
         merge: report => {
             const known = find(report.fingerprint);
             const { epoch, crashes, ageMs, crashAgeMs = ageMs, servers = [], source, isShared } = report;
@@ -373,27 +300,27 @@
             const isNewer = epoch > known.epoch || (isSameEpoch && crashes > known.crashes);
             const survivals = Math.max(report.survivals ?? 0, isSameEpoch ? known.survivals : 0);
             if (isSameEpoch && crashes === known.crashes && survivals > known.survivals) {
-                suspects.set(report.fingerprint, { ...known, survivals });
+                table.update(report.fingerprint, { ...known, survivals });
             }
-            const now = clock.now();
-            const suspect = {
-                epoch,
-                crashes,
-                changedAt: now - ageMs,
-                crashedAt: now - crashAgeMs,
-                survivals,
-                servers,
-                source,
-                isShared,
-            };
-            if (isNewer && !isExpired(suspect)) {
-                set(report.fingerprint, suspect);
+            if (isNewer) {
+                const now = clock.now();
+                table.set(report.fingerprint, {
+                    epoch,
+                    crashes,
+                    changedAt: now - ageMs,
+                    crashedAt: now - crashAgeMs,
+                    survivals,
+                    servers,
+                    source,
+                    isShared,
+                });
             }
         },
         reports: () => {
-            dropExpired();
-            return [...suspects]
-                .map(([fingerprint, suspect]) => toReport(fingerprint, suspect))
+            table.dropExpired();
+            return table
+                .fingerprints()
+                .map(toReport)
                 .filter(({ crashes, ageMs }) => crashes >= trialCrashes || ageMs < freshMs)
                 .reverse();
         },
