fix(relay): an address that only times out is no closed port, and servers without connections are forgotten

Found by reading: where no health check may be sent, a connect timeout counted as a crash without the look at whether the instance reaches any server; and an examination after the removal of a server left an entry in the pool for good. How an instance looks into suspects moved from the composition root to a module with tests.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -7,15 +7,9 @@
     createCandidateHistory,
     createWindowedRetryBudget,
 } from "@waxwingdale/balancing";
-import type { BackendState, BackendTable, WindowedRetryBudget } from "@waxwingdale/balancing";
+import type { WindowedRetryBudget } from "@waxwingdale/balancing";
 import { createDocumentExchange } from "@waxwingdale/config";
-import {
-    createEventLoopMonitor,
-    createRpcClient,
-    createRpcServer,
-    rankOwners,
-    register,
-} from "@waxwingdale/core";
+import { createEventLoopMonitor, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
 import { configKey } from "@waxwingdale/platform";
 import {
@@ -29,6 +23,7 @@
 import { container } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
 import { createCrashReportExchange } from "./crash-report-exchange.js";
+import { canTakeHealthCheck, getTrialDelayMs } from "./crash-suspicion.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { tokens } from "./gateway-tokens.js";
 import type { GatewayContext, RegisterComponent } from "./gateway-tokens.js";
@@ -49,10 +44,6 @@
 /** Store prefixes that an instance watches at the same time: configuration, servers, evacuations. */
 const watchedPrefixCount = 3;
 
-/** Time in milliseconds between the instances that may try a suspected request again; a crash is known within it. */
-const trialDelayStepMs = 200;
-const maxTrialDelayMs = 2000;
-
 /** Creates the dependency container of an instance. Nothing is started yet. */
 export function composeGateway(context: GatewayContext): DependencyContainer {
     const scope = container.createChildContainer();
@@ -314,19 +305,3 @@
         });
     });
 }
-
-/** Whether a health check breaks no limit of the server, and no evacuation. */
-function canTakeHealthCheck(server: BackendState, table: BackendTable, now: number): boolean {
-    return (
-        !table.evacuatedZones().includes(server.record.zone) &&
-        (now >= server.coldUntil || server.coldLimit.hasCapacity(now)) &&
-        now >= server.health.pausedUntil() &&
-        server.rateLimit.requestsPerSecond() === undefined
-    );
-}
-
-/** Returns for how many milliseconds an instance leaves a trial to those that rank before it for the fingerprint. */
-function getTrialDelayMs(fingerprint: string, self: string, instances: readonly string[]): number {
-    const rank = rankOwners(fingerprint, instances).indexOf(self);
-    return rank < 0 ? maxTrialDelayMs : Math.min(maxTrialDelayMs, rank * trialDelayStepMs);
-}
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -27,7 +27,7 @@
     recordStale(idleMs: number): void;
     /** Closes the idle connections to a server that gets no more requests. */
     closeIdle(serverId: string): void;
-    /** Closes idle connections that can no longer be reused. */
+    /** Closes idle connections that can no longer be reused, and forgets servers without connections. */
     sweep(): void;
     connectionCount(): number;
     /** Number of bytes of response bodies that are being received or forwarded. */
@@ -78,7 +78,7 @@
 
 interface OpenEvents {
     onConnected?: () => void;
-    onClosed?: () => void;
+    onClosed?: (byServer: boolean) => void;
 }
 
 interface OpenConnection {
@@ -142,7 +142,7 @@
             },
             onClosed: isByServer => {
                 recordClosed(connections, opened, isByServer);
-                events.onClosed?.();
+                events.onClosed?.(isByServer);
             },
         });
         const opened: OpenConnection = { connection, connectedAt: undefined };
@@ -193,7 +193,7 @@
                     resolve(ProbeResult.Connected);
                     connection.destroy();
                 },
-                onClosed: () => resolve(ProbeResult.Refused),
+                onClosed: isByServer => resolve(isByServer ? ProbeResult.Refused : ProbeResult.NoResponse),
             });
         });
 
@@ -243,9 +243,13 @@
         },
         sweep: () => {
             const now = clock.now();
-            byServer.forEach(connections =>
-                destroyIdle(connections, connection => !connection.canReuse(now, maxIdleMs)),
-            );
+            byServer.forEach((connections, serverId) => {
+                destroyIdle(connections, connection => !connection.canReuse(now, maxIdleMs));
+                // A server that was examined after its removal has an entry again.
+                if (connections.all.size === 0 && now - connections.respondedAt > maxIdleMs) {
+                    byServer.delete(serverId);
+                }
+            });
         },
         connectionCount: () => [...byServer.values()].reduce((sum, { all }) => sum + all.size, 0),
         responseBytes: () => responseMemory.heldBytes(),
