fix(core): half as many small chunks of the store or a peer are read before the call fails

The time is that of the chunks, so the limit is what was too high: 524,288, which the test of half a million chunks still needs.

--- a/packages/core/src/http-client.ts
+++ b/packages/core/src/http-client.ts
@@ -63,7 +63,7 @@
 
 const maxInterimResponses = 16;
 /** Number of small chunks in which a response may come; some servers write large documents in tiny pieces. */
-const maxSmallPieces = 1_000_000;
+const maxSmallPieces = 512 * 1024;
 
 /** Creates a client with its own connection pool. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
