--- a/packages/relay/src/crash-suspects.ts
+++ b/packages/relay/src/crash-suspects.ts
@@ -187,8 +187,9 @@
         }
         const { crashes, changedAt } = find(fingerprint);
         const firstMs = isCallerFingerprint(fingerprint) ? firstRejectionMs : firstSharedRejectionMs;
-        const trialAt = changedAt + getRejectionMs(crashes, firstMs) + trialDelayMs(fingerprint);
-        return Math.max(0, trialAt - clock.now());
+        const remainingMs = changedAt + getRejectionMs(crashes, firstMs) - clock.now();
+        // The delay is worked out from all instances, so not for each request that is rejected anyway.
+        return remainingMs > 0 ? remainingMs : Math.max(0, remainingMs + trialDelayMs(fingerprint));
     };
 
     /** Counts the crash of a request on trial in advance, so that no other is sent meanwhile. */
--- a/packages/relay/test/crash-suspects.test.ts
+++ b/packages/relay/test/crash-suspects.test.ts
@@ -331,3 +331,22 @@
         }),
     );
 });
+
+// Guards against an instance that ranks all others for each of thousands of requests that it rejects.
+test("the delay of a trial is worked out only when the rejection is over", () => {
+    const clock = createManualClock();
+    let ranked = 0;
+    const suspects = createCrashSuspects(clock, () => {
+        ranked += 1;
+        return 400;
+    });
+    crash({ clock, suspects }, identify("a"), 3);
+    ranked = 0;
+    for (let count = 0; count < 1000; count++) {
+        assert.ok(suspects.rejectedMs(identify("a")) > 0);
+    }
+    assert.equal(ranked, 0);
+    clock.jump(30 * second);
+    assert.equal(suspects.rejectedMs(identify("a")), 400);
+    assert.equal(ranked, 1);
+});
