--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -50,7 +50,9 @@
         onExamined: examination => {
             const { requestId, fingerprint, serverId, loss, verdict, crashes, crashesOfAll } = examination;
             metrics.countExamination(examination);
-            logger.info("lost-server-examined", {
+            // Connections are lost for many reasons; without a suspicion, each of them is of no interest.
+            const level = crashes > 0 || crashesOfAll > 0 ? "info" : "debug";
+            logger[level]("lost-server-examined", {
                 request: requestId,
                 fingerprint,
                 server: serverId,
--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -79,10 +79,14 @@
     identify: () => RequestIdentity;
 }
 
-/** Times in milliseconds after the end of an attempt at which its server is examined. */
-const abandonedChecksMs = [250, 1500];
-/** Fraction of that time after whose end a response shows that the server lives. */
-const responseFraction = 0.6;
+/**
+ * Times in milliseconds after the end of an attempt at which its server is examined, and those from which on a response
+ * shows that it has survived.
+ */
+const abandonedChecks = [
+    { atMs: 250, survivedMs: 0 },
+    { atMs: 1500, survivedMs: 300 },
+];
 
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
     const { requestId, clock, suspects, examiner, observer } = options;
@@ -143,7 +147,7 @@
 
     const examineDelay = async (attempt: WatchedAttempt) => {
         const delayedAt = clock.now();
-        const verdict = await examiner.examineSilence(attempt, delayedAt, attempt.sentAt);
+        const verdict = await examiner.examineDelay(attempt, delayedAt);
         if (isCrash(verdict)) {
             recordVerdict(attempt, AttemptLoss.Delayed, delayedAt, verdict);
         }
@@ -151,10 +155,9 @@
 
     const examineAbandoned = async (attempt: WatchedAttempt, endedAt: number) => {
         let verdict = ServerVerdict.Unknown;
-        for (const checkMs of abandonedChecksMs) {
-            await clock.sleep(endedAt + checkMs - clock.now());
-            const since = endedAt + checkMs * responseFraction;
-            verdict = await examiner.examineSilence(attempt, endedAt, since);
+        for (const { atMs, survivedMs } of abandonedChecks) {
+            await clock.sleep(endedAt + atMs - clock.now());
+            verdict = await examiner.examineSilence(attempt, endedAt, endedAt + survivedMs);
             if (isCrash(verdict)) {
                 recordVerdict(attempt, AttemptLoss.Abandoned, endedAt, verdict);
                 return;
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -304,7 +304,6 @@
             retryIfIdempotent(giveUp);
             return;
         }
-        separateSuspect();
         crashWatch.recordLoss(attempt.watched, () => {
             if (!isDone) {
                 retryIfIdempotent(giveUp);
--- a/packages/relay/src/server-examiner.ts
+++ b/packages/relay/src/server-examiner.ts
@@ -36,6 +36,11 @@
      * `aliveSince` shows that it lives.
      */
     examineSilence(attempt: WatchedAttempt, silentAt: number, aliveSince: number): Promise<ServerVerdict>;
+    /**
+     * Examines the server of an attempt that is late at the clock time `delayedAt`, and may yet get its response. A server
+     * that has responded lately is taken to be alive, as a busy one makes many attempts late.
+     */
+    examineDelay(attempt: WatchedAttempt, delayedAt: number): Promise<ServerVerdict>;
 }
 
 export interface ServerExaminerOptions {
@@ -49,6 +54,8 @@
 const closeTogetherMs = 20;
 /** Number of connections that a server closes together when it ends; fewer may be lost for other reasons. */
 const minClosedTogether = 3;
+/** Time in milliseconds before a delay in which a response shows that the server lives. */
+const recentResponseMs = 500;
 /** Number of servers whose end is kept. */
 const maxEnds = 1000;
 /** Time in milliseconds for which the result of a probe is kept. */
@@ -135,6 +142,11 @@
         return verdict;
     };
 
+    const examineSilence = async (attempt: WatchedAttempt, silentAt: number, aliveSince: number) =>
+        pool.respondedAt(attempt.server) >= aliveSince
+            ? ServerVerdict.Alive
+            : excludeEarlierEnd(attempt, silentAt, await examine(attempt.server, aliveSince));
+
     return {
         examineLoss: async (attempt, lostAt) => {
             const { server } = attempt;
@@ -147,10 +159,9 @@
             const isRestarted = verdict === ServerVerdict.Alive && closed >= minClosedTogether;
             return excludeEarlierEnd(attempt, lostAt, isRestarted ? ServerVerdict.Restarted : verdict);
         },
-        examineSilence: async (attempt, silentAt, aliveSince) =>
-            pool.respondedAt(attempt.server) >= aliveSince
-                ? ServerVerdict.Alive
-                : excludeEarlierEnd(attempt, silentAt, await examine(attempt.server, aliveSince)),
+        examineSilence,
+        examineDelay: (attempt, delayedAt) =>
+            examineSilence(attempt, delayedAt, Math.min(attempt.sentAt, delayedAt - recentResponseMs)),
     };
 }
 
