test(relay): a canceled request's connection is told from that of a later health check

It and its neighbour now ask for the very connection that the request used, which is as strict about it: it must be closed, and the bytes must not arrive.

--- a/packages/relay/test/disconnect.test.ts
+++ b/packages/relay/test/disconnect.test.ts
@@ -339,12 +339,14 @@
     caller.write(`${head}Content-Length: ${bodyBytes}\r\n\r\n${"x".repeat(bodyBytes)}`);
     await waitUntil(() => server.connections.size === 1);
     await sleep(100);
+    // A health check later has a connection of its own.
+    const [connection] = server.connections;
     caller.destroy();
     await sleep(100);
-    server.connections.forEach(socket => socket.resume());
+    connection!.resume();
     await sleep(settleMs);
     assert.ok(received < bodyBytes, `${received} bytes arrived`);
-    assert.equal(server.connections.size, 0, "the server sees that the request was canceled");
+    assert.ok(!server.connections.has(connection!), "the server sees that the request was canceled");
 });
 
 // Guards against a server that goes on working for a caller that has left.
@@ -354,9 +356,11 @@
         const caller = await openCaller(false);
         caller.write(formatRequest(Idempotent, "a"));
         await waitUntil(() => servers[0]!.requests.length === 1);
+        const [connection] = servers[0]!.connections;
+        assert.equal(servers[0]!.connections.size, 1);
         close(caller);
         await sleep(settleMs);
-        assert.equal(servers[0]!.connections.size, 0);
+        assert.ok(!servers[0]!.connections.has(connection!));
         assert.equal(findRecord("a")?.outcome, RequestOutcome.CallerLeft);
     });
 }
