refactor(gateway): one rotation for the digests of reports, one look-up of a service by its name

Behaviour is unchanged: check:all and 237 unit tests of relay and gateway pass, and the process tests of crash reports and server reports.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -7,7 +7,7 @@
     createCandidateHistory,
     createWindowedRetryBudget,
 } from "@waxwingdale/balancing";
-import type { WindowedRetryBudget } from "@waxwingdale/balancing";
+import type { Service, WindowedRetryBudget } from "@waxwingdale/balancing";
 import { createDocumentExchange } from "@waxwingdale/config";
 import { createEventLoopMonitor, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
@@ -34,6 +34,7 @@
 import { createStoreView } from "./store-view.js";
 import { createStoreWatches } from "./store-watches.js";
 import { createTrafficDocument } from "./traffic-document.js";
+import type { TrafficDocument } from "./traffic-document.js";
 
 /** Maximum size of a request body in bytes until a configuration sets one. */
 const defaultMaxBodyBytes = 1024 * 1024;
@@ -146,7 +147,7 @@
             regionOf: zone => settings().zones[zone],
             coldRequestsPerSecond: name => {
                 const { coldFactor, coldSlack } = settings().bounds;
-                const service = config.current()?.services.find(other => other.name === name);
+                const service = findService(config, name);
                 return (service?.coldRequestsPerSecond ?? 0) * coldFactor + coldSlack;
             },
             self: settings().id,
@@ -240,10 +241,7 @@
             protocol,
             roundTripMs: server => balancer.roundTripMs(server),
             recordConnectTime: (server, connectMs) => balancer.recordConnectTime(server, connectMs),
-            healthPath: name => {
-                const services = get(tokens.config).current()?.services;
-                return services?.find(other => other.name === name)?.healthPath ?? "/";
-            },
+            healthPath: service => findService(get(tokens.config), service)?.healthPath ?? "/",
         });
     });
     add(tokens.serverExaminer, get => {
@@ -256,8 +254,7 @@
         });
     });
     add(tokens.crashSuspects, get => {
-        const { clock, logger } = get(tokens.context);
-        const { self } = get(tokens.context);
+        const { self, clock, logger } = get(tokens.context);
         const suspects = createCrashSuspects(clock, fingerprint =>
             getTrialDelayMs(fingerprint, self.id, get(tokens.topology).all()),
         );
@@ -305,3 +302,7 @@
         });
     });
 }
+
+function findService(config: TrafficDocument, name: string): Service | undefined {
+    return config.current()?.services.find(service => service.name === name);
+}
--- a/packages/gateway/src/crash-report-exchange.ts
+++ b/packages/gateway/src/crash-report-exchange.ts
@@ -7,6 +7,7 @@
 import { quarantineCrashes, trialCrashes } from "@waxwingdale/relay";
 import type { CrashReport, CrashSuspects } from "@waxwingdale/relay";
 import * as v from "valibot";
+import { createRotation } from "./rotation.js";
 
 export interface CrashReportExchange {
     /** Returns the reports for a gossip exchange, the next ones with each call. */
@@ -118,13 +119,3 @@
         handleReports,
     };
 }
-
-/** Returns a function that returns the next `count` items of a list with each call, and begins anew at its end. */
-function createRotation<T>(): (items: readonly T[], count: number) => T[] {
-    let next = 0;
-    return (items, count) => {
-        const first = next < items.length ? next : 0;
-        next = first + count;
-        return items.slice(first, next);
-    };
-}
--- a/packages/gateway/src/server-report-exchange.ts
+++ b/packages/gateway/src/server-report-exchange.ts
@@ -7,6 +7,7 @@
 import type { BackendState, BackendTable } from "@waxwingdale/balancing";
 import type { Clock, Logger } from "@waxwingdale/core";
 import * as v from "valibot";
+import { createRotation } from "./rotation.js";
 
 export interface ServerReportExchange {
     /** Returns what this instance knows of servers that are limited or leaving. */
@@ -48,8 +49,7 @@
     clock,
     logger,
 }: ServerReportExchangeOptions): ServerReportExchange {
-    /** Index of the first server in the next digest. */
-    let next = 0;
+    const takeEntries = createRotation<Entry>();
 
     const createEntry = (server: BackendState, now: number): Entry | undefined => {
         const { record, hasAnnouncedLeaving: isLeaving } = server;
@@ -77,9 +77,7 @@
                 .all()
                 .map(server => createEntry(server, now))
                 .filter(entry => entry !== undefined);
-            const first = next < entries.length ? next : 0;
-            next = first + maxEntries;
-            return entries.slice(first, next);
+            return takeEntries(entries, maxEntries);
         },
         handlePeerDigest: digest => {
             const parsed = v.safeParse(digestSchema, digest);
