--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -105,8 +105,6 @@
     let forwarded: UpstreamResponse | undefined;
     /** Whether a server may have executed the request although no response can be forwarded. */
     let mayHaveExecuted = false;
-    /** Whether an attempt was ended without a response after it had been written. */
-    let wasAbandoned = false;
     let isWritten = false;
     let lastFailure = "";
     let detail: string | undefined;
@@ -136,7 +134,7 @@
     /** The server may go on with a request that it has received, whether or not anybody waits for the response. */
     const watchAbandoned = (attempt: RunningAttempt) => {
         if (attempt.writtenAt !== undefined) {
-            wasAbandoned = true;
+            mayHaveExecuted = true;
             crashWatch.recordAbandoned(attempt.watched);
         }
     };
@@ -155,7 +153,7 @@
                 watchAbandoned(attempt);
             }
         }
-        crashWatch.end(mayHaveExecuted || forwarded !== undefined || wasAbandoned);
+        crashWatch.end(mayHaveExecuted || forwarded !== undefined);
         options.onRequest({
             requestId: info.requestId ?? "",
             route: route.name,
