--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -30,7 +30,7 @@
 import { createInstanceDirectory } from "./instance-directory.js";
 import { createInstanceTopology } from "./instance-topology.js";
 import { createServerReportExchange } from "./server-report-exchange.js";
-import { createCrashLog, logRequest } from "./request-log.js";
+import { createCrashLog, logRequest, logSkippedResponse } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
 import { createStoreWatches } from "./store-watches.js";
 import { createTrafficDocument } from "./traffic-document.js";
@@ -233,8 +233,9 @@
 
 function composeRelay(add: RegisterComponent): void {
     add(tokens.pool, get => {
-        const { clock, protocol } = get(tokens.context);
+        const { clock, protocol, logger } = get(tokens.context);
         const balancer = get(tokens.balancer);
+        const metrics = get(tokens.metrics);
         return createUpstreamPool({
             clock,
             eventLoop: get(tokens.eventLoop),
@@ -242,6 +243,7 @@
             roundTripMs: server => balancer.roundTripMs(server),
             recordConnectTime: (server, connectMs) => balancer.recordConnectTime(server, connectMs),
             healthPath: service => findService(get(tokens.config), service)?.healthPath ?? "/",
+            onSkipped: (server, skipped) => logSkippedResponse(logger, metrics, server, skipped),
         });
     });
     add(tokens.serverExaminer, get => {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -3,7 +3,7 @@
  * Route names are not used as labels, since configurations add and rename routes.
  */
 import { addGauge } from "@waxwingdale/core";
-import type { LossExamination, RequestRecord } from "@waxwingdale/relay";
+import type { LossExamination, RequestRecord, SkippedResponse } from "@waxwingdale/relay";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Upper bounds of the latency buckets in seconds. */
@@ -14,6 +14,7 @@
     observe(record: RequestRecord): void;
     countLookup(): void;
     countExamination(examination: LossExamination): void;
+    countSkipped(service: string, skipped: SkippedResponse): void;
     /** Adds a gauge whose value is read at collection time. */
     addGauge(name: string, help: string, read: () => number): void;
     /** Adds a gauge for the view age of each store prefix; `read` returns the ages in milliseconds. */
@@ -66,6 +67,12 @@
         labelNames: ["loss", "verdict"],
         registers: [registry],
     });
+    const skippedResponses = new Counter({
+        name: "waxwingdale_gateway_skipped_responses_total",
+        help: "Responses of backend servers that are not those to the request in flight, by service and reason",
+        labelNames: ["service", "reason"],
+        registers: [registry],
+    });
     return {
         registry,
         observe: ({
@@ -89,6 +96,7 @@
             }
         },
         countLookup: () => lookups.inc(),
+        countSkipped: (service, { mismatch }) => skippedResponses.inc({ service, reason: mismatch }),
         countExamination: ({ loss, verdict }) => examinations.inc({ loss, verdict }),
         addGauge: (name, help, read) => addGauge(registry, name, help, read),
         addViewAges: read => {
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -1,7 +1,8 @@
 /** Logs one line per request, with everything that determined its outcome. */
+import type { BackendState } from "@waxwingdale/balancing";
 import type { Logger } from "@waxwingdale/core";
 import { RequestOutcome } from "@waxwingdale/relay";
-import type { CrashObserver, RequestRecord } from "@waxwingdale/relay";
+import type { CrashObserver, RequestRecord, SkippedResponse } from "@waxwingdale/relay";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 
 /** Logs a request. Requests that were not answered use separate events, each with its own rate limit. */
@@ -66,3 +67,22 @@
             logger.info("suspicion-cleared", { request: requestId, fingerprint, crashes }),
     };
 }
+
+/** Logs and counts a response that was not taken for that to the request in flight on its connection. */
+export function logSkippedResponse(
+    logger: Logger,
+    metrics: GatewayMetrics,
+    { record }: BackendState,
+    skipped: SkippedResponse,
+): void {
+    metrics.countSkipped(record.service, skipped);
+    logger.warn("response-skipped", {
+        request: skipped.requestId,
+        response: skipped.responseId,
+        server: record.id,
+        service: record.service,
+        reason: skipped.mismatch,
+        status: skipped.status,
+        isReused: skipped.isReused,
+    });
+}
--- a/packages/gateway/test/gateway-metrics.test.ts
+++ b/packages/gateway/test/gateway-metrics.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { RequestKind } from "@waxwingdale/balancing";
-import { RequestOutcome } from "@waxwingdale/relay";
+import { RequestOutcome, ResponseMismatch } from "@waxwingdale/relay";
 import type { RequestRecord } from "@waxwingdale/relay";
 import { createGatewayMetrics } from "../src/gateway-metrics.js";
 
@@ -64,3 +64,16 @@
     assert.match(text, /attempts_total\{service="files",zone="n-a",result="cut"\} 1/);
     assert.match(text, /requests_total\{kind="idempotent",service="files",outcome="failed",status="502"\} 1/);
 });
+
+test("counts skipped responses by service and reason", async () => {
+    const metrics = createGatewayMetrics();
+    metrics.countSkipped("files", {
+        mismatch: ResponseMismatch.NoId,
+        requestId: "a",
+        responseId: undefined,
+        status: 500,
+        isReused: true,
+    });
+    const text = await metrics.registry.metrics();
+    assert.match(text, /skipped_responses_total\{service="files",reason="no-id"\} 1/);
+});
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./crash-suspects.js";
 export * from "./crash-watch.js";
 export * from "./request-identity.js";
+export * from "./response-matcher.js";
 export * from "./response-parser.js";
 export * from "./server-examiner.js";
 
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -5,6 +5,8 @@
 import type { BodyHold, BodyMemory } from "./body-memory.js";
 import type { ResponseHead } from "./head-reader.js";
 import { InvalidResponseError } from "./invalid-response-error.js";
+import { ResponseMismatch, createResponseMatcher } from "./response-matcher.js";
+import type { SkippedResponse } from "./response-matcher.js";
 import { createResponseParser } from "./response-parser.js";
 import type { ResponseInfo, WireProtocol } from "./wire-protocol.js";
 
@@ -80,6 +82,8 @@
     onIdle(): void;
     /** Called when a complete response has arrived. */
     onResponded(): void;
+    /** Called for a response that is not that to the request in flight, and for bytes on an idle connection. */
+    onSkipped(skipped: SkippedResponse): void;
     /** Called once when the connection is closed. `byServer` tells whether the server, or the network, has closed it. */
     onClosed(byServer: boolean): void;
 }
@@ -105,8 +109,6 @@
     events: ExchangeEvents;
     sentAt: number;
     isWritten: boolean;
-    /** Whether it is the first one on its connection. */
-    isFirst: boolean;
     head?: ResponseHead;
     info?: ResponseInfo;
     firstByteAt?: number;
@@ -133,8 +135,8 @@
         noDelay: true,
         allowHalfOpen: true,
     });
+    const matcher = createResponseMatcher();
     let exchange: Exchange | undefined;
-    let exchanges = 0;
     let isConnected = false;
     let isClosed = false;
     /** Whether the connection must not be reused, since a response on it was skipped. */
@@ -231,18 +233,29 @@
         }
     };
 
+    const reportSkipped = (mismatch: ResponseMismatch, head?: ResponseHead, info?: ResponseInfo) =>
+        options.onSkipped({
+            mismatch,
+            requestId: exchange?.req.requestId,
+            responseId: info?.requestId,
+            status: head?.status,
+            isReused: matcher.isReused(),
+        });
+
     const parser = createResponseParser({
         onHead: head => {
             countHead();
-            const info = protocol.readResponse(head.status, head.headers);
-            const isExpected =
-                exchange !== undefined &&
-                !exchange.isComplete &&
-                isResponseTo(exchange.req, info, exchange.isFirst);
-            isDiscarding = !isExpected || head.status < 200;
+            isDiscarding = head.status < 200;
             if (isDiscarding) {
+                return true;
+            }
+            const info = protocol.readResponse(head.status, head.headers);
+            const mismatch = exchange!.isComplete ? ResponseMismatch.Surplus : matcher.findMismatch(info);
+            if (mismatch !== undefined) {
+                isDiscarding = true;
                 // Later responses on the connection may be out of order, too.
-                mustClose ||= head.status >= 200;
+                mustClose = true;
+                reportSkipped(mismatch, head, info);
                 return true;
             }
             exchange!.head = head;
@@ -279,6 +292,7 @@
             return;
         }
         if (!exchange?.isWritten) {
+            reportSkipped(ResponseMismatch.Unsolicited);
             close(ExchangeFailure.Malformed, "unsolicited data on an idle connection");
             return;
         }
@@ -332,7 +346,6 @@
                 events,
                 sentAt: clock.now(),
                 isWritten: false,
-                isFirst: exchanges === 0,
                 body: createByteCollector(),
                 memory: options.responseMemory.open(() =>
                     close(ExchangeFailure.TooLarge, "the response body had to make room for others"),
@@ -341,7 +354,7 @@
                 heads: 0,
                 isComplete: false,
             };
-            exchanges += 1;
+            matcher.addRequest(req.requestId);
             if (isConnected) {
                 write(exchange);
             }
@@ -369,17 +382,6 @@
     return receivedBytes - 2 * body.byteLength;
 }
 
-/**
- * Whether a response belongs to the request. One without an id is accepted for the first request of a connection only,
- * if the request has none either or was not executed: later it may be a copy of an earlier response.
- */
-function isResponseTo(req: UpstreamRequest, info: ResponseInfo, isFirst: boolean): boolean {
-    if (info.requestId !== undefined) {
-        return info.requestId === req.requestId;
-    }
-    return isFirst && (req.requestId === undefined || info.isNotRun || info.isMisdirected);
-}
-
 /** Parses the timeout of a `Keep-Alive` header such as "timeout=5, max=100", in milliseconds. */
 function parseKeepAliveMs(header: string | undefined): number | undefined {
     const match = header === undefined ? undefined : (/timeout=(\d+)/i.exec(header) ?? undefined);
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -5,6 +5,7 @@
 import { createIdleLimit } from "./idle-limit.js";
 import { ExchangeFailure, connectTimeoutDetail, openUpstreamConnection } from "./upstream-connection.js";
 import type { UpstreamConnection } from "./upstream-connection.js";
+import type { SkippedResponse } from "./response-matcher.js";
 import type { ResponseInfo, WireProtocol } from "./wire-protocol.js";
 
 export interface UpstreamPool {
@@ -62,6 +63,8 @@
     recordConnectTime: (server: BackendState, connectMs: number) => void;
     /** Path of the health check of a service. */
     healthPath: (service: string) => string;
+    /** Called for a response that is not that to the request in flight, and for bytes on an idle connection. */
+    onSkipped: (server: BackendState, skipped: SkippedResponse) => void;
 }
 
 /** Added to two round trips for the connect timeout, to allow for the accept queue of a busy server. */
@@ -140,6 +143,7 @@
             onResponded: () => {
                 connections.respondedAt = clock.now();
             },
+            onSkipped: skipped => options.onSkipped(server, skipped),
             onClosed: isByServer => {
                 recordClosed(connections, opened, isByServer);
                 events.onClosed?.(isByServer);
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -30,6 +30,7 @@
     RequestInfo,
     RequestRecord,
     ResponseInfo,
+    SkippedResponse,
 } from "@waxwingdale/relay";
 
 /** Protocol with short header names. */
@@ -148,6 +149,7 @@
     records: RequestRecord[];
     examinations: LossExamination[];
     cleared: ClearedSuspicion[];
+    skipped: SkippedResponse[];
     /** Number of requests in progress. */
     active(): number;
     /** Number of connections to backend servers, including those that are being opened. */
@@ -231,6 +233,7 @@
         instances: () => 1,
         startedAt: -Infinity,
     });
+    const skipped: SkippedResponse[] = [];
     const eventLoop = createEventLoopMonitor(clock, tickIntervalMs);
     const tickTimer = setInterval(() => eventLoop.tick(), tickIntervalMs);
     const pool = createUpstreamPool({
@@ -240,6 +243,7 @@
         roundTripMs: () => 1,
         recordConnectTime: () => undefined,
         healthPath: () => healthPath,
+        onSkipped: (_server, response) => skipped.push(response),
     });
     const crashSuspects = createCrashSuspects(clock);
     const routes = [RequestKind.Idempotent, RequestKind.NonIdempotent].map(createTestRoute);
@@ -282,6 +286,7 @@
         records,
         examinations,
         cleared,
+        skipped,
         active: () => relay.active(),
         connectionCount: () => pool.connectionCount(),
         openGate: () => startupGate.open(),
