--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -415,7 +415,7 @@
         const { server } = placement;
         const { connection, idleMs } = pool.acquire(server, {
             isIdempotent,
-            hasId: info.requestId !== undefined,
+            requestId: info.requestId,
         });
         const attempt: RunningAttempt = {
             placement,
--- a/packages/relay/src/head-reader.ts
+++ b/packages/relay/src/head-reader.ts
@@ -9,6 +9,8 @@
     version: string;
     status: number;
     headers: ReadonlyMap<string, string>;
+    /** Names of headers that were received several times with different values, in lower case. */
+    contradictory: ReadonlySet<string>;
     /** Alternating names and values, as received. */
     rawHeaders: readonly string[];
     /** Whether the connection can be reused after this response. */
@@ -188,16 +190,22 @@
 function createHead(info: HeadersInfo): ResponseHead {
     const { headers: rawHeaders } = info;
     const headers = new Map<string, string>();
+    const contradictory = new Set<string>();
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]!;
         const value = rawHeaders[index + 1]!;
         checkHeader(name, value);
-        headers.set(name.toLowerCase(), value);
+        const key = name.toLowerCase();
+        if ((headers.get(key) ?? value) !== value) {
+            contradictory.add(key);
+        }
+        headers.set(key, value);
     }
     return {
         version: `${info.versionMajor}.${info.versionMinor}`,
         status: info.statusCode,
         headers,
+        contradictory,
         rawHeaders,
         keepsAlive: info.shouldKeepAlive,
     };
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -5,7 +5,7 @@
 import type { BodyHold, BodyMemory } from "./body-memory.js";
 import type { ResponseHead } from "./head-reader.js";
 import { InvalidResponseError } from "./invalid-response-error.js";
-import { ResponseMismatch, createResponseMatcher } from "./response-matcher.js";
+import { ResponseMismatch, createResponseMatcher, isResponseLost } from "./response-matcher.js";
 import type { SkippedResponse } from "./response-matcher.js";
 import { createResponseParser } from "./response-parser.js";
 import type { ResponseInfo, WireProtocol } from "./wire-protocol.js";
@@ -65,6 +65,8 @@
     destroy(): void;
     /** Whether another request can be sent on the connection. */
     canReuse(now: number, maxIdleMs: number): boolean;
+    /** Whether a request with this id was sent on the connection lately. */
+    hasSent(requestId: string): boolean;
     /** Milliseconds since the last response, or since the connection was opened. */
     idleMs(now: number): number;
 }
@@ -249,13 +251,20 @@
             if (isDiscarding) {
                 return true;
             }
-            const info = protocol.readResponse(head.status, head.headers);
-            const mismatch = exchange!.isComplete ? ResponseMismatch.Surplus : matcher.findMismatch(info);
+            const info = protocol.readResponse(head.status, head.headers, head.contradictory);
+            const mismatch = exchange!.isComplete
+                ? ResponseMismatch.Surplus
+                : matcher.findMismatch(head, info);
             if (mismatch !== undefined) {
                 isDiscarding = true;
                 // Later responses on the connection may be out of order, too.
                 mustClose = true;
                 reportSkipped(mismatch, head, info);
+                if (isResponseLost(mismatch)) {
+                    throw new InvalidResponseError(
+                        `a response with status ${head.status} and ${describeId(mismatch)}`,
+                    );
+                }
                 return true;
             }
             exchange!.head = head;
@@ -367,6 +376,7 @@
         },
         canReuse: (now, maxIdleMs) =>
             !isClosed && !mustClose && now - idleSince < Math.min(maxIdleMs, keepAliveMs - keepAliveMarginMs),
+        hasSent: requestId => matcher.hasSent(requestId),
         idleMs: now => now - idleSince,
     };
 }
@@ -382,6 +392,10 @@
     return receivedBytes - 2 * body.byteLength;
 }
 
+function describeId(mismatch: ResponseMismatch): string {
+    return mismatch === ResponseMismatch.SeveralIds ? "several request ids" : "no request id";
+}
+
 /** Parses the timeout of a `Keep-Alive` header such as "timeout=5, max=100", in milliseconds. */
 function parseKeepAliveMs(header: string | undefined): number | undefined {
     const match = header === undefined ? undefined : (/timeout=(\d+)/i.exec(header) ?? undefined);
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -10,10 +10,13 @@
 
 export interface UpstreamPool {
     /**
-     * Returns an idle connection that is still fresh enough for the request, or opens a new one. A request without an id
-     * needs a new one, since its response could not be told from others.
+     * Returns an idle connection that is still fresh enough for the request, or opens a new one. A request without an id, or
+     * whose id the connection has carried before, needs another one, since its response could not be told from others.
      */
-    acquire(server: BackendState, req: { isIdempotent: boolean; hasId: boolean }): AcquiredConnection;
+    acquire(
+        server: BackendState,
+        req: { isIdempotent: boolean; requestId: string | undefined },
+    ): AcquiredConnection;
     /** Opens a connection to the server, and sends a health check on it if `checksHealth` is set. */
     probe(server: BackendState, checksHealth: boolean): Promise<ProbeResult>;
     /** Returns the clock time of the last complete response of the server; -Infinity if there was none. */
@@ -221,21 +224,23 @@
             ),
         countLost: ({ record }, from, until) =>
             (byServer.get(record.id)?.lostAt ?? []).filter(at => at >= from && at <= until).length,
-        acquire: (server, { isIdempotent, hasId }) => {
-            if (!hasId) {
+        acquire: (server, { isIdempotent, requestId }) => {
+            if (requestId === undefined) {
                 return { connection: open(server), idleMs: undefined };
             }
+            const connections = getConnections(server);
             const limitMs = idleLimit.limitMs(isIdempotent);
-            const { idle } = getConnections(server);
             const now = clock.now();
             // The most recently used connection is the least likely to have been closed by the server.
-            for (let connection = idle.pop(); connection !== undefined; connection = idle.pop()) {
-                if (connection.canReuse(now, limitMs)) {
-                    return { connection, idleMs: connection.idleMs(now) };
-                }
-                connection.destroy();
+            const connection = connections.idle.findLast(
+                candidate => candidate.canReuse(now, limitMs) && !candidate.hasSent(requestId),
+            );
+            if (connection === undefined) {
+                destroyIdle(connections, candidate => !candidate.canReuse(now, limitMs));
+                return { connection: open(server), idleMs: undefined };
             }
-            return { connection: open(server), idleMs: undefined };
+            remove(connections.idle, connection);
+            return { connection, idleMs: connection.idleMs(now) };
         },
         recordStale: idleMs => idleLimit.recordStale(idleMs),
         closeIdle: serverId => {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -51,9 +51,14 @@
         return `X-Deadline: ${deadlineMs}\r\nX-Server: ${serverId}\r\n`;
     }
 
-    override readResponse(status: number, headers: ReadonlyMap<string, string>): ResponseInfo {
+    override readResponse(
+        status: number,
+        headers: ReadonlyMap<string, string>,
+        contradictory: ReadonlySet<string> = new Set(),
+    ): ResponseInfo {
         return {
-            requestId: headers.get("x-id"),
+            requestId: headers.get("x-id") || undefined,
+            hasSeveralIds: contradictory.has("x-id"),
             serverId: headers.get("x-server"),
             isNotRun: headers.has("x-not-run"),
             isMisdirected: status === 421,
