--- a/packages/cli/src/log-explanation.ts
+++ b/packages/cli/src/log-explanation.ts
@@ -20,6 +20,8 @@
     config: LogLine | undefined;
     /** Lines about dependencies that were unavailable at that time. */
     lost: LogLine[];
+    /** Lines about responses on its connections that were not taken for its own. */
+    skipped: LogLine[];
     /** The last line before the request about each server that it was sent to. */
     servers: LogLine[];
     /** Number of other requests of the instance that ended with the same event within a second before or after. */
@@ -55,6 +57,7 @@
 
 /** Requests with the same event count as alike within this time of each other, in milliseconds. */
 const alikeWindowMs = 1000;
+const skippedEvent = "response-skipped";
 /** Events that change the state of an instance; the lines of all events would not fit into memory. */
 const stateEvents = /^(server-|document-|dependency-|zone-|store-|member-|started|stopping|view-from-peer)/;
 
@@ -65,6 +68,7 @@
 ): Promise<RequestExplanation[]> {
     const requests: LogLine[] = [];
     const stateLines: LogLine[] = [];
+    const skipped: LogLine[] = [];
     /** Times at which requests ended, by instance and event. */
     const endTimes = new Map<string, number[]>();
     for await (const text of lines) {
@@ -74,6 +78,8 @@
         }
         if (stateEvents.test(line.event)) {
             stateLines.push(line);
+        } else if (line.event === skippedEvent && line.fields.request === requestId) {
+            skipped.push(line);
         } else if (line.event in eventMeanings) {
             const key = `${line.instance} ${line.event}`;
             const times = endTimes.get(key) ?? [];
@@ -85,7 +91,10 @@
         }
     }
     stateLines.sort((a, b) => a.at - b.at);
-    return requests.map(request => explain(request, stateLines, endTimes));
+    return requests.map(request => ({
+        ...explain(request, stateLines, endTimes),
+        skipped: skipped.filter(({ instance }) => instance === request.instance),
+    }));
 }
 
 /** Parses a log line of a gateway; text before the field `time`, such as a log collector's prefix, is skipped. */
@@ -103,7 +112,7 @@
     request: LogLine,
     stateLines: readonly LogLine[],
     endTimes: ReadonlyMap<string, number[]>,
-): RequestExplanation {
+): Omit<RequestExplanation, "skipped"> {
     const before = sinceProcessStart(
         stateLines.filter(({ instance, at }) => instance === request.instance && at <= request.at),
     );
@@ -167,7 +176,7 @@
 
 /** Formats an explanation as text. */
 export function formatExplanation(explanation: RequestExplanation): string {
-    const { request, cause, config, lost, servers, alike } = explanation;
+    const { request, cause, config, lost, skipped, servers, alike } = explanation;
     const attempts = parseAttempts(request);
     return [
         `${request.fields.request} at ${request.instance}, ${request.fields.time}`,
@@ -177,6 +186,7 @@
         ...attempts.map(
             ({ server, result, meaning }, i) => `Attempt ${i + 1}: ${server}: ${meaning} (${result})`,
         ),
+        ...skipped.map(line => `Skipped response: ${line.text}`),
         ...lost.map(line => `Unavailable at that time: ${line.text}`),
         ...(config === undefined ? [] : [`Configuration: ${config.text}`]),
         ...servers.map(line => `Server: ${line.text}`),
--- a/packages/cli/test/commands.test.ts
+++ b/packages/cli/test/commands.test.ts
@@ -221,6 +221,8 @@
     'time=2026-05-01T12:00:01.000Z level=warn event=dependency-lost instance=g-1 dependency=store prefix=servers/ silentMs=2000 error="no answer"',
     "time=2026-05-01T12:00:01.500Z level=info event=dependency-regained instance=g-1 dependency=store prefix=servers/ awayMs=500",
     "time=2026-05-01T12:00:01.700Z level=info event=server-added instance=g-1 server=i-1 zone=n-a",
+    "time=2026-05-01T12:00:01.900Z level=warn event=response-skipped instance=g-1 request=aa response=zz server=i-1 service=files reason=earlier-request status=500 isReused=true",
+    "time=2026-05-01T12:00:01.900Z level=warn event=response-skipped instance=g-2 request=aa server=i-2 service=files reason=no-id status=500 isReused=true",
     'time=2026-05-01T12:00:02.000Z level=warn event=request-refused instance=g-1 request=aa route=r-1 service=files object=7 status=503 reason="the backend server had no room" config=4 waitedMs=20 tookMs=31 deadlineMs=900 attempts="i-1,not-run 503,expected=80,took=9"',
     'time=2026-05-01T12:00:02.200Z level=warn event=request-refused instance=g-1 request=bb route=r-1 service=files status=503 reason=overloaded config=4 waitedMs=90 tookMs=90 deadlineMs=900 attempts=""',
     "time=2026-05-01T12:00:03.000Z level=info event=document-applied instance=g-1 document=traffic order=5 source=peer",
@@ -239,6 +241,8 @@
     assert.match(fake.state.out, /with the same event within a second: 1\./);
     assert.match(fake.state.out, /Unavailable at that time: .*prefix=config\//);
     assert.doesNotMatch(fake.state.out, /Unavailable at that time: .*prefix=servers\//);
+    assert.match(fake.state.out, /Skipped response: .*response=zz .*reason=earlier-request status=500/);
+    assert.doesNotMatch(fake.state.out, /reason=no-id/);
     assert.match(fake.state.out, /Configuration: .*order=4/);
     assert.match(fake.state.out, /Server: .*event=server-added/);
     assert.doesNotMatch(fake.state.out, /former-process/);
