--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -78,7 +78,7 @@
     metrics.countSkipped(record.service, skipped);
     logger.warn("response-skipped", {
         request: skipped.requestId,
-        response: skipped.responseId,
+        response: skipped.responseIds.join() || undefined,
         server: record.id,
         service: record.service,
         reason: skipped.mismatch,
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -409,6 +409,16 @@
         });
     };
 
+    /** Hedges at once, as the response may have gone to another request, unless it comes with the same bytes. */
+    const onMisnamed = (attempt: RunningAttempt) => {
+        delayTimer.cancel();
+        delayTimer = clock.setTimer(0, () => {
+            if (running.has(attempt)) {
+                hedge(attempt.placement);
+            }
+        });
+    };
+
     const send = (placement: Placement) => {
         const now = clock.now();
         balancer.start(routed, placement);
@@ -445,6 +455,7 @@
                     attempt.wasCallerPaused = req.socket.isPaused();
                 },
                 onResponse: response => onResponse(attempt, response),
+                onMisnamed: () => onMisnamed(attempt),
                 onFailure: (...failure) => onFailure(attempt, ...failure),
             },
         );
--- a/packages/relay/src/head-reader.ts
+++ b/packages/relay/src/head-reader.ts
@@ -9,8 +9,8 @@
     version: string;
     status: number;
     headers: ReadonlyMap<string, string>;
-    /** Names of headers that were received several times with different values, in lower case. */
-    contradictory: ReadonlySet<string>;
+    /** Values of the headers that were received with different ones, by their names in lower case. */
+    contradictory: ReadonlyMap<string, readonly string[]>;
     /** Alternating names and values, as received. */
     rawHeaders: readonly string[];
     /** Whether the connection can be reused after this response. */
@@ -190,14 +190,15 @@
 function createHead(info: HeadersInfo): ResponseHead {
     const { headers: rawHeaders } = info;
     const headers = new Map<string, string>();
-    const contradictory = new Set<string>();
+    const contradictory = new Map<string, readonly string[]>();
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]!;
         const value = rawHeaders[index + 1]!;
         checkHeader(name, value);
         const key = name.toLowerCase();
-        if ((headers.get(key) ?? value) !== value) {
-            contradictory.add(key);
+        const before = headers.get(key) ?? value;
+        if (before !== value) {
+            contradictory.set(key, [...(contradictory.get(key) ?? [before]), value]);
         }
         headers.set(key, value);
     }
--- a/packages/relay/src/response-matcher.ts
+++ b/packages/relay/src/response-matcher.ts
@@ -1,5 +1,4 @@
 /** Tells whether a response on a connection to a backend server is that to the request in flight. */
-import type { ResponseHead } from "./head-reader.js";
 import type { ResponseInfo } from "./wire-protocol.js";
 
 /** Why a response, or other bytes, are not taken for the response to the request in flight. */
@@ -8,11 +7,9 @@
     EarlierRequest = "earlier-request",
     /** It names a request that was not sent on the connection. */
     OtherRequest = "other-request",
-    /** It names no request, and repeats the rejection of the request before. */
-    RepeatedRejection = "repeated-rejection",
     /** It names no request. */
     NoId = "no-id",
-    /** It names several requests. */
+    /** It names the request in flight and others, or several that were not sent on the connection. */
     SeveralIds = "several-ids",
     /** It comes behind the response to the request. */
     Surplus = "surplus",
@@ -23,10 +20,10 @@
 /** A response that was not taken for that to the request in flight. */
 export interface SkippedResponse {
     mismatch: ResponseMismatch;
-    /** Id of the request in flight; undefined if there was none, or if it has none. */
+    /** Id of the last request on the connection; undefined if it has none. */
     requestId: string | undefined;
-    /** Id that the response names. */
-    responseId: string | undefined;
+    /** Ids that the response names. */
+    responseIds: readonly string[];
     /** Undefined for bytes that were not read as a response. */
     status: number | undefined;
     /** Whether an earlier request was sent on the connection. */
@@ -35,14 +32,18 @@
 
 /** Follows the requests on one connection. */
 export interface ResponseMatcher {
-    /** Must be called for each request before its response is read. */
+    /** Must be called when a request is written. */
     addRequest(requestId: string | undefined): void;
+    /** Id of the last request. */
+    requestId(): string | undefined;
     /** Whether an earlier request was sent on the connection. */
     isReused(): boolean;
-    /** Whether the request, or another one with its id, was sent on the connection lately. */
+    /** Whether a request with this id was sent on the connection lately. */
     hasSent(requestId: string): boolean;
     /** Returns undefined if the response is that to the last request. */
-    findMismatch(head: ResponseHead, info: ResponseInfo): ResponseMismatch | undefined;
+    findMismatch(info: ResponseInfo): ResponseMismatch | undefined;
+    /** Whether the ids of the last request and of its response tell later responses from it. */
+    isIdentified(info: ResponseInfo): boolean;
 }
 
 /** Number of ids of earlier requests that a connection keeps. */
@@ -50,7 +51,7 @@
 
 /**
  * Whether the response to the request in flight is lost. A response that cannot be told from it was very likely the one, and
- * a later one would be the server's second word.
+ * the server may send another one.
  */
 export function isResponseLost(mismatch: ResponseMismatch): boolean {
     return mismatch === ResponseMismatch.NoId || mismatch === ResponseMismatch.SeveralIds;
@@ -60,34 +61,21 @@
     const earlierIds: string[] = [];
     let requests = 0;
     let current: string | undefined;
-    /** Identifies the last rejection; undefined if the response before was none. */
-    let lastRejection: string | undefined;
 
     const isReused = () => requests > 1;
 
-    /** Without an id, a response belongs to the only request of a connection, if that has no id or was not executed. */
-    const findMismatchWithoutId = (head: ResponseHead, { isNotRun, isMisdirected }: ResponseInfo) => {
-        if (!isReused() && (current === undefined || isNotRun || isMisdirected)) {
-            return undefined;
-        }
-        const isRepeated = isNotRun && describeRejection(head) === lastRejection;
-        return isRepeated ? ResponseMismatch.RepeatedRejection : ResponseMismatch.NoId;
-    };
+    /** Without an id, a response belongs to the only request of a connection if that was not executed. */
+    const findMismatchWithoutId = ({ isNotRun, isMisdirected }: ResponseInfo) =>
+        !isReused() && (isNotRun || isMisdirected) ? undefined : ResponseMismatch.NoId;
 
-    const findMismatch = (head: ResponseHead, info: ResponseInfo): ResponseMismatch | undefined => {
-        const { requestId } = info;
-        if (info.hasSeveralIds) {
-            return ResponseMismatch.SeveralIds;
-        }
-        if (requestId === undefined) {
-            return findMismatchWithoutId(head, info);
+    const findMismatchOfIds = (ids: readonly string[]): ResponseMismatch | undefined => {
+        if (ids.includes(current!)) {
+            return ids.length === 1 ? undefined : ResponseMismatch.SeveralIds;
         }
-        if (requestId === current) {
-            return undefined;
+        if (ids.some(id => earlierIds.includes(id))) {
+            return ResponseMismatch.EarlierRequest;
         }
-        return earlierIds.includes(requestId)
-            ? ResponseMismatch.EarlierRequest
-            : ResponseMismatch.OtherRequest;
+        return ids.length === 1 ? ResponseMismatch.OtherRequest : ResponseMismatch.SeveralIds;
     };
 
     return {
@@ -99,18 +87,17 @@
             requests += 1;
             current = requestId;
         },
+        requestId: () => current,
         isReused,
         hasSent: requestId => requestId === current || earlierIds.includes(requestId),
-        findMismatch: (head, info) => {
-            const mismatch = findMismatch(head, info);
-            if (mismatch === undefined) {
-                lastRejection = info.isNotRun ? describeRejection(head) : undefined;
+        findMismatch: info => {
+            if (current === undefined) {
+                return isReused() ? ResponseMismatch.NoId : undefined;
             }
-            return mismatch;
+            return info.requestIds.length === 0
+                ? findMismatchWithoutId(info)
+                : findMismatchOfIds(info.requestIds);
         },
+        isIdentified: ({ requestIds }) => current !== undefined && requestIds.length > 0,
     };
 }
-
-function describeRejection({ status, headers }: ResponseHead): string {
-    return `${status} ${headers.get("content-length") ?? ""}`;
-}
--- a/packages/relay/src/response-verdict.ts
+++ b/packages/relay/src/response-verdict.ts
@@ -14,14 +14,15 @@
 const notExecutedStatuses = new Set([503, 429, 408, 421]);
 
 export function judgeResponse({ head, info }: UpstreamResponse): ResponseVerdict {
-    if (info.isNotRun || info.isMisdirected) {
+    if (info.isMisdirected || (info.isNotRun && head.status >= 400)) {
         return ResponseVerdict.NotExecuted;
     }
-    const isFailure = head.status >= 500 || notExecutedStatuses.has(head.status);
+    // A success that states that the request was not executed contradicts itself.
+    const isFailure = info.isNotRun || head.status >= 500 || notExecutedStatuses.has(head.status);
     return isFailure || !info.isSigned ? ResponseVerdict.Failure : ResponseVerdict.Success;
 }
 
 /** Whether a failed response may be forwarded: it must not tell the caller what the server did not state. */
 export function canForwardFailure({ head, info }: UpstreamResponse): boolean {
-    return info.isSigned && !notExecutedStatuses.has(head.status);
+    return info.isSigned && !info.isNotRun && !notExecutedStatuses.has(head.status);
 }
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -41,6 +41,8 @@
     /** Called when the request is written to the connection. */
     onWritten(): void;
     onResponse(response: UpstreamResponse): void;
+    /** Called when the server has named a request that was not sent on the connection; the exchange goes on. */
+    onMisnamed(): void;
     /** `hasReceived` tells whether any bytes have arrived since the request was written. */
     onFailure(failure: ExchangeFailure, detail: string, hasReceived: boolean): void;
 }
@@ -126,6 +128,7 @@
 const noEvents: ExchangeEvents = {
     onWritten: () => undefined,
     onResponse: () => undefined,
+    onMisnamed: () => undefined,
     onFailure: () => undefined,
 };
 
@@ -180,6 +183,7 @@
         const { req, events } = current;
         current.sentAt = clock.now();
         current.isWritten = true;
+        matcher.addRequest(req.requestId);
         events.onWritten();
         const head = req.formatHead(Math.max(1, Math.floor(req.deadlineAt - current.sentAt)));
         if (req.body === undefined) {
@@ -218,7 +222,7 @@
             firstByteMs: current.firstByteAt! - current.sentAt,
         };
         options.onResponded();
-        if (isReusable && !mustClose && head!.keepsAlive) {
+        if (isReusable && !mustClose && head!.keepsAlive && matcher.isIdentified(info!)) {
             options.onIdle();
         } else {
             close(ExchangeFailure.ConnectionLost, "connection not reusable");
@@ -238,8 +242,8 @@
     const reportSkipped = (mismatch: ResponseMismatch, head?: ResponseHead, info?: ResponseInfo) =>
         options.onSkipped({
             mismatch,
-            requestId: exchange?.req.requestId,
-            responseId: info?.requestId,
+            requestId: matcher.requestId(),
+            responseIds: info?.requestIds ?? [],
             status: head?.status,
             isReused: matcher.isReused(),
         });
@@ -252,14 +256,15 @@
                 return true;
             }
             const info = protocol.readResponse(head.status, head.headers, head.contradictory);
-            const mismatch = exchange!.isComplete
-                ? ResponseMismatch.Surplus
-                : matcher.findMismatch(head, info);
+            const mismatch = exchange!.isComplete ? ResponseMismatch.Surplus : matcher.findMismatch(info);
             if (mismatch !== undefined) {
                 isDiscarding = true;
                 // Later responses on the connection may be out of order, too.
                 mustClose = true;
                 reportSkipped(mismatch, head, info);
+                if (mismatch === ResponseMismatch.OtherRequest) {
+                    exchange!.events.onMisnamed();
+                }
                 if (isResponseLost(mismatch)) {
                     throw new InvalidResponseError(
                         `a response with status ${head.status} and ${describeId(mismatch)}`,
@@ -363,7 +368,6 @@
                 heads: 0,
                 isComplete: false,
             };
-            matcher.addRequest(req.requestId);
             if (isConnected) {
                 write(exchange);
             }
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -184,6 +184,7 @@
                 },
                 {
                     onWritten: () => undefined,
+                    onMisnamed: () => undefined,
                     onResponse: response => {
                         response.memory.release();
                         end(isFrom(server, response.info) ? ProbeResult.Responded : ProbeResult.Replaced);
@@ -236,7 +237,8 @@
                 candidate => candidate.canReuse(now, limitMs) && !candidate.hasSent(requestId),
             );
             if (connection === undefined) {
-                destroyIdle(connections, candidate => !candidate.canReuse(now, limitMs));
+                // A caller that repeats an id must not keep a connection open for each of its requests.
+                destroyIdle(connections, () => true);
                 return { connection: open(server), idleMs: undefined };
             }
             remove(connections.idle, connection);
--- a/packages/relay/src/wire-protocol.ts
+++ b/packages/relay/src/wire-protocol.ts
@@ -14,10 +14,8 @@
 
 /** Metadata in the headers of a backend server's response. */
 export interface ResponseInfo {
-    /** Id of the request that the response belongs to; undefined if it names none. */
-    requestId: string | undefined;
-    /** Whether it names different ones. */
-    hasSeveralIds: boolean;
+    /** Ids of the requests that the response names: that to which it belongs, unless the server is faulty. */
+    requestIds: readonly string[];
     /** Id of the server, if the response names it, as those to health checks do. */
     serverId: string | undefined;
     /** Whether the server states that it did not execute the request. */
@@ -42,13 +40,13 @@
     /** Formats the headers of an attempt: the remaining time of the caller, and the id of the intended server. */
     abstract formatAttemptHeaders(deadlineMs: number, serverId: string): string;
     /**
-     * Reads the metadata of a response. Header names are in lower case; `contradictory` has those that were received with
-     * different values.
+     * Reads the metadata of a response. Header names are in lower case; `contradictory` has the values of those that were
+     * received with different ones.
      */
     abstract readResponse(
         status: number,
         headers: ReadonlyMap<string, string>,
-        contradictory?: ReadonlySet<string>,
+        contradictory?: ReadonlyMap<string, readonly string[]>,
     ): ResponseInfo;
     /** Formats the headers that tell the caller when to retry a rejected request. */
     abstract formatRetryAfter(retryAfterMs: number): Record<string, string>;
