--- a/packages/relay/src/head-reader.ts
+++ b/packages/relay/src/head-reader.ts
@@ -2,6 +2,7 @@
 import { validateHeaderName, validateHeaderValue } from "node:http";
 import { HTTPParser } from "http-parser-js";
 import { InvalidResponseError, quote } from "./invalid-response-error.js";
+import { containsStatusLine } from "./status-line-finder.js";
 
 /** Status and headers of a response. Header names are in lower case; the last value of a repeated header wins. */
 export interface ResponseHead {
@@ -34,7 +35,7 @@
 const headStart = Buffer.from("HTTP/1.", "latin1");
 const maxHeadBytes = 80 * 1024;
 /** The library also accepts more digits and no space. */
-const statusLine = /^HTTP\/1\.[01] ([1-9]\d\d)(?: .*)?$/;
+const statusLine = /^HTTP\/1\.[01] ([1-9]\d\d)(?: (.*))?$/;
 const switchingProtocolsStatus = 101;
 /** Value that tells the parser to expect no body. */
 const noBody = 1;
@@ -46,7 +47,7 @@
 class HeadParser extends HTTPParser {
     override parseHeader(line: string, headers: string[]): void {
         const colon = line.indexOf(":");
-        if (colon <= 0 || line.includes("\r")) {
+        if (colon <= 0 || line.includes("\r") || containsStatusLine(line)) {
             throw new InvalidResponseError(`a header is ${quote(line)}`);
         }
         headers.push(line.slice(0, colon), line.slice(colon + 1).trim());
@@ -181,8 +182,8 @@
 }
 
 function checkStatusLine(line: string): void {
-    const status = statusLine.exec(line)?.[1];
-    if (status === undefined || Number(status) === switchingProtocolsStatus) {
+    const [, status, reason = ""] = statusLine.exec(line) ?? [];
+    if (status === undefined || Number(status) === switchingProtocolsStatus || containsStatusLine(reason)) {
         throw new InvalidResponseError(`the status line is ${quote(line)}`);
     }
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./relay.js";
 export * from "./request-outcome.js";
 export * from "./startup-gate.js";
+export * from "./status-line-finder.js";
 export * from "./upstream-connection.js";
 export * from "./upstream-pool.js";
 export * from "./wire-protocol.js";
--- a/packages/relay/src/response-parser.ts
+++ b/packages/relay/src/response-parser.ts
@@ -6,13 +6,20 @@
 import { createBodyReader } from "./response-framing.js";
 
 export interface ResponseParserEvents {
-    /** Returns false if the response has no body, whatever its headers say. */
-    onHead(head: ResponseHead): boolean;
+    /**
+     * Returns false if the response has no body, whatever its headers say. `endsWithConnection` tells whether its headers say
+     * that only the end of the connection ends the body.
+     */
+    onHead(head: ResponseHead, endsWithConnection: boolean): boolean;
     onBody(chunk: Buffer): void;
     onComplete(): void;
 }
 
 export interface ResponseParser {
+    /** Whether a response has begun and has not ended. */
+    isInside(): boolean;
+    /** Returns the offset in the last chunk at which reading ended: its length, or that of the invalid bytes. */
+    readUntil(): number;
     /** Returns an error if the bytes are not a valid response. The connection cannot be used any more. */
     read(chunk: Buffer): InvalidResponseError | undefined;
     /**
@@ -27,27 +34,28 @@
     /** Reader of the body; undefined between responses and inside a head. */
     let body: BodyReader | undefined;
     let failure: InvalidResponseError | undefined;
+    let offset = 0;
 
     const completeBody = () => {
         body = undefined;
         events.onComplete();
     };
 
-    const readHead = (chunk: Buffer, offset: number): number => {
-        const found = headReader.read(chunk, offset);
+    const readHead = (chunk: Buffer, from: number): number => {
+        const found = headReader.read(chunk, from);
         if (found === undefined) {
             return chunk.length;
         }
         const reader = createBodyReader(found.head, piece => events.onBody(piece));
-        body = events.onHead(found.head) ? reader : undefined;
+        body = events.onHead(found.head, reader?.completesAtEnd() === true) ? reader : undefined;
         if (body === undefined || body.isComplete) {
             completeBody();
         }
         return found.nextOffset;
     };
 
-    const readBody = (reader: BodyReader, chunk: Buffer, offset: number): number => {
-        const nextOffset = reader.read(chunk, offset);
+    const readBody = (reader: BodyReader, chunk: Buffer, from: number): number => {
+        const nextOffset = reader.read(chunk, from);
         if (reader.isComplete) {
             completeBody();
         }
@@ -55,13 +63,15 @@
     };
 
     const readAll = (chunk: Buffer) => {
-        let offset = 0;
+        offset = 0;
         while (offset < chunk.length) {
             offset = body === undefined ? readHead(chunk, offset) : readBody(body, chunk, offset);
         }
     };
 
     return {
+        isInside: () => headReader.isInside() || body !== undefined,
+        readUntil: () => offset,
         read: chunk => {
             failure ??= catchInvalid(() => readAll(chunk));
             return failure;
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -8,6 +8,8 @@
 import { ResponseMismatch, createResponseMatcher, isResponseLost } from "./response-matcher.js";
 import type { SkippedResponse } from "./response-matcher.js";
 import { createResponseParser } from "./response-parser.js";
+import { createStatusLineFinder, runsIntoResponse } from "./status-line-finder.js";
+import type { StatusLineFinder } from "./status-line-finder.js";
 import type { ResponseInfo, WireProtocol } from "./wire-protocol.js";
 
 /** A complete response. */
@@ -150,6 +152,8 @@
     let keepAliveMs = defaultKeepAliveMs;
     /** Whether the parser is inside a response that is discarded. */
     let isDiscarding = false;
+    /** Looks for a response in the body of a discarded one. */
+    let discardedBody: StatusLineFinder = createStatusLineFinder();
 
     const connectTimer: Timer = clock.setTimer(options.connectTimeoutMs, () =>
         close(ExchangeFailure.NotConnected, connectTimeoutDetail),
@@ -222,6 +226,11 @@
             firstByteMs: current.firstByteAt! - current.sentAt,
         };
         options.onResponded();
+        if (parser.isInside() && !isDiscarding) {
+            // The beginning of a head; the rest of it, or another response, may still come.
+            mustClose = true;
+            reportSkipped(ResponseMismatch.Surplus);
+        }
         if (isReusable && !mustClose && head!.keepsAlive && matcher.isIdentified(info!)) {
             options.onIdle();
         } else {
@@ -249,7 +258,7 @@
         });
 
     const parser = createResponseParser({
-        onHead: head => {
+        onHead: (head, endsWithConnection) => {
             countHead();
             isDiscarding = head.status < 200;
             if (isDiscarding) {
@@ -261,15 +270,19 @@
                 isDiscarding = true;
                 // Later responses on the connection may be out of order, too.
                 mustClose = true;
+                discardedBody = createStatusLineFinder();
                 reportSkipped(mismatch, head, info);
                 if (mismatch === ResponseMismatch.OtherRequest) {
                     exchange!.events.onMisnamed();
                 }
-                if (isResponseLost(mismatch)) {
+                if (!exchange!.isComplete && isResponseLost(mismatch)) {
                     throw new InvalidResponseError(
                         `a response with status ${head.status} and ${describeId(mismatch)}`,
                     );
                 }
+                if (!exchange!.isComplete && endsWithConnection) {
+                    throw new InvalidResponseError("a skipped response has no length");
+                }
                 return true;
             }
             exchange!.head = head;
@@ -280,7 +293,13 @@
             return exchange!.req.hasResponseBody;
         },
         onBody: chunk => {
-            if (isDiscarding || exchange === undefined || exchange.isComplete) {
+            if (exchange === undefined || exchange.isComplete) {
+                return;
+            }
+            if (isDiscarding) {
+                if (discardedBody.find(chunk)) {
+                    throw new InvalidResponseError("a skipped response has another one in its body");
+                }
                 return;
             }
             exchange.body.add(chunk);
@@ -315,6 +334,8 @@
         const err = parser.read(chunk);
         if (!exchange.memory.grow(exchange.body.byteLength - bodyBytes)) {
             close(ExchangeFailure.TooLarge, "no memory for the response body");
+        } else if (exchange.isComplete && err !== undefined && isFilledUp(exchange, chunk)) {
+            close(ExchangeFailure.Malformed, "the body runs into another response");
         } else if (exchange.isComplete) {
             complete(exchange, err === undefined, err !== undefined);
         } else if (err !== undefined) {
@@ -325,6 +346,10 @@
             close(ExchangeFailure.Malformed, "too many bytes outside the response body");
         }
     });
+    /** Whether the end of the body is the beginning of another response, the rest of which follows it. */
+    const isFilledUp = ({ body }: Exchange, chunk: Buffer) =>
+        runsIntoResponse(body.toBuffer(), chunk.subarray(parser.readUntil()));
+
     /**
      * Completes a response without a length, which ends with the connection, unless the connection was reset. Node
      * reports a reset that arrives together with data as a normal end, but a write then fails. Servers ignore an empty
