--- a/packages/core/src/http-client.ts
+++ b/packages/core/src/http-client.ts
@@ -1,10 +1,13 @@
 /** HTTP client with keep-alive connections and buffered responses, for calls to the store and to peers. */
-import { Agent, request } from "node:http";
-import type { ClientRequest, IncomingMessage } from "node:http";
+import { request } from "node:http";
+import type { Agent, ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { createByteCollector } from "./byte-collector.js";
 import { WaxwingdaleError } from "./errors.js";
 import type { ErrorOptions } from "./errors.js";
+import { IdleCheckingAgent } from "./idle-checking-agent.js";
+import type { Logger } from "./log.js";
 import { createPieceLimit } from "./piece-limit.js";
 import { splitAddress } from "./settings-file.js";
 
@@ -56,6 +59,8 @@
     connectTimeoutMs: number;
     /** Maximum response size in bytes; a call whose response exceeds it fails. */
     maxResponseBytes: number;
+    /** Receives a line for each connection that is closed because bytes arrived on it without a call. */
+    logger?: Logger;
 }
 
 /** Idle timeout in milliseconds; shorter than the usual 5 s of servers, so that this side closes first. */
@@ -67,22 +72,43 @@
 
 /** Creates a client with its own connection pool. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
-    const agent = new Agent({
-        keepAlive: true,
-        maxSockets: options.connections,
-        maxFreeSockets: options.connections,
-        timeout: idleMs,
-    });
+    const agent = new IdleCheckingAgent(
+        {
+            keepAlive: true,
+            maxSockets: options.connections,
+            maxFreeSockets: options.connections,
+            timeout: idleMs,
+        },
+        (address, bytes) => options.logger?.warn("unsolicited-bytes", { address, bytes }),
+    );
+    let isClosed = false;
     return {
-        call: call => send(call, agent, options),
+        call: async call => {
+            if (agent.hasIdleSockets()) {
+                await readSockets();
+            }
+            if (isClosed) {
+                throw new HttpCallError("the client is closed", undefined);
+            }
+            return send(call, agent, options);
+        },
         closeIdle: () => {
             const idle = Object.values(agent.freeSockets).flatMap(sockets => sockets ?? []);
             idle.forEach(socket => socket.destroy());
         },
-        close: () => agent.destroy(),
+        close: () => {
+            isClosed = true;
+            agent.destroy();
+        },
     };
 }
 
+/** Waits until the event loop has read what had arrived on all sockets. It may be past its poll phase in this turn. */
+async function readSockets(): Promise<void> {
+    await nextTurn();
+    await nextTurn();
+}
+
 function send(call: HttpCall, agent: Agent, options: HttpClientOptions): Promise<HttpResponse> {
     const { method, address, path, headers, body, signal } = call;
     const describe = (detail: string) => `${method} ${address}${path}: ${detail}`;
--- a/packages/core/src/rpc-client.ts
+++ b/packages/core/src/rpc-client.ts
@@ -5,6 +5,7 @@
 import type { ErrorOptions } from "./errors.js";
 import { connectTimeoutCode, createHttpClient } from "./http-client.js";
 import { maxRpcBodyBytes } from "./http-limits.js";
+import type { Logger } from "./log.js";
 import type { PeerTransport } from "./peer.js";
 
 /** The peer refused the connection or is unreachable. The call had no effect. */
@@ -42,6 +43,7 @@
      * @default 32
      */
     connections?: number;
+    logger?: Logger;
 }
 
 export interface RpcClient extends PeerTransport {
@@ -59,6 +61,7 @@
         connections: options.connections ?? defaultConnections,
         connectTimeoutMs,
         maxResponseBytes: maxRpcBodyBytes,
+        logger: options.logger,
     });
     const headers = {
         authorization: `Bearer ${options.fleetKey}`,
--- a/packages/entry/src/compose-transport.ts
+++ b/packages/entry/src/compose-transport.ts
@@ -8,8 +8,8 @@
 export function composeTransport(add: RegisterComponent): void {
     add(tokens.rpcServer, get => createRpcServer(get(tokens.context).logger));
     add(tokens.rpcClient, get => {
-        const { settings, fleetKey } = get(tokens.context);
-        return createRpcClient({ id: settings.id, fleetKey });
+        const { settings, fleetKey, logger } = get(tokens.context);
+        return createRpcClient({ id: settings.id, fleetKey, logger });
     });
     add(tokens.membership, get => {
         const { self, clock, random, logger, settings } = get(tokens.context);
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -63,8 +63,8 @@
 function composePeers(add: RegisterComponent): void {
     add(tokens.rpcServer, get => createRpcServer(get(tokens.context).logger));
     add(tokens.rpcClient, get => {
-        const { settings, fleetKey } = get(tokens.context);
-        return createRpcClient({ id: settings().id, fleetKey, connections: 1 });
+        const { settings, fleetKey, logger } = get(tokens.context);
+        return createRpcClient({ id: settings().id, fleetKey, connections: 1, logger });
     });
     add(tokens.membership, get => {
         const { self, clock, random, logger, settings } = get(tokens.context);
@@ -109,7 +109,12 @@
         const watches = get(tokens.storeWatches);
         const { store, clock, logger, settings, fleetKey } = get(tokens.context);
         // Watches through a peer are long polls, which would block other calls to that peer on a shared connection.
-        const transport = createRpcClient({ id: settings().id, fleetKey, connections: watchedPrefixCount });
+        const transport = createRpcClient({
+            id: settings().id,
+            fleetKey,
+            connections: watchedPrefixCount,
+            logger,
+        });
         return createRelayedStore({
             store,
             members: () => get(tokens.membership),
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -88,7 +88,7 @@
         clock,
         random: createRandom(startedAt % 2 ** 31),
         logger,
-        store: new PlatformStore({ address: settings.store }),
+        store: new PlatformStore({ address: settings.store, logger }),
         protocol: new PlatformProtocol(),
         // The platform provides no secret to instances; the key only separates fleets that use different stores.
         fleetKey: hash64Hex(settings.store),
