--- a/packages/core/src/http-client.ts
+++ b/packages/core/src/http-client.ts
@@ -72,6 +72,8 @@
 const idleMs = 4000;
 
 const maxInterimResponses = 16;
+/** A rejection may arrive before the server has read the whole request; a success may not. */
+const firstErrorStatus = 400;
 /** Number of small chunks in which a response may come; some servers write large documents in tiny pieces. */
 const maxSmallPieces = 512 * 1024;
 
@@ -158,13 +160,21 @@
             }
         });
         req.once("response", res => {
-            const { socket } = res;
+            const { socket, statusCode: status = 0 } = res;
+            const isEarly = !req.writableFinished;
+            if (isEarly && status < firstErrorStatus) {
+                fail("an answer arrived before the request was sent completely", undefined);
+                return;
+            }
             readText(res, options.maxResponseBytes, {
                 onText: text => {
-                    const response = { status: res.statusCode ?? 0, text };
-                    if (call.accepts?.(response) === false) {
-                        // The request has already released its connection, so destroying it has no effect.
+                    const response = { status, text };
+                    const isAccepted = call.accepts?.(response) !== false;
+                    if (isEarly || !isAccepted) {
+                        // The request may have released its connection already, so destroying it has no effect.
                         socket.destroy();
+                    }
+                    if (!isAccepted) {
                         fail("the answer is not that to this call", undefined);
                         return;
                     }
--- a/packages/core/test/response-order.test.ts
+++ b/packages/core/test/response-order.test.ts
@@ -10,6 +10,9 @@
 
 const limits = { connections: 1, connectTimeoutMs: 300, maxResponseBytes: 10_000 };
 
+/** More than the buffers of a connection hold. */
+const largeBody = "x".repeat(32 * 1024 * 1024);
+
 let server: Server | undefined;
 let client: HttpClient | undefined;
 const sockets: Socket[] = [];
@@ -110,3 +113,29 @@
     await assert.rejects(call(address), HttpCallError);
     assert.equal((await call(address)).text, "body 2");
 });
+
+/** Guards against a success for a body that the server cannot have read (MIXED). */
+test("a success before the request is complete fails the call at once", async () => {
+    const address = await listen(socket => {
+        socket.pause();
+        socket.write(format("early"));
+    });
+    const startedAt = performance.now();
+    await assert.rejects(call(address, { method: "POST", body: largeBody, timeoutMs: 5000 }), HttpCallError);
+    assert.ok(performance.now() - startedAt < 4000);
+});
+
+/** Guards against a connection that is in use for ever: the server does not read the rest of the request. */
+test("a rejection before the request is complete is returned, and the next call opens a connection", async () => {
+    const address = await listen((socket, _requestNumber, text) => {
+        if (text.startsWith("POST")) {
+            socket.pause();
+            socket.write(format("too large", 413));
+        } else {
+            socket.write(format("body"));
+        }
+    });
+    const res = await call(address, { method: "POST", body: largeBody, timeoutMs: 5000 });
+    assert.equal(res.status, 413);
+    assert.equal((await call(address)).text, "body");
+});
