--- a/packages/core/src/http-client.ts
+++ b/packages/core/src/http-client.ts
@@ -38,10 +38,10 @@
     timeoutMs: number;
     signal?: AbortSignal;
     /**
-     * Whether a complete response can be that to this call. If it cannot, the call fails, and its connection is closed.
-     * @default accepts each response
+     * Returns why a complete response cannot be that to this call, or undefined if it can. If it cannot, the call fails,
+     * and its connection is closed.
      */
-    accepts?: (res: HttpResponse) => boolean;
+    findMismatch?: (res: HttpResponse) => string | undefined;
 }
 
 export interface HttpResponse {
@@ -169,13 +169,13 @@
             readText(res, options.maxResponseBytes, {
                 onText: text => {
                     const response = { status, text };
-                    const isAccepted = call.accepts?.(response) !== false;
-                    if (isEarly || !isAccepted) {
+                    const mismatch = call.findMismatch?.(response);
+                    if (isEarly || mismatch !== undefined) {
                         // The request may have released its connection already, so destroying it has no effect.
                         socket.destroy();
                     }
-                    if (!isAccepted) {
-                        fail("the answer is not that to this call", undefined);
+                    if (mismatch !== undefined) {
+                        fail(`the answer is not that to this call: ${mismatch}`, undefined);
                         return;
                     }
                     release();
--- a/packages/core/src/rpc-client.ts
+++ b/packages/core/src/rpc-client.ts
@@ -83,9 +83,9 @@
                 headers,
                 body,
                 timeoutMs,
-                accepts: res => {
+                findMismatch: res => {
                     response = res.status === okStatus ? parseResponse(res.text) : undefined;
-                    return res.status !== okStatus || response?.id === id;
+                    return res.status !== okStatus || response?.id === id ? undefined : "it has another id";
                 },
             });
             return { status, response };
