test(relay): a crashing request that comes to all instances at once (BUDGET)

What callers saw: with three gateways and 24 servers, a request that crashes each server that runs it and comes to all gateways at the same moment, once a second, reached servers nearly each second until the end of the run.

The test without network plays three instances whose reports arrive after 10 to 100 ms.

--- a/packages/relay/test/crash-suspects.test.ts
+++ b/packages/relay/test/crash-suspects.test.ts
@@ -312,6 +312,98 @@
     assert.equal(suspects.reports().length, 2048);
 });
 
+/** Guards against a crash that is forgotten, since another instance withdrew its trial at the same time (BUDGET). */
+test("the crash of a trial counts, also if another instance withdraws its trial before or after it", () => {
+    for (const isCrashFirst of [true, false]) {
+        const first = setUp();
+        const { clock } = first;
+        const other = createCrashSuspects(clock);
+        crash(first, identify("a"), 2);
+        exchange(first.suspects, other);
+        clock.jump(second);
+        assert.ok(first.suspects.beginTrial(identify("a")) && other.beginTrial(identify("a")));
+        const events = [
+            () => crash(first, identify("a"), 1, true),
+            () => other.withdrawTrial(identify("a")),
+            () => exchange(other, first.suspects),
+        ];
+        const [crashes, withdraws, arrives] = events as [() => void, () => void, () => void];
+        const order = isCrashFirst ? [crashes, withdraws, arrives] : [withdraws, arrives, crashes];
+        order.forEach(run => run());
+        exchange(first.suspects, other);
+        for (const suspects of [first.suspects, other]) {
+            assert.equal(suspects.countCrashes(identify("a")).ofCaller, 3);
+            assert.ok(suspects.rejectedMs(identify("a")) > 0);
+        }
+    }
+});
+
+/** One repetition of a request that comes to several instances at about the same time. */
+interface Repetition {
+    /** Times in milliseconds after which it comes to each instance. */
+    offsets: readonly number[];
+    /** Whether it finds a server at an instance that another instance has not crashed yet. */
+    findsServer: boolean[];
+}
+
+const instanceCount = 3;
+const lossMs = 5;
+const examinationMs = 25;
+
+/** Plays repetitions, a second apart, and returns the times at which servers crash. Reports arrive after the given time. */
+async function playRepetitions(repetitions: readonly Repetition[], messageMs: number): Promise<number[]> {
+    const clock = createManualClock();
+    const startedAt = clock.now();
+    const crashes: number[] = [];
+    const instances = Array.from({ length: instanceCount }, () => createCrashSuspects(clock));
+    instances.forEach(instance =>
+        instance.onChange(report =>
+            clock.setTimer(messageMs, () => {
+                instances.filter(peer => peer !== instance).forEach(peer => peer.merge(report));
+            }),
+        ),
+    );
+    const send = (instance: CrashSuspects, hasServer: boolean) => {
+        if (instance.rejectedMs(identify("a")) > 0) {
+            return;
+        }
+        const sentAt = clock.now();
+        const isTrial = instance.beginTrial(identify("a"));
+        if (!hasServer) {
+            clock.setTimer(1, () => isTrial && instance.withdrawTrial(identify("a")));
+            return;
+        }
+        crashes.push(sentAt - startedAt);
+        const attempt = { serverId: nextServer(), sentAt, lostAt: sentAt + lossMs };
+        clock.setTimer(examinationMs, () => instance.recordCrash(identify("a"), attempt, isTrial));
+    };
+    for (const { offsets, findsServer } of repetitions) {
+        instances.forEach((instance, index) =>
+            clock.setTimer(offsets[index]!, () => send(instance, findsServer[index]!)),
+        );
+        await clock.advance(second);
+    }
+    return crashes;
+}
+
+/** Guards against a request that comes to all instances at once and reaches servers each time (BUDGET). */
+test("a request that comes to all instances at about the same time is recognized", async () => {
+    const perInstance = <Value>(value: fc.Arbitrary<Value>) =>
+        fc.array(value, { minLength: instanceCount, maxLength: instanceCount });
+    const repetition = fc.record({
+        offsets: fc.oneof(fc.constant<readonly number[]>([0, 0, 0]), perInstance(fc.nat(200))),
+        findsServer: perInstance(fc.boolean()).filter(finds => finds.includes(true)),
+    });
+    const repetitions = fc.array(repetition, { minLength: 20, maxLength: 20 });
+    await fc.assert(
+        fc.asyncProperty(repetitions, fc.integer({ min: 10, max: 100 }), async (played, messageMs) => {
+            const crashes = (await playRepetitions(played, messageMs)).sort((a, b) => a - b);
+            const lateFrom = crashes[2]! + 3 * second;
+            assert.ok(crashes.filter(at => at > lateFrom).length <= 3, crashes.join());
+        }),
+    );
+});
+
 test("instances that exchange all reports in any order agree", () => {
     const report = fc.record({
         fingerprint: fc.constantFrom("a.1", "b.1", "c.1"),
