--- a/packages/gateway/src/crash-report-exchange.ts
+++ b/packages/gateway/src/crash-report-exchange.ts
@@ -46,6 +46,7 @@
             fingerprint: fingerprintSchema,
             epoch: countSchema,
             crashes: countSchema,
+            trialSteps: v.optional(countSchema),
             ageMs: countSchema,
             crashAgeMs: v.optional(v.pipe(v.number(), v.safeInteger())),
             survivals: v.optional(countSchema),
--- a/packages/relay/src/crash-suspects.ts
+++ b/packages/relay/src/crash-suspects.ts
@@ -8,7 +8,10 @@
 import { createSuspectTable } from "./suspect-table.js";
 import type { Suspect } from "./suspect-table.js";
 
-/** What is known under a fingerprint. Of two reports, that of the later epoch holds, then that with more crashes. */
+/**
+ * What is known under a fingerprint. Of two reports, that of the later epoch holds, then that with more crashes, then that
+ * with more trial steps: the end of a trial at one instance does not undo a crash that another has seen meanwhile.
+ */
 export interface CrashReport {
     /** Fingerprint of a request, of one caller or of all. */
     fingerprint: string;
@@ -16,9 +19,11 @@
     epoch: number;
     /** Number of servers that crashed one after the other, without a success in between. */
     crashes: number;
+    /** How many times a trial was begun or withdrawn since the last crash; odd while the outcome of a trial is open. */
+    trialSteps?: number;
     /** Time in milliseconds since the last change, so that a suspicion that is passed on ends at all instances. */
     ageMs: number;
-    /** Time in milliseconds since the last of the crashes; negative while the outcome of a trial is open. */
+    /** Time in milliseconds since the last of the crashes. */
     crashAgeMs?: number;
     /** Runs that a server has survived since the first of the crashes, at the instance that saw most of them. */
     survivals?: number;
@@ -51,8 +56,8 @@
     /** Returns for how many milliseconds the request is rejected; 0 if it is not. */
     rejectedMs(identity: RequestIdentity): number;
     /**
-     * Must be called when a request that is not rejected is sent. Returns whether it is on trial: its crash is counted in
-     * advance, so that all others are rejected until a success clears it.
+     * Must be called when a request that is not rejected is sent. Returns whether it is on trial: it is rejected as if it had
+     * crashed a server, until a success clears it.
      */
     beginTrial(identity: RequestIdentity): boolean;
     /** Undoes `beginTrial`, if no server has run the request. */
@@ -101,8 +106,6 @@
 const maxRejectionMs = 24 * 3_600_000;
 /** Time in milliseconds for which a suspicion is kept after its last change, beyond the time of the rejection. */
 const memoryMs = 3_600_000;
-/** Time in milliseconds within which trials that several instances begin count as one. */
-const sameTrialMs = 500;
 /** Time in milliseconds for which a report of a first crash, or of a success, is passed on. */
 const freshMs = 60_000;
 /** Number of servers that are kept of a request's crashes, and the time in milliseconds in which one of them is back. */
@@ -120,19 +123,20 @@
     const listeners: ((report: CrashReport) => void)[] = [];
     const table = createSuspectTable({
         clock,
-        lifetimeMs: ({ crashes }) => memoryMs + getRejectionMs(crashes, firstRejectionMs),
+        lifetimeMs: suspect => memoryMs + getRejectionMs(getAssumedCrashes(suspect), firstRejectionMs),
         isUnimportant: ({ crashes }) => crashes < trialCrashes,
     });
     const find = (fingerprint: string) => table.find(fingerprint);
 
     const toReport = (fingerprint: string): CrashReport => {
-        const { epoch, crashes, changedAt, crashedAt, survivals, servers, source, isShared } =
+        const { epoch, crashes, trialSteps, changedAt, crashedAt, survivals, servers, source, isShared } =
             find(fingerprint);
         const now = clock.now();
         return {
             fingerprint,
             epoch,
             crashes,
+            ...(trialSteps > 0 ? { trialSteps } : {}),
             ageMs: Math.round(now - changedAt),
             ...(crashes > 0 ? { crashAgeMs: Math.round(now - crashedAt) } : {}),
             ...(survivals > 0 ? { survivals } : {}),
@@ -152,19 +156,20 @@
         }
     };
 
-    const isMostlySurvived = ({ crashes, survivals }: Suspect): boolean =>
-        survivals >= survivalsPerCrash * crashes;
+    const isMostlySurvived = (suspect: Suspect): boolean =>
+        suspect.survivals >= survivalsPerCrash * getAssumedCrashes(suspect);
 
     const isRejectable = (fingerprint: string): boolean => {
         const suspect = find(fingerprint);
-        const { crashes, source, isShared } = suspect;
+        const { source, isShared } = suspect;
         const concernsAll = isCallerFingerprint(fingerprint) || source === undefined || isShared === true;
-        return crashes >= quarantineCrashes && concernsAll && !isMostlySurvived(suspect);
+        const isOverLimit = getAssumedCrashes(suspect) >= quarantineCrashes;
+        return isOverLimit && concernsAll && !isMostlySurvived(suspect);
     };
 
     const needsTrial = (fingerprint: string): boolean => {
         const suspect = find(fingerprint);
-        const isDecisive = isCallerFingerprint(fingerprint) && suspect.crashes === trialCrashes;
+        const isDecisive = isCallerFingerprint(fingerprint) && getAssumedCrashes(suspect) === trialCrashes;
         return isRejectable(fingerprint) || (isDecisive && !isMostlySurvived(suspect));
     };
 
@@ -185,19 +190,24 @@
         if (!needsTrial(fingerprint)) {
             return 0;
         }
-        const { crashes, changedAt } = find(fingerprint);
+        const suspect = find(fingerprint);
         const firstMs = isCallerFingerprint(fingerprint) ? firstRejectionMs : firstSharedRejectionMs;
-        const remainingMs = changedAt + getRejectionMs(crashes, firstMs) - clock.now();
+        const rejectionMs = getRejectionMs(getAssumedCrashes(suspect), firstMs);
+        const remainingMs = suspect.changedAt + rejectionMs - clock.now();
         // The delay is worked out from all instances, so not for each request that is rejected anyway.
         return remainingMs > 0 ? remainingMs : Math.max(0, remainingMs + trialDelayMs(fingerprint));
     };
 
-    /** Counts the crash of a request on trial in advance, so that no other is sent meanwhile. */
-    const countInAdvance = (fingerprint: string) =>
-        change(fingerprint, {
-            crashes: find(fingerprint).crashes + 1,
-            crashedAt: clock.now() + sameTrialMs,
-        });
+    /** An earlier trial whose outcome is still open counts as a crash. */
+    const openTrial = (fingerprint: string) => {
+        const suspect = find(fingerprint);
+        change(
+            fingerprint,
+            isTrialOpen(suspect)
+                ? { crashes: suspect.crashes + 1, trialSteps: 1 }
+                : { trialSteps: suspect.trialSteps + 1 },
+        );
+    };
 
     /** Whether the crash is another one than those that are known. */
     const isFurtherCrash = (
@@ -206,29 +216,39 @@
     ): boolean => sentAt >= crashedAt && !(servers.includes(serverId) && lostAt - crashedAt < serverBackMs);
 
     const describeCrash = ({ servers }: Suspect, { serverId, lostAt }: CrashedAttempt) => ({
+        trialSteps: 0,
         crashedAt: lostAt,
         servers: [serverId, ...servers].slice(0, maxServers),
     });
 
+    /** The crash of a trial counts also if another instance has withdrawn its own trial meanwhile. */
+    const isCounted = (suspect: Suspect, attempt: CrashedAttempt, isTrial: boolean): boolean =>
+        (isTrial && suspect.trialSteps > 0) || isFurtherCrash(suspect, attempt);
+
     const recordCallerCrash = (caller: string, attempt: CrashedAttempt, isTrial: boolean) => {
         const suspect = find(caller);
-        if (isTrial && suspect.crashes >= quarantineCrashes) {
-            change(caller, describeCrash(suspect, attempt));
-        } else if (isFurtherCrash(suspect, attempt)) {
+        // Trials that several instances begin count as one.
+        const isKnown = isTrial && suspect.trialSteps === 0 && suspect.crashes >= quarantineCrashes;
+        if (!isKnown && isCounted(suspect, attempt, isTrial)) {
             change(caller, { crashes: suspect.crashes + 1, ...describeCrash(suspect, attempt) });
         }
     };
 
     /** Crashes of one caller alone, however many, are no reason to reject the request of others. */
-    const recordSharedCrash = (request: string, caller: string, attempt: CrashedAttempt) => {
+    const recordSharedCrash = (
+        request: string,
+        caller: string,
+        attempt: CrashedAttempt,
+        isTrial: boolean,
+    ) => {
         const suspect = find(request);
-        if (!isFurtherCrash(suspect, attempt)) {
+        if (!isCounted(suspect, attempt, isTrial)) {
             return;
         }
         const { crashes, source = caller, isShared = false } = suspect;
         const isOfOthers = isShared || source !== caller;
         change(request, {
-            crashes: isOfOthers ? crashes + 1 : Math.min(crashes + 1, trialCrashes),
+            crashes: isOfOthers ? crashes + 1 : Math.max(crashes, Math.min(crashes + 1, trialCrashes)),
             ...describeCrash(suspect, attempt),
             source,
             isShared: isOfOthers,
@@ -241,6 +261,7 @@
             change(fingerprint, {
                 epoch: epoch + 1,
                 crashes: 0,
+                trialSteps: 0,
                 crashedAt: -Infinity,
                 survivals: 0,
                 servers: [],
@@ -258,8 +279,8 @@
     ];
 
     const countCrashes = ({ request, caller }: RequestIdentity): CrashCounts => ({
-        ofCaller: table.hasCallers(request) ? find(caller()).crashes : 0,
-        ofAll: find(request).crashes,
+        ofCaller: table.hasCallers(request) ? getAssumedCrashes(find(caller())) : 0,
+        ofAll: getAssumedCrashes(find(request)),
     });
 
     return {
@@ -268,21 +289,20 @@
         rejectedMs: identity => Math.max(0, ...getKnown(identity).map(getRejectedMs)),
         beginTrial: identity => {
             const onTrial = getKnown(identity).filter(needsTrial);
-            onTrial.forEach(countInAdvance);
+            onTrial.forEach(openTrial);
             return onTrial.length > 0;
         },
         withdrawTrial: identity =>
             getKnown(identity).forEach(fingerprint => {
-                const { epoch, crashes, crashedAt } = find(fingerprint);
-                if (isRejectable(fingerprint)) {
-                    const lastAt = Math.min(crashedAt, clock.now());
-                    change(fingerprint, { epoch: epoch + 1, crashes: crashes - 1, crashedAt: lastAt });
+                const suspect = find(fingerprint);
+                if (isTrialOpen(suspect)) {
+                    change(fingerprint, { trialSteps: suspect.trialSteps + 1 });
                 }
             }),
         recordCrash: (identity, attempt, isTrial = false) => {
             const caller = identity.caller();
             recordCallerCrash(caller, attempt, isTrial);
-            recordSharedCrash(identity.request, caller, attempt);
+            recordSharedCrash(identity.request, caller, attempt, isTrial);
             return countCrashes(identity);
         },
         recordSurvival: identity => getKnown(identity).forEach(countSurvival),
@@ -296,11 +316,16 @@
         rejected: () => table.fingerprints().filter(fingerprint => getRejectedMs(fingerprint) > 0),
         merge: report => {
             const known = find(report.fingerprint);
-            const { epoch, crashes, ageMs, crashAgeMs = ageMs, servers = [], source, isShared } = report;
+            const { epoch, crashes, trialSteps = 0, ageMs, crashAgeMs = ageMs } = report;
+            const { servers = [], source, isShared } = report;
             const isSameEpoch = epoch === known.epoch;
-            const isNewer = epoch > known.epoch || (isSameEpoch && crashes > known.crashes);
+            const hasSameCrashes = isSameEpoch && crashes === known.crashes;
+            const isNewer =
+                epoch > known.epoch ||
+                (isSameEpoch && crashes > known.crashes) ||
+                (hasSameCrashes && trialSteps > known.trialSteps);
             const survivals = Math.max(report.survivals ?? 0, isSameEpoch ? known.survivals : 0);
-            if (isSameEpoch && crashes === known.crashes && survivals > known.survivals) {
+            if (hasSameCrashes && survivals > known.survivals) {
                 table.update(report.fingerprint, { ...known, survivals });
             }
             if (isNewer) {
@@ -308,6 +333,7 @@
                 table.set(report.fingerprint, {
                     epoch,
                     crashes,
+                    trialSteps,
                     changedAt: now - ageMs,
                     crashedAt: now - crashAgeMs,
                     survivals,
@@ -329,6 +355,15 @@
     };
 }
 
+function isTrialOpen({ trialSteps }: Suspect): boolean {
+    return trialSteps % 2 === 1;
+}
+
+/** Returns the number of crashes, in which a trial counts whose outcome is open. */
+function getAssumedCrashes(suspect: Suspect): number {
+    return suspect.crashes + (isTrialOpen(suspect) ? 1 : 0);
+}
+
 /** Returns the time in milliseconds for which a request is rejected after its last crash. */
 function getRejectionMs(crashes: number, firstMs: number): number {
     return crashes < quarantineCrashes
--- a/packages/relay/src/suspect-table.ts
+++ b/packages/relay/src/suspect-table.ts
@@ -8,8 +8,10 @@
     epoch: number;
     /** Crashes since then. */
     crashes: number;
+    /** How many times a trial was begun or withdrawn since the last crash; odd while the outcome of a trial is open. */
+    trialSteps: number;
     changedAt: number;
-    /** Time of the last crash; later than now while the outcome of a trial is open. */
+    /** Time of the last crash. */
     crashedAt: number;
     /** Runs that a server has survived since the first crash. */
     survivals: number;
@@ -50,6 +52,7 @@
 const unknown: Suspect = {
     epoch: 0,
     crashes: 0,
+    trialSteps: 0,
     changedAt: -Infinity,
     crashedAt: -Infinity,
     survivals: 0,
--- a/packages/relay/test/crash-suspects.test.ts
+++ b/packages/relay/test/crash-suspects.test.ts
@@ -409,6 +409,7 @@
         fingerprint: fc.constantFrom("a.1", "b.1", "c.1"),
         epoch: fc.nat(3),
         crashes: fc.nat(4),
+        trialSteps: fc.nat(3),
         ageMs: fc.constant(0),
     });
     fc.assert(
