--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -114,6 +114,10 @@
         suspects.isEmpty() ? { ofCaller: 0, ofAll: 0 } : suspects.countCrashes(identify());
     const rejectedMs = () => (suspects.isEmpty() ? 0 : suspects.rejectedMs(identify()));
 
+    /**
+     * `lostAt` is the time at which the end of the server is known, if there was no lost connection: attempts that were sent
+     * before went to servers that nobody had missed, and do not count as further crashes.
+     */
     const recordVerdict = (
         attempt: WatchedAttempt,
         loss: AttemptLoss,
@@ -149,7 +153,7 @@
         const delayedAt = clock.now();
         const verdict = await examiner.examineDelay(attempt, delayedAt);
         if (isCrash(verdict)) {
-            recordVerdict(attempt, AttemptLoss.Delayed, delayedAt, verdict);
+            recordVerdict(attempt, AttemptLoss.Delayed, clock.now(), verdict);
         }
     };
 
@@ -159,7 +163,7 @@
             await clock.sleep(endedAt + atMs - clock.now());
             verdict = await examiner.examineSilence(attempt, endedAt, endedAt + survivedMs);
             if (isCrash(verdict)) {
-                recordVerdict(attempt, AttemptLoss.Abandoned, endedAt, verdict);
+                recordVerdict(attempt, AttemptLoss.Abandoned, clock.now(), verdict);
                 return;
             }
         }
