--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -9,8 +9,8 @@
 export interface CrashWatch {
     /** Returns for how many milliseconds the request is rejected; 0 if it is not. */
     rejectedMs(): number;
-    /** Must be called before the first attempt. */
-    begin(): void;
+    /** Must be called before the first attempt. Returns whether the request is on trial. */
+    begin(): boolean;
     /** Whether it may have crashed a server: it is not sent to two at the same time then. */
     isSuspect(): boolean;
     /** Fingerprint of the request of its caller. */
@@ -176,6 +176,7 @@
         rejectedMs,
         begin: () => {
             isTrial = !suspects.isEmpty() && suspects.beginTrial(identify());
+            return isTrial;
         },
         isSuspect: () => {
             const { ofCaller, ofAll } = countCrashes();
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -4,6 +4,7 @@
 import type {
     AdmissionControl,
     Balancer,
+    Choice,
     Placement,
     Refusal,
     WindowedRetryBudget,
@@ -462,6 +463,25 @@
         scheduleDelayCheck(attempt);
     };
 
+    /** Sends a request on trial, to a server that lives: the end of one that hangs already would count as a crash. */
+    const sendOnTrial = async (first: Placement) => {
+        let choice: Choice = first;
+        while (choice.kind === ChoiceKind.Send && !isDone) {
+            if (await options.serverExaminer.isResponding(choice.server)) {
+                if (!isDone) {
+                    send(choice);
+                }
+                return;
+            }
+            balancer.recordNoResponse(choice);
+            routed.tried.add(choice.server.record.id);
+            choice = balancer.choose(routed);
+        }
+        if (!isDone) {
+            refuse({ reason: "no server has responded to a health check", retryAfterMs: getRetryDelayMs() });
+        }
+    };
+
     /** Returns whether the request was rejected, since it crashes servers. */
     const refuseIfQuarantined = (): boolean => {
         const retryAfterMs = crashWatch.rejectedMs();
@@ -488,8 +508,12 @@
             detail = admitted.refusal.detail;
             refuse(admitted.refusal);
         } else {
-            crashWatch.begin();
-            send(admitted.placement);
+            const { placement } = admitted;
+            if (crashWatch.begin()) {
+                void sendOnTrial(placement);
+            } else {
+                send(placement);
+            }
         }
     });
 }
--- a/packages/relay/src/server-examiner.ts
+++ b/packages/relay/src/server-examiner.ts
@@ -41,6 +41,8 @@
      * that has responded lately is taken to be alive, as a busy one makes many attempts late.
      */
     examineDelay(attempt: WatchedAttempt, delayedAt: number): Promise<ServerVerdict>;
+    /** Whether the server responds to a health check now, or must get none and accepts connections. */
+    isResponding(server: BackendState): Promise<boolean>;
 }
 
 export interface ServerExaminerOptions {
@@ -56,6 +58,8 @@
 const minClosedTogether = 3;
 /** Time in milliseconds before a delay in which a response shows that the server lives. */
 const recentResponseMs = 500;
+/** Time in milliseconds in which a server must respond to be found responding. */
+const promptResponseMs = 200;
 /** Number of servers whose end is kept. */
 const maxEnds = 1000;
 /** Time in milliseconds for which the result of a probe is kept. */
@@ -162,6 +166,11 @@
         examineSilence,
         examineDelay: (attempt, delayedAt) =>
             examineSilence(attempt, delayedAt, Math.min(attempt.sentAt, delayedAt - recentResponseMs)),
+        isResponding: async server => {
+            const timeout = clock.sleep(promptResponseMs).then(() => ProbeResult.NoResponse);
+            const result = await Promise.race([probe(server, clock.now()), timeout]);
+            return result === ProbeResult.Responded || result === ProbeResult.Connected;
+        },
     };
 }
 
--- a/packages/relay/test/crash-watch.test.ts
+++ b/packages/relay/test/crash-watch.test.ts
@@ -17,7 +17,12 @@
         await clock.sleep(examinationMs);
         return verdict;
     };
-    const examiner: ServerExaminer = { examineLoss: examine, examineSilence: examine, examineDelay: examine };
+    const examiner: ServerExaminer = {
+        examineLoss: examine,
+        examineSilence: examine,
+        examineDelay: examine,
+        isResponding: async () => true,
+    };
     const createWatch = () =>
         createCrashWatch({
             requestId: "r",
--- a/packages/relay/test/crashing-request.test.ts
+++ b/packages/relay/test/crashing-request.test.ts
@@ -202,6 +202,44 @@
     assert.equal(instance.examinations[0].crashes, 1);
 });
 
+/** Guards against a harmless request that is rejected, since it went on trial at a server that was silent already. */
+test("a request on trial goes to a server that responds to a health check", async t => {
+    let crashes = 0;
+    let isHanging = false;
+    const { instance, servers } = await setUp(t, (server, text, socket) => {
+        if (isHanging && server !== servers.at(-1)) {
+            return;
+        }
+        if (crashes < 2 && text.includes("/bad ")) {
+            crashes += 1;
+            crash(server);
+        } else {
+            answerOthers(text, socket);
+        }
+    });
+    servers.slice(0, -1).forEach(server =>
+        server.onHealthCheck((_text, socket) => {
+            if (!isHanging) {
+                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+        }),
+    );
+    await warmUp(instance.port);
+    const send = (id: string) =>
+        sendRaw(instance.port, formatRequest(RequestKind.NonIdempotent, id, "bad"), 1);
+    for (let attempt = 0; crashes < 2 && attempt < maxAttempts; attempt++) {
+        await send(`c${attempt}`);
+        await sleep(settleMs);
+    }
+    isHanging = true;
+    const statuses: string[] = [];
+    for (let attempt = 0; attempt < maxAttempts && !statuses.includes("200"); attempt++) {
+        statuses.push((await send(`t${attempt}`)).slice(9, 12));
+    }
+    assert.equal(statuses.at(-1), "200", statuses.join());
+    assert.ok(!statuses.includes("504"), statuses.join());
+});
+
 // Guards against requests that are rejected, since their instance was cut off and found all servers silent.
 test("servers are not found to be silent by an instance that reaches none", async t => {
     let isCutOff = false;
