--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./piece-limit.js";
 export * from "./rendezvous.js";
 export * from "./request-class.js";
+export * from "./response-order.js";
 export * from "./rpc-client.js";
 export * from "./rpc-server.js";
 export * from "./backend-server.js";
--- a/packages/entry/src/http-listener.ts
+++ b/packages/entry/src/http-listener.ts
@@ -1,15 +1,16 @@
 /** HTTP listeners, with limits on headers, idle time and connections. */
 import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import {
     WaxwingdaleError,
+    handleInOrder,
     headersTimeoutMs,
     keepAliveTimeoutMs,
     maxHeaderBytes,
     splitAddress,
 } from "@waxwingdale/core";
-import type { Logger } from "@waxwingdale/core";
+import type { Logger, RequestHandler } from "@waxwingdale/core";
 
 /** A listener could not be opened. */
 export class ListenError extends WaxwingdaleError {
@@ -22,7 +23,7 @@
     name: string;
     address: string;
     logger: Logger;
-    handler: (req: IncomingMessage, res: ServerResponse) => void;
+    handler: RequestHandler;
     /** Maximum number of connections per remote address. Unlimited by default. */
     maxConnectionsPerAddress?: number;
 }
@@ -46,26 +47,25 @@
 export async function openHttpListener(options: HttpListenerOptions): Promise<HttpListener> {
     const { logger, name } = options;
     let isKeepAliveDisabled = false;
-    const server = createServer(
-        {
-            maxHeaderSize: maxHeaderBytes,
-            headersTimeout: headersTimeoutMs,
-            // Large uploads may take long. Request bodies have their own idle timeout instead.
-            requestTimeout: 0,
-            keepAliveTimeout: keepAliveTimeoutMs,
-            connectionsCheckingInterval: connectionCheckIntervalMs,
-            insecureHTTPParser: false,
-            noDelay: true,
-        },
+    const server = createServer({
+        maxHeaderSize: maxHeaderBytes,
+        headersTimeout: headersTimeoutMs,
+        // Large uploads may take long. Request bodies have their own idle timeout instead.
+        requestTimeout: 0,
+        keepAliveTimeout: keepAliveTimeoutMs,
+        connectionsCheckingInterval: connectionCheckIntervalMs,
+        insecureHTTPParser: false,
+        noDelay: true,
+    });
+    handleInOrder(
+        server,
         (req, res) => {
             if (isKeepAliveDisabled) {
                 res.shouldKeepAlive = false;
             }
             options.handler(req, res);
         },
-    );
-    server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) =>
-        handleClientError(err, socket, name, logger),
+        (err, socket) => rejectMalformed(err, socket, name, logger),
     );
     limitConnections(server, options);
     await listen(server, options);
@@ -131,11 +131,7 @@
 };
 
 /** Responds to a request that the HTTP parser rejected, and that therefore did not run. */
-function handleClientError(err: NodeJS.ErrnoException, socket: Socket, name: string, logger: Logger): void {
-    if (err.code === "ECONNRESET" || !socket.writable) {
-        socket.destroy();
-        return;
-    }
+function rejectMalformed(err: NodeJS.ErrnoException, socket: Socket, name: string, logger: Logger): void {
     const status = statusByCode[err.code ?? ""] ?? "400 Bad Request";
     logger.warn("request-malformed", {
         listener: name,
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -1,16 +1,18 @@
 /** HTTP listeners of a gateway instance. */
-import { createServer } from "node:http";
+import { STATUS_CODES, createServer } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import {
     WaxwingdaleError,
     createByteCollector,
     createPieceLimit,
+    handleInOrder,
     isFleetKey,
     maxRpcBodyBytes,
     splitAddress,
 } from "@waxwingdale/core";
-import type { Logger, RpcServer } from "@waxwingdale/core";
+import type { Logger, RequestHandler, RpcServer } from "@waxwingdale/core";
 import { callerServerOptions } from "@waxwingdale/relay";
 
 /** Thrown if a listener cannot be opened. */
@@ -20,8 +22,6 @@
     }
 }
 
-export type Handler = (req: IncomingMessage, res: ServerResponse) => void;
-
 export interface Listener {
     server: Server;
     /** Makes all further responses close their connections. */
@@ -35,14 +35,29 @@
 /** Length of the accept queue, for a fleet of clients that reconnects at the same time. */
 const backlog = 1024;
 
-export async function openListener(address: string, handler: Handler): Promise<Listener> {
+const badRequestStatus = 400;
+const malformedStatuses = new Map([
+    ["HPE_HEADER_OVERFLOW", 431],
+    ["HPE_CHUNK_EXTENSIONS_OVERFLOW", 413],
+    ["ERR_HTTP_REQUEST_TIMEOUT", 408],
+]);
+
+function rejectMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
+    const status = malformedStatuses.get(err.code ?? "") ?? badRequestStatus;
+    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+    socket.destroySoon();
+}
+
+export async function openListener(address: string, handler: RequestHandler): Promise<Listener> {
     let isKeepAliveDisabled = false;
-    const server = createServer({ ...callerServerOptions, maxHeaderSize }, (req, res) => {
+    const server = createServer({ ...callerServerOptions, maxHeaderSize });
+    const handle: RequestHandler = (req, res) => {
         if (isKeepAliveDisabled) {
             res.shouldKeepAlive = false;
         }
         handler(req, res);
-    });
+    };
+    handleInOrder(server, handle, rejectMalformed);
     server.on("connection", socket => socket.setMaxListeners(0));
     const { host, port } = splitAddress(address);
     await new Promise<void>((resolve, reject) => {
@@ -74,7 +89,7 @@
     state: () => unknown;
     /** Ends suspicions that a request crashes servers. Returns their number. */
     liftSuspicions: (fingerprint: string) => number;
-}): Handler {
+}): RequestHandler {
     const handleRpc = async (req: IncomingMessage, res: ServerResponse) => {
         const body = createByteCollector();
         const pieces = createPieceLimit();
