--- a/packages/carrier/src/dispatch-request.ts
+++ b/packages/carrier/src/dispatch-request.ts
@@ -48,11 +48,17 @@
     body: Buffer | AsyncIterable<Buffer> | undefined;
     deadlineAt: number;
     signal: AbortSignalLike | undefined;
+    /**
+     * Returns why a response is not that to this request, or undefined if it is. If it is not, the connection is closed,
+     * and the request may have run.
+     */
+    findMismatch?: (headers: ResponseHeaders) => string | undefined;
     /** Returns the sink for the response body. Without a sink, the body is discarded. */
     onResponseHead: (status: number, headers: ResponseHeaders) => ResponseSink | undefined;
 }
 
 class AttemptAbortedError extends Error {}
+class ResponseMismatchError extends Error {}
 
 /** Runs one attempt. Never rejects: failures are reported in the result. */
 export function dispatchRequest(options: DispatchOptions): Promise<DispatchResult> {
@@ -101,10 +107,17 @@
                 }
                 result.phase = DispatchPhase.Sent;
             },
-            onResponseStart: (_controller, status, headers) => {
+            onResponseStart: (started, status, headers) => {
                 if (settled || status < 200) {
                     return;
                 }
+                const mismatch = options.findMismatch?.(headers);
+                if (mismatch !== undefined) {
+                    const err = new ResponseMismatchError(mismatch);
+                    finish(err);
+                    started.abort(err);
+                    return;
+                }
                 result.phase = DispatchPhase.Truncated;
                 result.status = status;
                 result.headers = headers;
--- a/packages/carrier/src/peer-upstream.ts
+++ b/packages/carrier/src/peer-upstream.ts
@@ -1,5 +1,12 @@
 /** Sends requests to the entries of another region, which forward them to the backend servers there. */
-import { MemberStatus, Outcome, ReasonCode, outcomeHeader, reasonHeader } from "@waxwingdale/core";
+import {
+    MemberStatus,
+    Outcome,
+    ReasonCode,
+    outcomeHeader,
+    reasonHeader,
+    requestIdHeader,
+} from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
 import { AttemptKind, Upstream, openResponseSink } from "./attempt.js";
 import type { AttemptResult, ResponseCapture } from "./attempt.js";
@@ -101,6 +108,7 @@
             body: this.paceBody(ctx, body.open()),
             deadlineAt: ctx.deadlineAt,
             signal: ctx.route.idempotent ? ctx.disconnectSignal : undefined,
+            findMismatch: resHeaders => this.findMismatch(ctx, peer, resHeaders),
             onResponseHead: (status, resHeaders) =>
                 getOutcome(resHeaders) === Outcome.Ran
                     ? openResponseSink({
@@ -116,6 +124,20 @@
         });
     }
 
+    /** Entries repeat the id of a request in each response to it. */
+    private findMismatch(ctx: RequestContext, peer: Member, headers: ResponseHeaders): string | undefined {
+        const responseId = getHeader(headers, requestIdHeader);
+        if (responseId === ctx.id) {
+            return undefined;
+        }
+        this.options.logger.warn("response-skipped", {
+            request: ctx.id,
+            response: responseId,
+            server: peer.id,
+        });
+        return `entry ${peer.id} answered another request`;
+    }
+
     private paceBody(ctx: RequestContext, body: Buffer | AsyncIterable<Buffer> | undefined) {
         if (body === undefined) {
             return undefined;
