test(carrier): a late copy that arrives after the next request was sent to a server of the older daemon (MIXED)

The test fails on each run: the second request gets the copy of the response to the first one. A health probe has a connection of its own, where a copy can only be the server's health of the probe before, and the command line opens a connection for each request (read in the code, not run).

--- a/packages/carrier/test/late-copies.test.ts
+++ b/packages/carrier/test/late-copies.test.ts
@@ -81,6 +81,18 @@
     assert.equal((await send()).text, "body 2");
 });
 
+// Backend servers of the older daemon repeat no id, so nothing tells the copy from the response (KNOWN-RED.txt).
+test("a second response after the next request was sent is not that to it", async t => {
+    const { send } = await setUp(t, (socket, requestNumber) => {
+        socket.write(format("body 1"));
+        if (requestNumber > 1) {
+            setTimeout(() => socket.write(format("body 2")), 30);
+        }
+    });
+    assert.equal((await send()).text, "body 1");
+    assert.notEqual((await send()).text, "body 1");
+});
+
 test("a response of which the caller says that it is another's: the request may have run", async t => {
     const { sockets, send } = await setUp(t, (socket, requestNumber) =>
         socket.write(format(`body ${requestNumber}`)),
