--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -257,6 +257,35 @@
             isReused: matcher.isReused(),
         });
 
+    /** @throws InvalidResponseError if the response to the request in flight is lost with it. */
+    const skip = (
+        current: Exchange,
+        mismatch: ResponseMismatch,
+        head: ResponseHead,
+        info: ResponseInfo,
+        endsWithConnection: boolean,
+    ) => {
+        // Later responses on the connection may be out of order, too.
+        mustClose = true;
+        isDiscarding = true;
+        discardedBody = createStatusLineFinder();
+        reportSkipped(mismatch, head, info);
+        if (current.isComplete) {
+            return;
+        }
+        if (isResponseLost(mismatch)) {
+            throw new InvalidResponseError(
+                `a response with status ${head.status} and ${describeId(mismatch)}`,
+            );
+        }
+        if (endsWithConnection) {
+            throw new InvalidResponseError("a skipped response has no length");
+        }
+        if (mismatch === ResponseMismatch.OtherRequest) {
+            current.events.onMisnamed();
+        }
+    };
+
     const parser = createResponseParser({
         onHead: (head, endsWithConnection) => {
             countHead();
@@ -264,33 +293,19 @@
             if (isDiscarding) {
                 return true;
             }
+            const current = exchange!;
             const info = protocol.readResponse(head.status, head.headers, head.contradictory);
-            const mismatch = exchange!.isComplete ? ResponseMismatch.Surplus : matcher.findMismatch(info);
+            const mismatch = current.isComplete ? ResponseMismatch.Surplus : matcher.findMismatch(info);
             if (mismatch !== undefined) {
-                isDiscarding = true;
-                // Later responses on the connection may be out of order, too.
-                mustClose = true;
-                discardedBody = createStatusLineFinder();
-                reportSkipped(mismatch, head, info);
-                if (mismatch === ResponseMismatch.OtherRequest) {
-                    exchange!.events.onMisnamed();
-                }
-                if (!exchange!.isComplete && isResponseLost(mismatch)) {
-                    throw new InvalidResponseError(
-                        `a response with status ${head.status} and ${describeId(mismatch)}`,
-                    );
-                }
-                if (!exchange!.isComplete && endsWithConnection) {
-                    throw new InvalidResponseError("a skipped response has no length");
-                }
+                skip(current, mismatch, head, info, endsWithConnection);
                 return true;
             }
-            exchange!.head = head;
-            exchange!.body = createByteCollector(getExpectedBytes(head, options.maxResponseBytes));
-            exchange!.info = info;
-            exchange!.firstByteAt = clock.now();
+            current.head = head;
+            current.body = createByteCollector(getExpectedBytes(head, options.maxResponseBytes));
+            current.info = info;
+            current.firstByteAt = clock.now();
             keepAliveMs = parseKeepAliveMs(head.headers.get("keep-alive")) ?? defaultKeepAliveMs;
-            return exchange!.req.hasResponseBody;
+            return current.req.hasResponseBody;
         },
         onBody: chunk => {
             if (exchange === undefined || exchange.isComplete) {
