test(carrier): an address that no server of a test can be given

The port had been closed, and was given to the next server that asked for any port on the same loopback address.

Change: the unused address lies on a loopback address on which no test listens.

--- a/packages/carrier/test/carrier-fixture.ts
+++ b/packages/carrier/test/carrier-fixture.ts
@@ -202,11 +202,14 @@
     });
 }
 
+/** No server of a test listens on it, so that none is given the port of an unused address. */
+const unusedHost = "127.0.0.3";
+
 /** Returns an address that nothing listens on. */
 export async function findUnusedAddress(): Promise<string> {
     const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>(resolve => server.listen(0, unusedHost, resolve));
     const { port } = server.address() as AddressInfo;
     await new Promise(resolve => server.close(resolve));
-    return `127.0.0.1:${port}`;
+    return `${unusedHost}:${port}`;
 }
