--- a/packages/core/src/response-order.ts
+++ b/packages/core/src/response-order.ts
@@ -11,8 +11,8 @@
 
 /**
  * Passes requests to `handler`, and a connection on which a malformed one arrived to `reject`, which sends a response and
- * closes it, once the requests before have been answered. Without this, Node sends the status of a malformed request at once, although earlier ones have no
- * response yet, and an interim response behind the head of the response.
+ * closes it, once the requests before have been answered. Without this, Node sends the status of a malformed request at once,
+ * although earlier ones have no response yet, and an interim response behind the head of the response.
  */
 export function handleInOrder(
     server: Server,
