--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -77,7 +77,7 @@
                 wrong[method] += 1;
             }
             if (isWrong || spoiled.has(id)) {
-                const ranAt = upstreams.filter(({ ran }) => ran.includes(id)).map(upstream => upstream.id);
+                const ranAt = upstreams.filter(({ ran }) => ran.includes(id)).map(upstream => upstream.id());
                 const end = answer.body.slice(-60);
                 const { status } = answer;
                 record("answered", {
--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -1,4 +1,4 @@
-/** Runs a case: keeps its record, ends what it started, and exits with 1 if the rule was broken, 0 if it held, else 2. */
+/** Runs a case: keeps its record, and ends what it started. */
 import { performance } from "node:perf_hooks";
 import { writeFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -8,6 +8,9 @@
 
 export const hasTrouble = process.env.TROUBLE !== "0";
 
+/** Exit codes. `run.sh` turns that of a broken rule into 1, so that an error of Node, which is 1, is none. */
+const exitCodes = { held: 0, notRun: 2, broken: 3 };
+
 export async function runCase(folder, play) {
     const startedAt = performance.now();
     const lines = [];
@@ -17,13 +20,13 @@
             `${((performance.now() - startedAt) / 1000).toFixed(3)} ${event} ${JSON.stringify(fields)}`,
         );
     const onEnd = cleanUp => cleanUps.push(cleanUp);
-    let code = 2;
+    let code = exitCodes.notRun;
     try {
         const timeout = sleep(limitMs, undefined, { ref: false }).then(() => {
             throw new Error("the case took too long");
         });
         const { isBroken, summary } = await Promise.race([play({ record, onEnd }), timeout]);
-        code = isBroken ? 1 : 0;
+        code = isBroken ? exitCodes.broken : exitCodes.held;
         record(isBroken ? "rule broken" : "rule held", summary);
     } catch (err) {
         record("could not run", { error: String(err.stack ?? err) });
--- a/review/lib-2/upstream.mjs
+++ b/review/lib-2/upstream.mjs
@@ -1,10 +1,12 @@
 /** Stand-in of an upstream: slots, a short queue, a health check, and answers that a case may change. */
+import { clearTimeout, setTimeout } from "node:timers";
 import { Buffer } from "node:buffer";
-import { setTimeout } from "node:timers";
 import { createHash } from "node:crypto";
 import { createServer } from "node:net";
 
 const queueLength = 9;
+/** Three heartbeat intervals, after which the store removes the entry of a silent upstream. */
+const lapseMs = 4500;
 let nextId = 1;
 
 /** Body of the answer to a request, which depends on its id, so that a foreign one shows. */
@@ -63,16 +65,20 @@
     bodyBytes = () => 400,
     record = () => undefined,
     onRequest = () => undefined,
+    crashes = () => false,
+    backMs = 3000,
 }) {
-    const id = `i-${zone}-${nextId++}`;
+    let id = `i-${zone}-${nextId++}`;
     const sockets = new Set();
     const queue = [];
     const ran = [];
+    const runningJobs = new Set();
     let running = 0;
     const load = () => `${running},${queue.length},${slots}`;
     const common = () => ({ "Server-Load": load(), ...headers() });
 
     const finish = job => {
+        runningJobs.delete(job);
         running -= 1;
         startNext();
         if (job.socket.destroyed) {
@@ -98,10 +104,32 @@
             }
             const requestId = job.req.headers["request-id"];
             ran.push(requestId);
+            if (crashes(job.req)) {
+                record("run, and crashed by it", { upstream: id, request: requestId });
+                crash();
+                return;
+            }
             record("run", { upstream: id, request: requestId, method: job.req.method, path: job.req.path });
+            runningJobs.add(job);
             job.timer = setTimeout(() => finish(job), workMs(job.req));
         }
     };
+    /** Ends the process of the upstream. It is back after a while, with a new id at the same address. */
+    const crash = () => {
+        const lapsing = id;
+        const jobs = [...runningJobs, ...queue.splice(0)];
+        jobs.forEach(job => clearTimeout(job.timer));
+        runningJobs.clear();
+        running = 0;
+        server.close();
+        sockets.forEach(socket => socket.resetAndDestroy());
+        setTimeout(() => store.remove("servers", lapsing), lapseMs).unref();
+        setTimeout(() => {
+            id = `i-${zone}-${nextId++}`;
+            born = Date.now();
+            server.listen(Number(address.split(":")[1]), "127.0.0.1", () => register());
+        }, backMs).unref();
+    };
     const accept = (req, socket, send) => {
         const requestId = req.headers["request-id"];
         const refused = { "Request-Id": requestId, "Not-Executed": 1, ...common() };
@@ -147,7 +175,7 @@
     });
     await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
     const address = `127.0.0.1:${server.address().port}`;
-    const born = Date.now();
+    let born = Date.now();
     let sequence = 0;
     const register = (state = "ready", change = {}) =>
         store.put("servers", id, {
@@ -159,7 +187,7 @@
         });
     register();
     return {
-        id,
+        id: () => id,
         address,
         zone,
         ran,
