--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -168,6 +168,8 @@
         };
         return gateway;
     });
+    // Nothing is left behind if the case itself fails.
+    process.once("exit", () => gateways.forEach(({ child }) => child?.kill("SIGKILL")));
     for (const gateway of gateways) {
         await gateway.writeSettings();
         gateway.start();
--- a/review/lib-2/upstream.mjs
+++ b/review/lib-2/upstream.mjs
@@ -137,6 +137,8 @@
         const special = onRequest({ id, req, requestId, socket, running, queued: queue.length, refused });
         if (special !== undefined) {
             send(special);
+        } else if (requestId === undefined && req.path !== "/healthz") {
+            send(formatAnswer(400, { "Not-Executed": 1 }));
         } else if (expected !== undefined && expected !== id) {
             send(formatAnswer(421, { "Request-Id": requestId, "Instance-Id": id }));
         } else if (queue.length >= queueLength) {
