--- a/review/lib-2/upstream.mjs
+++ b/review/lib-2/upstream.mjs
@@ -66,6 +66,8 @@
     record = () => undefined,
     onRequest = () => undefined,
     crashes = () => false,
+    crashAfterMs = 0,
+    onCrash = () => undefined,
     backMs = 3000,
 }) {
     let id = `i-${zone}-${nextId++}`;
@@ -105,18 +107,20 @@
             const requestId = job.req.headers["request-id"];
             ran.push(requestId);
             if (crashes(job.req)) {
-                record("run, and crashed by it", { upstream: id, request: requestId });
-                crash();
-                return;
+                record("run, and crashed by it", { upstream: id, request: requestId, crashAfterMs });
+                runningJobs.add(job);
+                job.timer = setTimeout(crash, crashAfterMs);
+                continue;
             }
             record("run", { upstream: id, request: requestId, method: job.req.method, path: job.req.path });
             runningJobs.add(job);
             job.timer = setTimeout(() => finish(job), workMs(job.req));
         }
     };
-    /** Ends the process of the upstream. It is back after a while, with a new id at the same address. */
+    /** Ends the process of the upstream. It is back after a while, with a new id. */
     const crash = () => {
         const lapsing = id;
+        onCrash();
         const jobs = [...runningJobs, ...queue.splice(0)];
         jobs.forEach(job => clearTimeout(job.timer));
         runningJobs.clear();
@@ -127,7 +131,7 @@
         setTimeout(() => {
             id = `i-${zone}-${nextId++}`;
             born = Date.now();
-            server.listen(Number(address.split(":")[1]), "127.0.0.1", () => register());
+            listen(register);
         }, backMs).unref();
     };
     const accept = (req, socket, send) => {
@@ -175,26 +179,27 @@
         socket.on("error", () => undefined);
         socket.on("close", () => sockets.delete(socket));
     });
-    await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
-    const address = `127.0.0.1:${server.address().port}`;
+    let address = "";
+    /** Each incarnation has a port of its own, since another process may have taken the last one. */
+    const listen = onListening =>
+        server.listen(0, "127.0.0.1", () => {
+            address = `127.0.0.1:${server.address().port}`;
+            onListening();
+        });
+    await new Promise(listen);
     let born = Date.now();
     let sequence = 0;
-    const register = (state = "ready", change = {}) =>
+    const register = () =>
         store.put("servers", id, {
             address,
             born,
             info: { service, version: "v1", zone, slots },
-            status: { state, sequence: ++sequence, "cold-remaining-s": 0 },
-            ...change,
+            status: { state: "ready", sequence: ++sequence, "cold-remaining-s": 0 },
         });
     register();
     return {
         id: () => id,
-        address,
-        zone,
         ran,
-        register,
-        load,
         close: () => {
             sockets.forEach(socket => socket.destroy());
             server.close();
