refactor(relay): forward-request is split into modules with one job

Change: forwarding-options (types), forwarded-request (state of one request), request-end (the one response, deadline, disconnect), attempt-sender (send, retry, hedge, trial), response-handler and failure-handler (what follows an attempt); forward-request assembles them. No behaviour is changed.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./server-examiner.js";
 
 export * from "./forward-request.js";
+export * from "./forwarding-options.js";
 export * from "./end-to-end-headers.js";
 export * from "./idle-limit.js";
 export * from "./relay.js";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,7 +8,7 @@
 import { createBodyMemory } from "./body-memory.js";
 import { onceResponseCloses, sendLocalResponse } from "./caller-response.js";
 import { forwardRequest } from "./forward-request.js";
-import type { ForwardingOptions } from "./forward-request.js";
+import type { ForwardingOptions } from "./forwarding-options.js";
 import { BodyRejection, discardBody, readBody } from "./request-body.js";
 import { getCallerDeadlineMs } from "./request-deadline.js";
 import type { Arrival } from "./request-deadline.js";
