test(core): responses of the store and of peers that break off and go on with other bytes

Change: tests only, in one write and in pieces of ten bytes a millisecond apart. No fault was found there: Node's parser rejects bytes behind a response, and what is filled up is no JSON that belongs to the call.

--- a/packages/core/test/rpc-client.test.ts
+++ b/packages/core/test/rpc-client.test.ts
@@ -80,3 +80,16 @@
         await waitUntilClosed(sockets[0]!);
     });
 }
+
+for (const pieceBytes of [1000, 10]) {
+    // Guards against a part of a response that other bytes fill up to its length (MIXED).
+    test(`a response that breaks off and goes on with other bytes, ${pieceBytes} at a time: the outcome is unknown`, async () => {
+        const address = await listen((socket, id) => {
+            const bytes = format({ id, result: "x".repeat(100) }).slice(0, -50) + "broken pipe\n".repeat(10);
+            for (let from = 0; from < bytes.length; from += pieceBytes) {
+                setTimeout(() => socket.write(bytes.slice(from, from + pieceBytes)), from / 10);
+            }
+        });
+        await assert.rejects(client!.call(address, "first", {}, 1000), PeerTimeoutError);
+    });
+}
