fix(gateway): what is known of crashing requests outlives all instances, and one instance at a time tries one (BUDGET)

Cause, two parts. What is known of crashes was in the memory of instances only, so it began at zero when all ended at once. And nothing agreed on who sends the next one: a trial was left to other instances for 0.2 s a rank, counted from the last change, so a repetition seconds later was on trial at all of them; and three servers that ended under it at three instances counted as one end, after which all three sent it again.

Change: - crash-archive: each instance keeps what it has seen in one object of the store, first ends included: written within 10 ms of a change, then every 25 ms for each instance of the fleet at most, 256 reports at most; read once at the start; nothing is called without a change. A success ends the suspicion in all objects. - crash-trial: a request on trial is sent once the store has accepted the trial under the version that was read. The trial counts as an end until its outcome is known. If the store does not decide, it is left to the instances by rank, which wait before they look again; one that was rejected already waits for the store, five minutes at most. - Servers that end, and do not only hang, at several instances at once still count as one end; but the request is then sent one at a time, and rejected an end earlier. - A trial whose server lives is over; before, it counted as an end although the server had answered 500 or had survived.

One literal of a test of exchanged reports names the new field hasEnded; nothing else in existing tests was changed.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -10,6 +10,7 @@
 import type { Service, WindowedRetryBudget } from "@waxwingdale/balancing";
 import { createDocumentExchange } from "@waxwingdale/config";
 import { createEventLoopMonitor, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
+import type { Resolve } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
 import { configKey } from "@waxwingdale/platform";
 import {
@@ -22,8 +23,10 @@
 import { createRelayedStore } from "@waxwingdale/store";
 import { container } from "tsyringe";
 import type { DependencyContainer } from "tsyringe";
+import { createCrashArchive } from "./crash-archive.js";
 import { createCrashReportExchange } from "./crash-report-exchange.js";
 import { canTakeHealthCheck, getTrialDelayMs } from "./crash-suspicion.js";
+import { createTrialStart } from "./crash-trial.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { tokens } from "./gateway-tokens.js";
 import type { GatewayContext, RegisterComponent } from "./gateway-tokens.js";
@@ -260,25 +263,7 @@
             mayCheckHealth: server => canTakeHealthCheck(server, table, clock.now()),
         });
     });
-    add(tokens.crashSuspects, get => {
-        const { self, clock, logger } = get(tokens.context);
-        const suspects = createCrashSuspects(clock, fingerprint =>
-            getTrialDelayMs(fingerprint, self.id, get(tokens.topology).all()),
-        );
-        const exchange = createCrashReportExchange({
-            suspects,
-            members: () => get(tokens.membership),
-            transport: get(tokens.rpcClient),
-            rpc: get(tokens.rpcServer),
-            clock,
-            logger,
-        });
-        get(tokens.membership).addExtension("crash-reports", {
-            digest: () => exchange.getDigest(),
-            merge: reports => exchange.handleReports(reports),
-        });
-        return suspects;
-    });
+    composeCrashSuspects(add);
     add(tokens.startupGate, get => createStartupGate(get(tokens.context).clock));
     add(tokens.relay, get => {
         const { clock, protocol, logger, random } = get(tokens.context);
@@ -293,6 +278,7 @@
             pool: get(tokens.pool),
             crashSuspects: get(tokens.crashSuspects),
             crashObserver: createCrashLog(logger, metrics),
+            beginTrial: get(tokens.beginTrial),
             serverExaminer: get(tokens.serverExaminer),
             getRetryBudget: get(tokens.retryBudgets),
             routes: () => config.routes(),
@@ -310,6 +296,47 @@
     });
 }
 
+/** Registers what is known of requests that crash backend servers: in memory, at peers and in the store. */
+function composeCrashSuspects(add: RegisterComponent): void {
+    const getDelayMs = (get: Resolve) => (fingerprint: string) =>
+        getTrialDelayMs(fingerprint, get(tokens.context).self.id, get(tokens.topology).all());
+    add(tokens.crashSuspects, get => {
+        const { clock, logger } = get(tokens.context);
+        const suspects = createCrashSuspects(clock, getDelayMs(get));
+        const exchange = createCrashReportExchange({
+            suspects,
+            members: () => get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            clock,
+            logger,
+            onMerged: reports => get(tokens.crashArchive).recordMerged(reports),
+        });
+        get(tokens.membership).addExtension("crash-reports", {
+            digest: () => exchange.getDigest(),
+            merge: reports => exchange.handleReports(reports),
+        });
+        return suspects;
+    });
+    add(tokens.crashArchive, get => {
+        const { self, store, clock, random, logger } = get(tokens.context);
+        return createCrashArchive({
+            instanceId: self.id,
+            suspects: get(tokens.crashSuspects),
+            store,
+            clock,
+            random,
+            logger,
+            countInstances: () => get(tokens.topology).all().length,
+        });
+    });
+    add(tokens.beginTrial, get => {
+        const { store, clock, logger } = get(tokens.context);
+        const suspects = get(tokens.crashSuspects);
+        return createTrialStart({ suspects, store, clock, logger, delayMs: getDelayMs(get) });
+    });
+}
+
 function findService(config: TrafficDocument, name: string): Service | undefined {
     return config.current()?.services.find(service => service.name === name);
 }
--- /dev/null
+++ b/packages/gateway/src/crash-archive.ts
@@ -0,0 +1,203 @@
+/**
+ * Keeps what this instance knows of requests that crash servers in the store, for the time after all instances have ended at
+ * once. Each instance writes one object, soon after a change and not often, and reads those of all when it starts.
+ */
+import {
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+    getErrorMessage,
+} from "@waxwingdale/core";
+import type { Clock, Logger, ObjectStore, Random, StoredObject } from "@waxwingdale/core";
+import { crashSuspectsPrefix } from "@waxwingdale/platform";
+import type { CrashReport, CrashSuspects } from "@waxwingdale/relay";
+import { getBackoff } from "@waxwingdale/store";
+import * as v from "valibot";
+import { crashReportSchema } from "./crash-report-schema.js";
+
+export interface CrashArchiveOptions {
+    instanceId: string;
+    suspects: CrashSuspects;
+    store: ObjectStore;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    /** Number of instances that write to the store. */
+    countInstances: () => number;
+}
+
+export interface CrashArchive {
+    /** Reads what the instances have kept, then writes changes until the signal is aborted. */
+    run(signal: AbortSignal): Promise<void>;
+    /** Must be called with reports of peers, so that a suspicion that ended elsewhere ends in this instance's object. */
+    recordMerged(reports: readonly CrashReport[]): void;
+}
+
+/** Time in milliseconds in which the changes of one moment are collected. */
+const collectMs = 10;
+/** Interval in milliseconds between two writes, and for each instance, so that all together keep to a rate. */
+const minIntervalMs = 500;
+const intervalMsPerInstance = 25;
+/** Backoff in milliseconds while the store does not respond, or rejects. */
+const backoff = { minMs: 200, maxMs: 30_000 };
+/** Reports in an object: those with the most crashes, then the latest. */
+const maxReports = 256;
+/** Objects without any report that still counts which an instance deletes when it starts. */
+const maxDeletions = 8;
+const ownPrefix = `${crashSuspectsPrefix}of-`;
+/** Time in milliseconds after which a report of one crash, or of none, is worth nothing after a restart of all instances. */
+const freshMs = 600_000;
+
+/** What an object holds. Times of reports are relative to `writtenAt`, a Unix time in milliseconds. */
+const archiveSchema = v.object({
+    writtenAt: v.pipe(v.number(), v.finite()),
+    reports: v.array(crashReportSchema),
+});
+
+export type StoredReports = v.InferOutput<typeof archiveSchema>;
+
+/** Creates the value of an object. */
+export function encodeReports(clock: Clock, reports: readonly CrashReport[]): StoredReports {
+    return { writtenAt: Math.round(clock.wallTime()), reports: [...reports] };
+}
+
+/** Returns the reports of an object as of now; undefined if it is malformed. A clock that was set back makes none younger. */
+export function decodeReports(clock: Clock, { value }: StoredObject): CrashReport[] | undefined {
+    const parsed = v.safeParse(archiveSchema, value);
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { writtenAt, reports } = parsed.output;
+    const sinceMs = Math.max(0, Math.round(clock.wallTime() - writtenAt));
+    return reports.map(({ ageMs, crashAgeMs = ageMs, ...report }) => ({
+        ...report,
+        ageMs: ageMs + sinceMs,
+        crashAgeMs: crashAgeMs + sinceMs,
+    }));
+}
+
+export function createCrashArchive(options: CrashArchiveOptions): CrashArchive {
+    const { suspects, store, clock, logger } = options;
+    const key = `${ownPrefix}${options.instanceId}`;
+    /** Fingerprints that this instance has changed, with the epochs that its object has. */
+    const kept = new Map<string, number>();
+    let version = 0;
+    let isDirty = false;
+    let wake: () => void = () => undefined;
+
+    const markDirty = () => {
+        isDirty = true;
+        wake();
+    };
+
+    suspects.onAnyChange(({ fingerprint, epoch }) => {
+        kept.set(fingerprint, epoch);
+        markDirty();
+    });
+
+    const isKept = ({ crashes, ageMs }: CrashReport) => crashes > 1 || ageMs < freshMs;
+
+    const collectReports = (): CrashReport[] => {
+        const reports = [...kept.keys()].map(fingerprint => suspects.report(fingerprint)).filter(isKept);
+        reports.sort((a, b) => b.crashes - a.crashes || a.ageMs - b.ageMs);
+        reports.length = Math.min(reports.length, maxReports);
+        kept.clear();
+        reports.forEach(({ fingerprint, epoch }) => kept.set(fingerprint, epoch));
+        return reports;
+    };
+
+    const write = async () => {
+        isDirty = false;
+        try {
+            version = await store.put(key, encodeReports(clock, collectReports()), version);
+        } catch (err) {
+            isDirty = true;
+            if (err instanceof StoreConflictError) {
+                // An earlier write took effect although its response was lost.
+                version = err.currentVersion ?? 0;
+            }
+            throw err;
+        }
+    };
+
+    const applyObject = async (object: StoredObject, deletions: { left: number }) => {
+        const reports = decodeReports(clock, object);
+        if (reports === undefined) {
+            logger.warn("crash-archive-rejected", { key: object.key });
+            return;
+        }
+        reports.forEach(report => suspects.merge(report));
+        if (object.key === key) {
+            version = object.version;
+            reports.forEach(({ fingerprint, epoch }) => kept.set(fingerprint, epoch));
+        } else if (!reports.some(isKept) && deletions.left > 0) {
+            deletions.left -= 1;
+            await store.delete(object.key, object.version).catch((err: unknown) => {
+                logger.debug("crash-archive-not-deleted", { key: object.key, error: getErrorMessage(err) });
+            });
+        }
+    };
+
+    const load = async (signal: AbortSignal) => {
+        const objects = await store.list(crashSuspectsPrefix, signal);
+        const deletions = { left: maxDeletions };
+        for (const object of objects) {
+            await applyObject(object, deletions);
+        }
+        logger.info("crash-archive-read", { objects: objects.length, suspects: suspects.rejected().length });
+    };
+
+    /** Repeats a call until it succeeds. */
+    const persist = async (run: () => Promise<void>, signal: AbortSignal) => {
+        for (let failures = 1; !signal.aborted; failures++) {
+            try {
+                await run();
+                return;
+            } catch (err) {
+                if (!isStoreError(err)) {
+                    throw err;
+                }
+                logger.warn("crash-archive-unavailable", { failures, error: getErrorMessage(err) });
+                const isConflict = err instanceof StoreConflictError;
+                await clock.sleep(isConflict ? 0 : getBackoff(failures, backoff, options.random), signal);
+            }
+        }
+    };
+
+    const waitForChange = () =>
+        new Promise<void>(resolve => {
+            wake = resolve;
+            if (isDirty) {
+                resolve();
+            }
+        });
+
+    return {
+        recordMerged: reports => {
+            if (reports.some(({ fingerprint, epoch }) => epoch > (kept.get(fingerprint) ?? Infinity))) {
+                markDirty();
+            }
+        },
+        run: async signal => {
+            signal.addEventListener("abort", () => wake(), { once: true });
+            await persist(() => load(signal), signal);
+            while (!signal.aborted) {
+                await waitForChange();
+                await clock.sleep(collectMs, signal);
+                await persist(write, signal);
+                const intervalMs = Math.max(minIntervalMs, intervalMsPerInstance * options.countInstances());
+                await clock.sleep(intervalMs - collectMs, signal);
+            }
+        },
+    };
+}
+
+function isStoreError(err: unknown): boolean {
+    return (
+        err instanceof StoreUnavailableError ||
+        err instanceof StoreOutcomeUnknownError ||
+        err instanceof StoreRejectedError ||
+        err instanceof StoreConflictError
+    );
+}
--- a/packages/gateway/src/crash-report-exchange.ts
+++ b/packages/gateway/src/crash-report-exchange.ts
@@ -7,6 +7,7 @@
 import { quarantineCrashes, trialCrashes } from "@waxwingdale/relay";
 import type { CrashReport, CrashSuspects } from "@waxwingdale/relay";
 import * as v from "valibot";
+import { crashReportSchema } from "./crash-report-schema.js";
 import { createRotation } from "./rotation.js";
 
 export interface CrashReportExchange {
@@ -23,6 +24,8 @@
     rpc: RpcRegistry;
     clock: Clock;
     logger: Logger;
+    /** Called with the reports of a peer when they are known. */
+    onMerged: (reports: readonly CrashReport[]) => void;
 }
 
 const reportMethod = "crashes.report";
@@ -33,30 +36,7 @@
 const maxReports = 8;
 /** Of these, reports of first crashes; the others tell an instance that starts which requests to reject. */
 const minFirstCrashes = 3;
-const maxFingerprintLength = 64;
-const maxServers = 8;
-const maxServerIdLength = 256;
-
-const countSchema = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
-const serverIdSchema = v.pipe(v.string(), v.maxLength(maxServerIdLength));
-const fingerprintSchema = v.pipe(v.string(), v.maxLength(maxFingerprintLength));
-const reportsSchema = v.pipe(
-    v.array(
-        v.object({
-            fingerprint: fingerprintSchema,
-            epoch: countSchema,
-            crashes: countSchema,
-            trialSteps: v.optional(countSchema),
-            ageMs: countSchema,
-            crashAgeMs: v.optional(v.pipe(v.number(), v.safeInteger())),
-            survivals: v.optional(countSchema),
-            servers: v.optional(v.pipe(v.array(serverIdSchema), v.maxLength(maxServers))),
-            source: v.optional(fingerprintSchema),
-            isShared: v.optional(v.boolean()),
-        }),
-    ),
-    v.maxLength(maxReports),
-);
+const reportsSchema = v.pipe(v.array(crashReportSchema), v.maxLength(maxReports));
 
 export function createCrashReportExchange(options: CrashReportExchangeOptions): CrashReportExchange {
     const { suspects, transport, clock, logger } = options;
@@ -72,6 +52,7 @@
             return;
         }
         parsed.output.forEach(report => suspects.merge(report));
+        options.onMerged(parsed.output);
     };
 
     const sendTo = async (peerId: string, peerAddress: string, reports: readonly CrashReport[]) => {
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -22,6 +22,7 @@
 } from "@waxwingdale/core";
 import type { Membership } from "@waxwingdale/membership";
 import type {
+    BeginTrial,
     CrashSuspects,
     Relay,
     ServerExaminer,
@@ -29,6 +30,7 @@
     UpstreamPool,
     WireProtocol,
 } from "@waxwingdale/relay";
+import type { CrashArchive } from "./crash-archive.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import type { InstanceDirectory } from "./instance-directory.js";
 import type { InstanceTopology } from "./instance-topology.js";
@@ -73,6 +75,8 @@
     retryBudgets: createToken<(service: string) => WindowedRetryBudget>("retryBudgets"),
     pool: createToken<UpstreamPool>("pool"),
     crashSuspects: createToken<CrashSuspects>("crashSuspects"),
+    crashArchive: createToken<CrashArchive>("crashArchive"),
+    beginTrial: createToken<BeginTrial>("beginTrial"),
     serverExaminer: createToken<ServerExaminer>("serverExaminer"),
     startupGate: createToken<StartupGate>("startupGate"),
     relay: createToken<Relay>("relay"),
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -167,6 +167,7 @@
     void config.run(controller.signal);
     void storeView.run();
     void membership.run(controller.signal);
+    void get(tokens.crashArchive).run(controller.signal);
     logger.info("started", {
         zone: settings.zone,
         region: settings.region,
--- a/packages/gateway/test/crash-report-exchange.test.ts
+++ b/packages/gateway/test/crash-report-exchange.test.ts
@@ -42,11 +42,19 @@
         rpc: { addMethod: (name, handler) => void handlers.set(name, handler) },
         clock,
         logger: createSilentLogger(),
+        onMerged: () => undefined,
     });
     return { clock, suspects, calls, exchange, receive: handlers.get("crashes.report")! };
 }
 
-const secondCrash = { epoch: 0, crashes: 2, ageMs: 0, crashAgeMs: 0, servers: ["i-1", "i-0"] };
+const secondCrash = {
+    epoch: 0,
+    crashes: 2,
+    ageMs: 0,
+    crashAgeMs: 0,
+    servers: ["i-1", "i-0"],
+    hasEnded: true,
+};
 
 const identify = (request: string, caller = "1"): RequestIdentity => ({
     request,
--- a/packages/relay/src/crash-suspects.ts
+++ b/packages/relay/src/crash-suspects.ts
@@ -29,6 +29,13 @@
     survivals?: number;
     /** Ids of the servers of the last crashes. */
     servers?: string[];
+    /** Whether the server of the last crash has ended, and is not only silent, as servers are to many requests at once. */
+    hasEnded?: boolean;
+    /**
+     * For the fingerprint of a caller: whether several servers crashed at the same time. They count as one crash, as servers
+     * end together for other reasons too, but from then on the request is sent one at a time, and rejected a crash earlier.
+     */
+    isWave?: boolean;
     /** For the fingerprint of all callers: the first caller whose request crashed a server. */
     source?: string;
     /** For the fingerprint of all callers: whether requests of different callers crashed servers. */
@@ -40,6 +47,8 @@
     serverId: string;
     sentAt: number;
     lostAt: number;
+    /** Whether the server accepts connections and does not respond. */
+    isSilent?: boolean;
 }
 
 export interface CrashCounts {
@@ -55,6 +64,12 @@
     countCrashes(identity: RequestIdentity): CrashCounts;
     /** Returns for how many milliseconds the request is rejected; 0 if it is not. */
     rejectedMs(identity: RequestIdentity): number;
+    /** Whether the request, unless it is rejected, has to be sent on trial. */
+    needsTrial(identity: RequestIdentity): boolean;
+    /** Whether the request of this caller has crashed so many servers that it is rejected for a time after each crash. */
+    isQuarantined(identity: RequestIdentity): boolean;
+    /** Returns what would be known after `beginTrial` of the fingerprints that are on trial then. */
+    trialReports(identity: RequestIdentity): CrashReport[];
     /**
      * Must be called when a request that is not rejected is sent. Returns whether it is on trial: it is rejected as if it had
      * crashed a server, until a success clears it.
@@ -85,11 +100,15 @@
     merge(report: CrashReport): void;
     /** Returns the reports that other instances need, the most recently changed first. */
     reports(): CrashReport[];
+    /** Returns what is known under a fingerprint. */
+    report(fingerprint: string): CrashReport;
     /**
      * Calls `listener` after each change by this instance, not by `merge`, of a request that has crashed two servers or more.
      * A first crash is mostly the server's own fault, and concerns all that it was running.
      */
     onChange(listener: (report: CrashReport) => void): void;
+    /** Calls `listener` after each change by this instance, also of first crashes. */
+    onAnyChange(listener: (report: CrashReport) => void): void;
 }
 
 /** Number of crashes from which a request is rejected. */
@@ -121,26 +140,30 @@
     trialDelayMs: (fingerprint: string) => number = () => 0,
 ): CrashSuspects {
     const listeners: ((report: CrashReport) => void)[] = [];
+    const allListeners: ((report: CrashReport) => void)[] = [];
     const table = createSuspectTable({
         clock,
-        lifetimeMs: suspect => memoryMs + getRejectionMs(getAssumedCrashes(suspect), firstRejectionMs),
+        lifetimeMs: suspect => memoryMs + getRejectionMs(getLevel(suspect), firstRejectionMs),
         isUnimportant: ({ crashes }) => crashes < trialCrashes,
     });
     const find = (fingerprint: string) => table.find(fingerprint);
 
     const toReport = (fingerprint: string): CrashReport => {
+        const suspect = find(fingerprint);
         const { epoch, crashes, trialSteps, changedAt, crashedAt, survivals, servers, source, isShared } =
-            find(fingerprint);
+            suspect;
         const now = clock.now();
         return {
             fingerprint,
             epoch,
             crashes,
             ...(trialSteps > 0 ? { trialSteps } : {}),
-            ageMs: Math.round(now - changedAt),
+            ageMs: Math.max(0, Math.round(now - Math.max(0, changedAt))),
             ...(crashes > 0 ? { crashAgeMs: Math.round(now - crashedAt) } : {}),
             ...(survivals > 0 ? { survivals } : {}),
             ...(servers.length > 0 ? { servers: [...servers] } : {}),
+            ...(suspect.hasEnded === true ? { hasEnded: true } : {}),
+            ...(suspect.isWave === true ? { isWave: true } : {}),
             ...(source === undefined ? {} : { source, isShared: isShared === true }),
         };
     };
@@ -151,9 +174,10 @@
         const before = find(fingerprint);
         const after = { ...before, ...changes, changedAt: clock.now() };
         table.set(fingerprint, after);
-        if (Math.max(after.crashes, before.crashes) > 1) {
+        if (Math.max(after.crashes, before.crashes) > 1 || after.isWave !== before.isWave) {
             notify(fingerprint);
         }
+        allListeners.forEach(listener => listener(toReport(fingerprint)));
     };
 
     const isMostlySurvived = (suspect: Suspect): boolean =>
@@ -163,13 +187,13 @@
         const suspect = find(fingerprint);
         const { source, isShared } = suspect;
         const concernsAll = isCallerFingerprint(fingerprint) || source === undefined || isShared === true;
-        const isOverLimit = getAssumedCrashes(suspect) >= quarantineCrashes;
+        const isOverLimit = getLevel(suspect) >= quarantineCrashes;
         return isOverLimit && concernsAll && !isMostlySurvived(suspect);
     };
 
     const needsTrial = (fingerprint: string): boolean => {
         const suspect = find(fingerprint);
-        const isDecisive = isCallerFingerprint(fingerprint) && getAssumedCrashes(suspect) === trialCrashes;
+        const isDecisive = isCallerFingerprint(fingerprint) && getLevel(suspect) === trialCrashes;
         return isRejectable(fingerprint) || (isDecisive && !isMostlySurvived(suspect));
     };
 
@@ -192,22 +216,25 @@
         }
         const suspect = find(fingerprint);
         const firstMs = isCallerFingerprint(fingerprint) ? firstRejectionMs : firstSharedRejectionMs;
-        const rejectionMs = getRejectionMs(getAssumedCrashes(suspect), firstMs);
+        const rejectionMs = getRejectionMs(getLevel(suspect), firstMs);
         const remainingMs = suspect.changedAt + rejectionMs - clock.now();
         // The delay is worked out from all instances, so not for each request that is rejected anyway.
         return remainingMs > 0 ? remainingMs : Math.max(0, remainingMs + trialDelayMs(fingerprint));
     };
 
     /** An earlier trial whose outcome is still open counts as a crash. */
-    const openTrial = (fingerprint: string) => {
-        const suspect = find(fingerprint);
-        change(
-            fingerprint,
-            isTrialOpen(suspect)
-                ? { crashes: suspect.crashes + 1, trialSteps: 1 }
-                : { trialSteps: suspect.trialSteps + 1 },
-        );
-    };
+    const describeTrial = (suspect: Suspect) =>
+        isTrialOpen(suspect)
+            ? { crashes: suspect.crashes + 1, trialSteps: 1 }
+            : { trialSteps: suspect.trialSteps + 1 };
+
+    const openTrial = (fingerprint: string) => change(fingerprint, describeTrial(find(fingerprint)));
+
+    const toTrialReport = (fingerprint: string): CrashReport => ({
+        ...toReport(fingerprint),
+        ...describeTrial(find(fingerprint)),
+        ageMs: 0,
+    });
 
     /** Whether the crash is another one than those that are known. */
     const isFurtherCrash = (
@@ -215,7 +242,8 @@
         { serverId, sentAt, lostAt }: CrashedAttempt,
     ): boolean => sentAt >= crashedAt && !(servers.includes(serverId) && lostAt - crashedAt < serverBackMs);
 
-    const describeCrash = ({ servers }: Suspect, { serverId, lostAt }: CrashedAttempt) => ({
+    const describeCrash = ({ servers }: Suspect, { serverId, lostAt, isSilent }: CrashedAttempt) => ({
+        hasEnded: isSilent !== true,
         trialSteps: 0,
         crashedAt: lostAt,
         servers: [serverId, ...servers].slice(0, maxServers),
@@ -231,6 +259,9 @@
         const isKnown = isTrial && suspect.trialSteps === 0 && suspect.crashes >= quarantineCrashes;
         if (!isKnown && isCounted(suspect, attempt, isTrial)) {
             change(caller, { crashes: suspect.crashes + 1, ...describeCrash(suspect, attempt) });
+        } else if (attempt.isSilent !== true && isPartOfWave(suspect, attempt.serverId)) {
+            const servers = [attempt.serverId, ...suspect.servers].slice(0, maxServers);
+            change(caller, { servers, isWave: true });
         }
     };
 
@@ -265,6 +296,8 @@
                 crashedAt: -Infinity,
                 survivals: 0,
                 servers: [],
+                hasEnded: undefined,
+                isWave: undefined,
                 source: undefined,
                 isShared: undefined,
             });
@@ -287,6 +320,15 @@
         isEmpty: () => table.size() === 0,
         countCrashes,
         rejectedMs: identity => Math.max(0, ...getKnown(identity).map(getRejectedMs)),
+        needsTrial: identity => getKnown(identity).some(needsTrial),
+        isQuarantined: identity =>
+            getKnown(identity).some(
+                fingerprint =>
+                    isCallerFingerprint(fingerprint) &&
+                    needsTrial(fingerprint) &&
+                    getLevel(find(fingerprint)) >= quarantineCrashes,
+            ),
+        trialReports: identity => getKnown(identity).filter(needsTrial).map(toTrialReport),
         beginTrial: identity => {
             const onTrial = getKnown(identity).filter(needsTrial);
             onTrial.forEach(openTrial);
@@ -317,7 +359,7 @@
         merge: report => {
             const known = find(report.fingerprint);
             const { epoch, crashes, trialSteps = 0, ageMs, crashAgeMs = ageMs } = report;
-            const { servers = [], source, isShared } = report;
+            const { servers = [], source, isShared, hasEnded } = report;
             const isSameEpoch = epoch === known.epoch;
             const hasSameCrashes = isSameEpoch && crashes === known.crashes;
             const isNewer =
@@ -325,22 +367,17 @@
                 (isSameEpoch && crashes > known.crashes) ||
                 (hasSameCrashes && trialSteps > known.trialSteps);
             const survivals = Math.max(report.survivals ?? 0, isSameEpoch ? known.survivals : 0);
-            if (hasSameCrashes && survivals > known.survivals) {
-                table.update(report.fingerprint, { ...known, survivals });
-            }
+            const isWave = isSameEpoch && (known.isWave === true || isOtherWave(known, report));
+            const merged = { survivals, isWave: isWave || report.isWave === true };
             if (isNewer) {
                 const now = clock.now();
+                const times = { changedAt: now - ageMs, crashedAt: now - crashAgeMs };
                 table.set(report.fingerprint, {
-                    epoch,
-                    crashes,
-                    trialSteps,
-                    changedAt: now - ageMs,
-                    crashedAt: now - crashAgeMs,
-                    survivals,
-                    servers,
-                    source,
-                    isShared,
+                    ...{ epoch, crashes, trialSteps, ...times, servers, source, isShared, hasEnded },
+                    ...merged,
                 });
+            } else if (hasSameCrashes && isChanged(known, merged)) {
+                table.update(report.fingerprint, { ...known, ...merged });
             }
         },
         reports: () => {
@@ -351,7 +388,9 @@
                 .filter(({ crashes, ageMs }) => crashes >= trialCrashes || ageMs < freshMs)
                 .reverse();
         },
+        report: toReport,
         onChange: listener => void listeners.push(listener),
+        onAnyChange: listener => void allListeners.push(listener),
     };
 }
 
@@ -364,6 +403,30 @@
     return suspect.crashes + (isTrialOpen(suspect) ? 1 : 0);
 }
 
+/** Number of crashes by which a request is judged. A wave weighs as one more. */
+function getLevel(suspect: Suspect): number {
+    const crashes = getAssumedCrashes(suspect);
+    return suspect.isWave === true && suspect.crashes > 0 ? crashes + 1 : crashes;
+}
+
+/** Whether the server crashed at the same time as others that are known, and not the same one again. */
+function isPartOfWave({ crashes, servers, hasEnded }: Suspect, serverId: string): boolean {
+    const isOther = servers.length > 0 && !servers.includes(serverId);
+    return isOther && hasEnded === true && crashes < quarantineCrashes;
+}
+
+/** Whether another instance knows as many crashes, of which the last one was of another server. */
+function isOtherWave(known: Suspect, report: CrashReport): boolean {
+    const { fingerprint, crashes, hasEnded, servers = [] } = report;
+    const [last] = servers;
+    const isEnd = crashes === known.crashes && hasEnded === true && last !== undefined;
+    return isCallerFingerprint(fingerprint) && isEnd && isPartOfWave(known, last);
+}
+
+function isChanged(known: Suspect, { survivals, isWave }: { survivals: number; isWave: boolean }): boolean {
+    return survivals > known.survivals || isWave !== (known.isWave === true);
+}
+
 /** Returns the time in milliseconds for which a request is rejected after its last crash. */
 function getRejectionMs(crashes: number, firstMs: number): number {
     return crashes < quarantineCrashes
--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -9,8 +9,10 @@
 export interface CrashWatch {
     /** Returns for how many milliseconds the request is rejected; 0 if it is not. */
     rejectedMs(): number;
-    /** Must be called before the first attempt. Returns whether the request is on trial. */
-    begin(): boolean;
+    /** Whether the request must not be sent before `beginTrial` allows it. */
+    needsTrial(): boolean;
+    /** Resolves with whether the request may be sent, on trial. If not, it is on trial elsewhere, or rejected. */
+    beginTrial(): Promise<boolean>;
     /** Whether it may have crashed a server: it is not sent to two at the same time then. */
     isSuspect(): boolean;
     /** Fingerprint of the request of its caller. */
@@ -77,8 +79,12 @@
     examiner: ServerExaminer;
     observer: CrashObserver;
     identify: () => RequestIdentity;
+    beginTrial: BeginTrial;
 }
 
+/** Begins the trial of a request, unless another instance has begun it. Resolves with whether this instance may send it. */
+export type BeginTrial = (identity: RequestIdentity) => Promise<boolean>;
+
 /**
  * Times in milliseconds after the end of an attempt at which its server is examined, and those from which on a response
  * shows that it has survived.
@@ -95,6 +101,7 @@
     let identity: RequestIdentity | undefined;
     let losses = 0;
     let isTrial = false;
+    let hasEnded = false;
     /** Attempts whose server is known to have crashed. */
     const crashed = new Set<WatchedAttempt>();
     /** Resolves when the earlier losses have been examined. */
@@ -127,7 +134,12 @@
         if (isCrash(verdict) && !crashed.has(attempt)) {
             crashed.add(attempt);
             const { sentAt, server } = attempt;
-            suspects.recordCrash(identify(), { serverId: server.record.id, sentAt, lostAt }, isTrial);
+            const isSilent = verdict === ServerVerdict.Silent;
+            suspects.recordCrash(
+                identify(),
+                { serverId: server.record.id, sentAt, lostAt, isSilent },
+                isTrial,
+            );
         }
         const { ofCaller, ofAll } = countCrashes();
         observer.onExamined({
@@ -141,6 +153,21 @@
         });
     };
 
+    const withdrawTrial = () => {
+        if (isTrial) {
+            isTrial = false;
+            suspects.withdrawTrial(identify());
+        }
+    };
+
+    /** A trial whose server lives is over, though it has not cleared the request. */
+    const recordSurvival = () => {
+        if (!suspects.isEmpty()) {
+            suspects.recordSurvival(identify());
+            withdrawTrial();
+        }
+    };
+
     const examineLoss = async (attempt: WatchedAttempt, lostAt: number) =>
         recordVerdict(
             attempt,
@@ -168,14 +195,18 @@
             }
         }
         if (verdict === ServerVerdict.Alive && !crashed.has(attempt)) {
-            suspects.recordSurvival(identify());
+            recordSurvival();
         }
     };
 
     return {
         rejectedMs,
-        begin: () => {
-            isTrial = !suspects.isEmpty() && suspects.beginTrial(identify());
+        needsTrial: () => !suspects.isEmpty() && suspects.needsTrial(identify()),
+        beginTrial: async () => {
+            isTrial = await options.beginTrial(identify());
+            if (hasEnded) {
+                withdrawTrial();
+            }
             return isTrial;
         },
         isSuspect: () => {
@@ -202,11 +233,7 @@
                 void examineAbandoned(attempt, clock.now());
             }
         },
-        recordFailure: () => {
-            if (!suspects.isEmpty()) {
-                suspects.recordSurvival(identify());
-            }
-        },
+        recordFailure: recordSurvival,
         recordSuccess: () => {
             const crashes = suspects.isEmpty() ? 0 : suspects.recordSuccess(identify());
             if (crashes > 0) {
@@ -218,8 +245,9 @@
             }
         },
         end: wasRun => {
-            if (isTrial && !wasRun) {
-                suspects.withdrawTrial(identify());
+            hasEnded = true;
+            if (!wasRun) {
+                withdrawTrial();
             }
         },
     };
--- a/packages/relay/src/forward-request.ts
+++ b/packages/relay/src/forward-request.ts
@@ -1,4 +1,5 @@
 /** Forwards one request: admission, attempts with retries and hedging, and the response to the caller. */
+import type { Placement } from "@waxwingdale/balancing";
 import { createAttemptSender } from "./attempt-sender.js";
 import type { AttemptSender } from "./attempt-sender.js";
 import { createFailureHandler } from "./failure-handler.js";
@@ -9,6 +10,8 @@
 import type { RequestEnd } from "./request-end.js";
 import { createResponseHandler } from "./response-handler.js";
 
+const crashedServersReason = "the request crashed servers";
+
 /** Forwards one request. It ends with exactly one response, or when the caller disconnects. */
 export function forwardRequest(options: ForwardingOptions, request: RelayedRequest): void {
     const { clock, admission } = options;
@@ -39,20 +42,38 @@
         if ("refusal" in admitted) {
             state.detail = admitted.refusal.detail;
             end.refuse(admitted.refusal);
-        } else if (crashWatch.begin()) {
-            void sender.sendOnTrial(admitted.placement);
+        } else if (crashWatch.needsTrial()) {
+            void sendOnTrial(state, end, sender, admitted.placement);
         } else {
             sender.send(admitted.placement);
         }
     });
 }
 
+/** Sends the request if it may be on trial, and rejects it otherwise. */
+async function sendOnTrial(
+    state: ForwardedRequest,
+    end: RequestEnd,
+    sender: AttemptSender,
+    placement: Placement,
+): Promise<void> {
+    const isAllowed = await state.crashWatch.beginTrial();
+    if (state.isDone) {
+        return;
+    }
+    if (isAllowed) {
+        await sender.sendOnTrial(placement);
+    } else if (!refuseIfQuarantined(state, end)) {
+        end.refuse({ reason: crashedServersReason, retryAfterMs: sender.retryDelayMs() });
+    }
+}
+
 /** Returns whether the request was rejected, since it crashes servers. */
 function refuseIfQuarantined(state: ForwardedRequest, end: RequestEnd): boolean {
     const retryAfterMs = state.crashWatch.rejectedMs();
     if (retryAfterMs > 0) {
         state.detail = `fingerprint ${state.crashWatch.fingerprint()}`;
-        end.refuse({ reason: "the request crashed servers", retryAfterMs });
+        end.refuse({ reason: crashedServersReason, retryAfterMs });
     }
     return retryAfterMs > 0;
 }
--- a/packages/relay/src/forwarded-request.ts
+++ b/packages/relay/src/forwarded-request.ts
@@ -67,6 +67,7 @@
             suspects: options.crashSuspects,
             examiner: options.serverExaminer,
             identify: () => identifyRequest(req, callerAddress, info, request.body),
+            beginTrial: options.beginTrial,
         }),
         running: new Set(),
         attempts: [],
--- a/packages/relay/src/forwarding-options.ts
+++ b/packages/relay/src/forwarding-options.ts
@@ -3,7 +3,7 @@
 import type { AdmissionControl, Balancer, Route, WindowedRetryBudget } from "@waxwingdale/balancing";
 import type { Clock, EventLoopMonitor } from "@waxwingdale/core";
 import type { CrashSuspects } from "./crash-suspects.js";
-import type { CrashObserver } from "./crash-watch.js";
+import type { BeginTrial, CrashObserver } from "./crash-watch.js";
 import type { Arrival } from "./request-deadline.js";
 import type { RequestRecord } from "./request-outcome.js";
 import type { ServerExaminer } from "./server-examiner.js";
@@ -21,6 +21,7 @@
     /** Requests that may crash servers. */
     crashSuspects: CrashSuspects;
     crashObserver: CrashObserver;
+    beginTrial: BeginTrial;
     serverExaminer: ServerExaminer;
     /** Retry budget of a service. */
     getRetryBudget: (service: string) => WindowedRetryBudget;
--- a/packages/relay/src/suspect-table.ts
+++ b/packages/relay/src/suspect-table.ts
@@ -17,6 +17,10 @@
     survivals: number;
     /** Ids of the servers of the last crashes. */
     servers: readonly string[];
+    /** Whether the server of the last crash has ended, and is not only silent. */
+    hasEnded?: boolean;
+    /** Whether several servers crashed at the same time under one caller's request. */
+    isWave?: boolean;
     /** For the fingerprint of all callers: the first caller whose request crashed a server. */
     source?: string;
     /** For the fingerprint of all callers: whether requests of different callers crashed servers. */
--- a/packages/relay/test/crash-suspects.test.ts
+++ b/packages/relay/test/crash-suspects.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createManualClock } from "@waxwingdale/core";
+import type { ManualClock } from "@waxwingdale/core";
 import { createCrashSuspects, quarantineCrashes } from "@waxwingdale/relay";
 import type { CrashReport, CrashSuspects, RequestIdentity } from "@waxwingdale/relay";
 import fc from "fast-check";
@@ -55,6 +56,49 @@
     assert.deepEqual(suspects.countCrashes(identify("a")), { ofCaller: 1, ofAll: 1 });
 });
 
+/** Crashes servers at the same time, each at an instance of its own that then hears of the others. */
+function crashAtOnce(clock: ManualClock, instances: readonly CrashSuspects[], isSilent = false): void {
+    const sentAt = clock.now();
+    clock.jump(1);
+    instances.forEach(suspects =>
+        suspects.recordCrash(identify("a"), {
+            serverId: nextServer(),
+            sentAt,
+            lostAt: clock.now(),
+            isSilent,
+        }),
+    );
+    instances.forEach(from => instances.forEach(to => exchange(from, to)));
+}
+
+/** Guards against three instances that send it again each, since what they have seen counts as one crash (BUDGET). */
+test("a request under which servers end at several instances at once is sent one at a time from then on", () => {
+    const { clock, suspects } = setUp();
+    const instances = [suspects, createCrashSuspects(clock), createCrashSuspects(clock)];
+    crashAtOnce(clock, instances);
+    for (const instance of instances) {
+        assert.equal(instance.countCrashes(identify("a")).ofCaller, 1);
+        assert.equal(instance.needsTrial(identify("a")), true);
+        assert.equal(instance.rejectedMs(identify("a")), 0);
+    }
+    clock.jump(5 * second);
+    assert.equal(suspects.beginTrial(identify("a")), true);
+    exchange(suspects, instances[1]!);
+    assert.ok(instances[1]!.rejectedMs(identify("a")) > 0);
+    crash({ clock, suspects }, identify("a"), 1, true);
+    assert.ok(suspects.rejectedMs(identify("a")) > 0);
+    suspects.recordSuccess(identify("a"));
+    assert.equal(suspects.needsTrial(identify("a")), false);
+});
+
+// Guards against a harmless request that is rejected, since it came to servers that hang.
+test("servers that fall silent at the same time are no reason for a trial", () => {
+    const { clock, suspects } = setUp();
+    const instances = [suspects, createCrashSuspects(clock)];
+    crashAtOnce(clock, instances, true);
+    assert.ok(instances.every(instance => !instance.needsTrial(identify("a"))));
+});
+
 // Guards against a popular path that is rejected for the callers of servers that crash at the same time.
 test("servers that crash at the same time under requests of many callers count once", () => {
     const { clock, suspects } = setUp();
--- a/packages/relay/test/crash-watch.test.ts
+++ b/packages/relay/test/crash-watch.test.ts
@@ -31,6 +31,7 @@
             examiner,
             observer: { onExamined: () => undefined, onCleared: () => undefined },
             identify: () => identity,
+            beginTrial: async () => suspects.beginTrial(identity),
         });
     const createAttempt = (id: string) => ({
         server: { record: { id } } as BackendState,
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -267,6 +267,7 @@
         admission: createAdmissionControl({ clock, balancer }),
         pool,
         crashSuspects,
+        beginTrial: async identity => crashSuspects.beginTrial(identity),
         serverExaminer: createServerExaminer({ clock, pool, mayCheckHealth: () => true }),
         crashObserver: {
             onExamined: examination => examinations.push(examination),
