fix(balancing): an instance that has just started sends nothing to a cold server until others are known (FAILBACK)

Cause: cold limits were divided among the instances of the current view alone. What an instance knows of the others dies with all of them, as what they know of crashing requests did.

Change: cold limits use the lists of the last seconds, as rate limits do already: the smallest share in any of them, none right after the start. The history of lists is kept for zones as well.

--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -42,14 +42,17 @@
     coldRequestsPerSecond: number;
     /** Id of this instance. */
     self: string;
-    /** Ids of the instances that may send to the cold servers of a zone. Returns a new array when they change. */
-    coldSenders: (zone: string, region: string) => readonly string[];
+    /**
+     * The lists of instances that may send to the cold servers of a zone, as they were seen lately. Returns a new array when
+     * they change.
+     */
+    recentColdSenders: (zone: string) => readonly (readonly string[])[];
     rateLimit: Omit<ServerRateLimitOptions, "serverId" | "self" | "now">;
     now: number;
 }
 
 export function createBackendState(options: BackendStateOptions): BackendState {
-    const { record, region, coldSenders } = options;
+    const { record, region, recentColdSenders } = options;
     return {
         record,
         region,
@@ -60,7 +63,7 @@
             serverId: record.id,
             self: options.self,
             requestsPerSecond: options.coldRequestsPerSecond,
-            senders: () => coldSenders(record.zone, region),
+            recentSenders: () => recentColdSenders(record.zone),
         }),
         rateLimit: createServerRateLimit({
             ...options.rateLimit,
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -22,8 +22,11 @@
     coldRequestsPerSecond: (service: string) => number;
     /** Id of this instance. */
     self: string;
-    /** Ids of the instances that may send to the cold servers of a zone. Returns a new array when they change. */
-    coldSenders: (zone: string, region: string) => readonly string[];
+    /**
+     * The lists of instances that may send to the cold servers of a zone, as they were seen lately. Returns a new array when
+     * they change.
+     */
+    recentColdSenders: (zone: string) => readonly (readonly string[])[];
     rateLimits: RateLimitFleet;
     /** Called when a server has been removed, so that its connections can be closed. */
     onServerRemoved: (server: BackendState) => void;
@@ -84,7 +87,7 @@
             region,
             coldRequestsPerSecond: options.coldRequestsPerSecond(record.service),
             self: options.self,
-            coldSenders: options.coldSenders,
+            recentColdSenders: options.recentColdSenders,
             rateLimit: createRateLimitOptions(record.id, region),
             now,
         });
--- a/packages/balancing/src/candidate-history.ts
+++ b/packages/balancing/src/candidate-history.ts
@@ -1,5 +1,6 @@
 /**
- * Instances that may send to the rate-limited servers of a region, as this instance has seen them lately. Shares are
+ * Instances that may send to the limited servers of an area, a region or an availability zone, as this instance has seen them
+ * lately. Shares are
  * worked out from all of these lists, so that they add up to the limit while the instances' views still differ.
  */
 import type { Clock } from "@waxwingdale/core";
@@ -7,17 +8,17 @@
 export interface CandidateHistory {
     /** Records the current lists; must be called at short intervals. */
     update(): void;
-    /** Returns every list of the region that was current within the hold time, the latest last. */
-    recent(region: string): readonly (readonly string[])[];
+    /** Returns every list of the area that was current within the hold time, the latest last. */
+    recent(area: string): readonly (readonly string[])[];
 }
 
 export interface CandidateHistoryOptions {
     clock: Clock;
-    regions: () => readonly string[];
+    areas: () => readonly string[];
     /** Number of all instances that serve traffic. */
     countInstances: () => number;
-    /** Current ids of the instances of a region, or of all instances if the region has none. */
-    candidates: (region: string) => readonly string[];
+    /** Current ids of the instances of an area, or of others if the area has none. */
+    candidates: (area: string) => readonly string[];
 }
 
 /** Longest interval in milliseconds between two gossip exchanges of an instance. */
@@ -33,34 +34,35 @@
     replacedAt: number;
 }
 
-interface RegionHistory {
+interface AreaHistory {
     current: readonly string[];
     past: readonly Entry[];
     recent: readonly (readonly string[])[];
 }
 
 const noIds: readonly string[] = [];
+const noLists: readonly (readonly string[])[] = [noIds];
 
 export function createCandidateHistory({
     clock,
-    regions,
+    areas,
     countInstances,
     candidates,
 }: CandidateHistoryOptions): CandidateHistory {
-    const histories = new Map<string, RegionHistory>();
+    const histories = new Map<string, AreaHistory>();
     const startedAt = clock.now();
     let updatedAt = startedAt;
 
     /** Before its start an instance had no share. */
-    const createHistory = (): RegionHistory => ({
+    const createHistory = (): AreaHistory => ({
         current: noIds,
         past: [{ ids: noIds, replacedAt: startedAt }],
         recent: [noIds],
     });
 
-    const updateRegion = (region: string, now: number, wasPaused: boolean) => {
-        const history = histories.get(region) ?? createHistory();
-        const current = candidates(region);
+    const updateArea = (area: string, now: number, wasPaused: boolean) => {
+        const history = histories.get(area) ?? createHistory();
+        const current = candidates(area);
         const hasChanged = current !== history.current && !isSameList(current, history.current);
         const holdMs = getMembershipHoldMs(countInstances());
         const past = history.past.filter(({ replacedAt }) => now - replacedAt <= holdMs);
@@ -71,11 +73,11 @@
             past.push({ ids: noIds, replacedAt: now });
         }
         const isUnchanged = !hasChanged && !wasPaused && past.length === history.past.length;
-        if (isUnchanged && histories.has(region)) {
+        if (isUnchanged && histories.has(area)) {
             return;
         }
         const recent = [...past.map(({ ids }) => ids), current];
-        histories.set(region, { current, past, recent });
+        histories.set(area, { current, past, recent });
     };
 
     return {
@@ -83,9 +85,9 @@
             const now = clock.now();
             const wasPaused = now - updatedAt > maxGapMs;
             updatedAt = now;
-            regions().forEach(region => updateRegion(region, now, wasPaused));
+            areas().forEach(area => updateArea(area, now, wasPaused));
         },
-        recent: region => histories.get(region)?.recent ?? [noIds],
+        recent: area => histories.get(area)?.recent ?? noLists,
     };
 }
 
--- a/packages/balancing/src/cold-limit.ts
+++ b/packages/balancing/src/cold-limit.ts
@@ -1,5 +1,5 @@
 /** Limits the requests of this instance to a cold backend server, so that all instances together respect its limit. */
-import { getSenderShare } from "./rate-limit-share.js";
+import { getHeldSenderShare } from "./rate-limit-share.js";
 import { createSlidingWindowCounter } from "./sliding-window-counter.js";
 
 export interface ColdLimitOptions {
@@ -8,8 +8,11 @@
     requestsPerSecond: number;
     /** Id of this instance. */
     self: string;
-    /** Ids of the instances that may send to the server while it is cold. Returns a new array when they change. */
-    senders: () => readonly string[];
+    /**
+     * The lists of instances that may send to the server while it is cold, as they were seen lately. Returns a new array when
+     * they change.
+     */
+    recentSenders: () => readonly (readonly string[])[];
 }
 
 export interface ColdLimit {
@@ -24,14 +27,14 @@
 
 export function createColdLimit(options: ColdLimitOptions): ColdLimit {
     const sent = createSlidingWindowCounter(windowMs);
-    let senders: readonly string[] | undefined;
+    let recent: readonly (readonly string[])[] | undefined;
     let share = 0;
 
     const currentShare = () => {
-        const current = options.senders();
-        if (current !== senders) {
-            senders = current;
-            share = getSenderShare(
+        const current = options.recentSenders();
+        if (current !== recent) {
+            recent = current;
+            share = getHeldSenderShare(
                 options.serverId,
                 usableFraction * options.requestsPerSecond,
                 options.self,
--- a/packages/balancing/src/rate-limit-share.ts
+++ b/packages/balancing/src/rate-limit-share.ts
@@ -45,9 +45,17 @@
     self: string,
     recentCandidates: readonly (readonly string[])[],
 ): number {
-    return Math.min(
-        ...recentCandidates.map(ids => getRateLimitShare(serverId, requestsPerSecond, self, ids)),
-    );
+    return getHeldSenderShare(serverId, getUsableRate(requestsPerSecond), self, recentCandidates);
+}
+
+/** The same for a rate of which everything may be used. */
+export function getHeldSenderShare(
+    serverId: string,
+    usablePerSecond: number,
+    self: string,
+    recentCandidates: readonly (readonly string[])[],
+): number {
+    return Math.min(...recentCandidates.map(ids => getSenderShare(serverId, usablePerSecond, self, ids)));
 }
 
 /** Returns the part of a limit that all instances together use, in requests per second. */
--- a/packages/balancing/test/fixtures.ts
+++ b/packages/balancing/test/fixtures.ts
@@ -1,6 +1,13 @@
 /** Servers, routes and requests for the balancing tests. */
 import { RequestKind, ServerPhase, createBackendTable, createBalancer } from "@waxwingdale/balancing";
-import type { BackendTable, Balancer, Route, RoutedRequest, ServerRecord } from "@waxwingdale/balancing";
+import type {
+    BackendTable,
+    BackendTableOptions,
+    Balancer,
+    Route,
+    RoutedRequest,
+    ServerRecord,
+} from "@waxwingdale/balancing";
 import { createManualClock, createSilentLogger } from "@waxwingdale/core";
 import type { Clock, ManualClock } from "@waxwingdale/core";
 
@@ -12,8 +19,8 @@
 };
 export const coldStartMs = 3000;
 /** Senders to cold servers in a fleet of one instance. */
-const soleSender: readonly string[] = ["g-1"];
-const noSender: readonly string[] = [];
+const soleSenders: readonly (readonly string[])[] = [["g-1"]];
+const noSenders: readonly (readonly string[])[] = [[]];
 
 export function createRoute(fields: Partial<Route> = {}): Route {
     return {
@@ -47,18 +54,21 @@
 }
 
 /** Creates an empty table for the instance "g-1". */
-export function createTable(clock: Clock, coldSenders: (zone: string) => readonly string[]): BackendTable {
+export function createTable(
+    clock: Clock,
+    recentColdSenders: BackendTableOptions["recentColdSenders"],
+): BackendTable {
     return createBackendTable({
         clock,
         logger: createSilentLogger(),
         regionOf: zone => zones[zone],
         coldRequestsPerSecond: () => 20,
         self: "g-1",
-        coldSenders,
+        recentColdSenders,
         rateLimits: {
             random: () => 0,
             countInstances: () => 1,
-            recentCandidates: () => [soleSender],
+            recentCandidates: () => soleSenders,
         },
         onServerRemoved: () => undefined,
     });
@@ -78,7 +88,7 @@
     zone = "n-a",
 ): Instance {
     // Only instances in the zone of a server send to it while it is cold.
-    const table = createTable(clock, serverZone => (serverZone === zone ? soleSender : noSender));
+    const table = createTable(clock, serverZone => (serverZone === zone ? soleSenders : noSenders));
     table.setServices([
         {
             name: "files",
--- a/packages/balancing/test/limits.test.ts
+++ b/packages/balancing/test/limits.test.ts
@@ -1,13 +1,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+    createCandidateHistory,
     createColdLimit,
     createRegionSpillover,
     createWindowedRetryBudget,
     createServiceSplit,
     createSlidingWindowCounter,
+    getMembershipHoldMs,
 } from "@waxwingdale/balancing";
-import { createRandom } from "@waxwingdale/core";
+import { createManualClock, createRandom } from "@waxwingdale/core";
 import fc from "fast-check";
 
 // Guards against expiring events too early, which would exceed every limit based on the counter.
@@ -43,12 +45,12 @@
 ) {
     const random = createRandom(seed);
     const limits = ids.map(self => {
-        const senders = sendersOf(self);
+        const recentSenders = [sendersOf(self)];
         return createColdLimit({
             serverId: "i-1",
             requestsPerSecond: coldPerSecond,
             self,
-            senders: () => senders,
+            recentSenders: () => recentSenders,
         });
     });
     const sends: number[] = [];
@@ -74,6 +76,36 @@
     );
 });
 
+// Guards against instances that all start at once, know only themselves, and take the whole limit each (FAILBACK).
+test("cold zone: an instance that has just started sends nothing to a cold server until others are known", () => {
+    const clock = createManualClock();
+    let known: readonly string[] = ["g-1"];
+    const history = createCandidateHistory({
+        clock,
+        areas: () => ["n-a"],
+        countInstances: () => known.length,
+        candidates: () => known,
+    });
+    const limit = createColdLimit({
+        serverId: "i-1",
+        requestsPerSecond: coldPerSecond,
+        self: "g-1",
+        recentSenders: () => history.recent("n-a"),
+    });
+    const hasCapacity = () => {
+        history.update();
+        return limit.hasCapacity(clock.now());
+    };
+    assert.equal(hasCapacity(), false);
+    clock.jump(500);
+    known = ["g-1", "g-2", "g-3"];
+    assert.equal(hasCapacity(), false);
+    for (const end = clock.now() + getMembershipHoldMs(3) + 100; clock.now() < end; clock.jump(100)) {
+        hasCapacity();
+    }
+    assert.equal(hasCapacity(), true);
+});
+
 // Guards against exceeding the limit while a membership change has not reached all instances.
 test("cold zone: instances whose member lists differ by two stay below the limit of a cold server together", () => {
     fc.assert(
--- a/packages/balancing/test/rate-limit-fleet.ts
+++ b/packages/balancing/test/rate-limit-fleet.ts
@@ -64,7 +64,7 @@
             toldAt: Infinity,
             history: createCandidateHistory({
                 clock,
-                regions: () => ["north"],
+                areas: () => ["north"],
                 countInstances: () => instance.view.length,
                 candidates: () => instance.view,
             }),
--- a/packages/balancing/test/rate-limit.test.ts
+++ b/packages/balancing/test/rate-limit.test.ts
@@ -54,7 +54,7 @@
             const createHistory = (id: string) =>
                 createCandidateHistory({
                     clock,
-                    regions: () => ["north"],
+                    areas: () => ["north"],
                     countInstances: () => ids.length,
                     candidates: () => views.get(id)!,
                 });
@@ -283,7 +283,7 @@
     const ids = createIds(4);
     const history = createCandidateHistory({
         clock,
-        regions: () => ["north"],
+        areas: () => ["north"],
         countInstances: () => ids.length,
         candidates: () => ids,
     });
--- a/packages/balancing/test/server-ranking.test.ts
+++ b/packages/balancing/test/server-ranking.test.ts
@@ -7,7 +7,7 @@
 import { createServer, createTable } from "./fixtures.js";
 
 function createServers(count: number): readonly BackendState[] {
-    const table = createTable(createManualClock(), () => []);
+    const table = createTable(createManualClock(), () => [[]]);
     for (let i = 0; i < count; i++) {
         table.apply(createServer(`i-${i}`, "n-a"), false);
     }
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -91,11 +91,20 @@
         const { clock, settings } = get(tokens.context);
         return createCandidateHistory({
             clock,
-            regions: () => [...new Set(Object.values(settings().zones))],
+            areas: () => [...new Set(Object.values(settings().zones))],
             countInstances: () => get(tokens.topology).budgetDivisor(),
             candidates: region => get(tokens.topology).inRegionOrAll(region),
         });
     });
+    add(tokens.coldSenderHistory, get => {
+        const { clock, settings } = get(tokens.context);
+        return createCandidateHistory({
+            clock,
+            areas: () => Object.keys(settings().zones),
+            countInstances: () => get(tokens.topology).budgetDivisor(),
+            candidates: zone => get(tokens.topology).nearest(zone, settings().zones[zone] ?? ""),
+        });
+    });
     add(tokens.directory, get => createInstanceDirectory(() => get(tokens.membership).members()));
 }
 
@@ -159,7 +168,7 @@
                 return (service?.coldRequestsPerSecond ?? 0) * coldFactor + coldSlack;
             },
             self: settings().id,
-            coldSenders: (zone, region) => get(tokens.topology).nearest(zone, region),
+            recentColdSenders: zone => get(tokens.coldSenderHistory).recent(zone),
             rateLimits: {
                 random,
                 countInstances: () => get(tokens.topology).budgetDivisor(),
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -64,6 +64,7 @@
     directory: createToken<InstanceDirectory>("directory"),
     topology: createToken<InstanceTopology>("topology"),
     candidateHistory: createToken<CandidateHistory>("candidateHistory"),
+    coldSenderHistory: createToken<CandidateHistory>("coldSenderHistory"),
     exchange: createToken<DocumentExchange>("exchange"),
     store: createToken<ObjectStore>("store"),
     storeWatches: createToken<StoreWatches>("storeWatches"),
--- a/packages/gateway/test/server-report-exchange.test.ts
+++ b/packages/gateway/test/server-report-exchange.test.ts
@@ -13,7 +13,7 @@
         regionOf: () => "north",
         coldRequestsPerSecond: () => 20,
         self: "g-1",
-        coldSenders: () => [],
+        recentColdSenders: () => [[]],
         rateLimits: { random: () => 0, countInstances: () => 1, recentCandidates: () => [[]] },
         onServerRemoved: () => undefined,
     });
--- a/packages/gateway/test/store-view.test.ts
+++ b/packages/gateway/test/store-view.test.ts
@@ -60,7 +60,7 @@
         regionOf: () => "north",
         coldRequestsPerSecond: () => 20,
         self: "a",
-        coldSenders: () => [],
+        recentColdSenders: () => [[]],
         rateLimits: { random: () => 0, countInstances: () => 1, recentCandidates: () => [[]] },
         onServerRemoved: () => undefined,
     });
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -183,7 +183,7 @@
 
 /** Interval of the event loop monitor in milliseconds, as in the gateway. */
 const tickIntervalMs = 100;
-const soleSender: readonly string[] = ["g-1"];
+const soleSenders: readonly (readonly string[])[] = [["g-1"]];
 
 /** Starts an instance that forwards requests to the given servers. */
 export async function startInstance(
@@ -198,11 +198,11 @@
         regionOf: () => "north",
         coldRequestsPerSecond: () => 100,
         self: "g-1",
-        coldSenders: () => soleSender,
+        recentColdSenders: () => soleSenders,
         rateLimits: {
             random: () => 0,
             countInstances: () => 1,
-            recentCandidates: () => [soleSender],
+            recentCandidates: () => soleSenders,
         },
         onServerRemoved: () => undefined,
     });
