--- a/packages/gateway/src/crash-archive.ts
+++ b/packages/gateway/src/crash-archive.ts
@@ -2,13 +2,7 @@
  * Keeps what this instance knows of requests that crash servers in the store, for the time after all instances have ended at
  * once. Each instance writes one object, soon after a change and not often, and reads those of all when it starts.
  */
-import {
-    StoreConflictError,
-    StoreOutcomeUnknownError,
-    StoreRejectedError,
-    StoreUnavailableError,
-    getErrorMessage,
-} from "@waxwingdale/core";
+import { StoreConflictError, getErrorMessage } from "@waxwingdale/core";
 import type { Clock, Logger, ObjectStore, Random, StoredObject } from "@waxwingdale/core";
 import { crashSuspectsPrefix } from "@waxwingdale/platform";
 import type { CrashReport, CrashSuspects } from "@waxwingdale/relay";
@@ -155,9 +149,6 @@
                 await run();
                 return;
             } catch (err) {
-                if (!isStoreError(err)) {
-                    throw err;
-                }
                 logger.warn("crash-archive-unavailable", { failures, error: getErrorMessage(err) });
                 const isConflict = err instanceof StoreConflictError;
                 await clock.sleep(isConflict ? 0 : getBackoff(failures, backoff, options.random), signal);
@@ -192,12 +183,3 @@
         },
     };
 }
-
-function isStoreError(err: unknown): boolean {
-    return (
-        err instanceof StoreUnavailableError ||
-        err instanceof StoreOutcomeUnknownError ||
-        err instanceof StoreRejectedError ||
-        err instanceof StoreConflictError
-    );
-}
--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -85,13 +85,22 @@
 /** Begins the trial of a request, unless another instance has begun it. Resolves with whether this instance may send it. */
 export type BeginTrial = (identity: RequestIdentity) => Promise<boolean>;
 
-/**
- * Times in milliseconds after the end of an attempt at which its server is examined, and those from which on a response
- * shows that it has survived.
- */
-const abandonedChecks = [
-    { atMs: 250, survivedMs: 0 },
-    { atMs: 1500, survivedMs: 300 },
+/** A time after the end of an attempt at which its server is examined. Times are in milliseconds. */
+interface AbandonedCheck {
+    atMs: number;
+    /** A response from this time on shows that the server has survived. */
+    survivedMs: number;
+    /** Whether a server that lives then speaks for the request. */
+    provesSurvival: boolean;
+    /** Whether a server that shuts down is left out, since it may have ended as it had announced. */
+    skipsLeaving: boolean;
+}
+
+const abandonedChecks: readonly AbandonedCheck[] = [
+    { atMs: 250, survivedMs: 0, provesSurvival: false, skipsLeaving: false },
+    { atMs: 1500, survivedMs: 300, provesSurvival: true, skipsLeaving: false },
+    { atMs: 3000, survivedMs: 2500, provesSurvival: false, skipsLeaving: true },
+    { atMs: 6000, survivedMs: 5500, provesSurvival: false, skipsLeaving: true },
 ];
 
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
@@ -184,19 +193,35 @@
         }
     };
 
+    /** Returns whether the examinations go on. */
+    const checkAbandoned = async (
+        attempt: WatchedAttempt,
+        endedAt: number,
+        { atMs, survivedMs, provesSurvival, skipsLeaving }: AbandonedCheck,
+    ): Promise<boolean> => {
+        await clock.sleep(endedAt + atMs - clock.now());
+        if (skipsLeaving && attempt.server.isLeaving) {
+            return false;
+        }
+        const verdict = await examiner.examineSilence(attempt, endedAt, endedAt + survivedMs);
+        if (isCrash(verdict)) {
+            recordVerdict(attempt, AttemptLoss.Abandoned, clock.now(), verdict);
+            return false;
+        }
+        if (provesSurvival && verdict === ServerVerdict.Alive && !crashed.has(attempt)) {
+            suspects.recordSurvival(identify());
+        }
+        return !crashed.has(attempt);
+    };
+
+    /** A server may go on with a request whose caller has left, and end seconds later. */
     const examineAbandoned = async (attempt: WatchedAttempt, endedAt: number) => {
-        let verdict = ServerVerdict.Unknown;
-        for (const { atMs, survivedMs } of abandonedChecks) {
-            await clock.sleep(endedAt + atMs - clock.now());
-            verdict = await examiner.examineSilence(attempt, endedAt, endedAt + survivedMs);
-            if (isCrash(verdict)) {
-                recordVerdict(attempt, AttemptLoss.Abandoned, clock.now(), verdict);
+        for (const check of abandonedChecks) {
+            if (!(await checkAbandoned(attempt, endedAt, check))) {
                 return;
             }
         }
-        if (verdict === ServerVerdict.Alive && !crashed.has(attempt)) {
-            recordSurvival();
-        }
+        withdrawTrial();
     };
 
     return {
