fix(gateway): the archive of crashing requests is bounded for the whole fleet

Cause: each of 420 instances may keep 256 reports of some 250 bytes; one that starts reads all, 27 MB in 27 pages, and all that start at once read them at the same moment.

Change: the objects of all instances have 2,048 reports together, an object 256 at most and 4 at least.

Measured: gateway/crash-archive passes, with 20 reports for each of 100 instances; the sizes are worked out, not measured.

--- a/packages/gateway/src/crash-archive.ts
+++ b/packages/gateway/src/crash-archive.ts
@@ -35,8 +35,13 @@
 const intervalMsPerInstance = 25;
 /** Backoff in milliseconds while the store does not respond, or rejects. */
 const backoff = { minMs: 200, maxMs: 30_000 };
-/** Reports in an object: those with the most crashes, then the latest. */
+/**
+ * Reports in the objects of all instances together, which an instance reads when it starts, and in one object at most and at
+ * least: those with the most crashes, then the latest.
+ */
+const maxReportsOfAll = 2048;
 const maxReports = 256;
+const minReports = 4;
 /** Objects without any report that still counts which an instance deletes when it starts. */
 const maxDeletions = 8;
 const ownPrefix = `${crashSuspectsPrefix}of-`;
@@ -95,7 +100,7 @@
     const collectReports = (): CrashReport[] => {
         const reports = [...kept.keys()].map(fingerprint => suspects.report(fingerprint)).filter(isKept);
         reports.sort((a, b) => b.crashes - a.crashes || a.ageMs - b.ageMs);
-        reports.length = Math.min(reports.length, maxReports);
+        reports.length = Math.min(reports.length, getReportLimit(options.countInstances()));
         kept.clear();
         reports.forEach(({ fingerprint, epoch }) => kept.set(fingerprint, epoch));
         return reports;
@@ -183,3 +188,8 @@
         },
     };
 }
+
+function getReportLimit(instances: number): number {
+    const share = Math.floor(maxReportsOfAll / Math.max(1, instances));
+    return Math.max(minReports, Math.min(maxReports, share));
+}
