fix(relay): a request whose response is in doubt waits for a free slot of another server

Cause: a retry is given up if the server chosen for it has no free slot at that moment, with 1,490 of 1,500 ms left (seen in a trial that printed the choice).

Change: an idempotent request in doubt goes through the admission queue again. Other retries are unchanged. Also: objects of the archive whose reports have all lapsed are deleted by instances that start, those of repeated crashes after 25 hours; before, they were never.

--- a/packages/gateway/src/crash-archive.ts
+++ b/packages/gateway/src/crash-archive.ts
@@ -47,6 +47,8 @@
 const ownPrefix = `${crashSuspectsPrefix}of-`;
 /** Time in milliseconds after which a report of one crash, or of none, is worth nothing after a restart of all instances. */
 const freshMs = 600_000;
+/** The same for other reports: longer than any rejection lasts. */
+const lifetimeMs = 25 * 3_600_000;
 
 /** What an object holds. Times of reports are relative to `writtenAt`, a Unix time in milliseconds. */
 const archiveSchema = v.object({
@@ -95,7 +97,7 @@
         markDirty();
     });
 
-    const isKept = ({ crashes, ageMs }: CrashReport) => crashes > 1 || ageMs < freshMs;
+    const isKept = ({ crashes, ageMs }: CrashReport) => ageMs < (crashes > 1 ? lifetimeMs : freshMs);
 
     const collectReports = (): CrashReport[] => {
         const reports = [...kept.keys()].map(fingerprint => suspects.report(fingerprint)).filter(isKept);
--- a/packages/gateway/test/crash-archive.test.ts
+++ b/packages/gateway/test/crash-archive.test.ts
@@ -155,6 +155,22 @@
     assert.equal(restarted.countCrashes(request).ofCaller, 2);
 });
 
+// Guards against objects of requests and instances that are gone, which nobody deletes.
+test("objects whose reports have all lapsed are deleted by an instance that starts", async t => {
+    const { clock, store, start } = setUp(t);
+    const first = start("g-1");
+    await clock.advance(100);
+    crash(clock, first.suspects, 2);
+    await clock.advance(100);
+    assert.equal(await waitFor(clock, first.beginTrial(request)), true);
+    first.stop();
+    assert.equal((await store.list("crash-suspects/")).length, 2);
+    clock.jump(26 * 3600 * second);
+    start("g-2");
+    await clock.advance(100);
+    assert.deepEqual(await store.list("crash-suspects/"), []);
+});
+
 test("an object that is malformed is left out", async t => {
     const { clock, store, start } = setUp(t);
     await store.put("crash-suspects/of-g-9", { reports: 7 }, 0);
--- a/packages/relay/src/attempt-sender.ts
+++ b/packages/relay/src/attempt-sender.ts
@@ -28,6 +28,8 @@
     retry(wasSent: boolean, giveUp: () => void): void;
     /** Retries only idempotent requests, because a server may have executed this one. */
     retryIfIdempotent(giveUp: () => void): void;
+    /** The same, but waits in the queue for a free slot, as a first attempt does. */
+    retryWhenAdmitted(giveUp: () => void): void;
     /** Time in milliseconds after which the caller is told to retry. */
     retryDelayMs(): number;
 }
@@ -62,25 +64,44 @@
 
     const retryDelayMs = () => getRetryAfterMs(routed, clock.now());
 
+    const isOver = () => crashWatch.isExhausted() || clock.now() >= deadlineAt;
+
+    /** Whether a retry at the server is allowed. It is taken from the budget if so. */
+    const mayRetry = (placement: Placement, wasSent: boolean): boolean =>
+        isWithinAttempts(placement) &&
+        clock.now() + placement.expectedMs * retryTimeFraction < deadlineAt &&
+        (!wasSent || retryBudget.tryAcquire(clock.now()));
+
     const retry = (wasSent: boolean, giveUp: () => void) => {
         if (running.size > 0) {
             return;
         }
-        if (crashWatch.isExhausted() || clock.now() >= deadlineAt) {
+        const choice = isOver() ? undefined : balancer.choose(routed);
+        if (choice?.kind === ChoiceKind.Send && mayRetry(choice, wasSent)) {
+            send(choice);
+        } else {
             giveUp();
+        }
+    };
+
+    const retryWhenAdmitted = (giveUp: () => void) => {
+        if (running.size > 0) {
             return;
         }
-        const choice = balancer.choose(routed);
-        const fits =
-            choice.kind === ChoiceKind.Send &&
-            isWithinAttempts(choice) &&
-            clock.now() + choice.expectedMs * retryTimeFraction < deadlineAt &&
-            (!wasSent || retryBudget.tryAcquire(clock.now()));
-        if (fits) {
-            send(choice);
-        } else {
+        if (!isIdempotent || isOver()) {
             giveUp();
+            return;
         }
+        delayTimer?.cancel();
+        let cancel: () => void = () => undefined;
+        end.onEnded(() => cancel());
+        cancel = options.admission.request(routed, admitted => {
+            if ("placement" in admitted && !isOver() && mayRetry(admitted.placement, true)) {
+                send(admitted.placement);
+            } else {
+                giveUp();
+            }
+        });
     };
 
     /** Sends an idempotent request to a second server, if no response has come in the time that was expected. */
@@ -198,6 +219,7 @@
                 giveUp();
             }
         },
+        retryWhenAdmitted,
         retryDelayMs,
     };
 }
--- a/packages/relay/src/response-handler.ts
+++ b/packages/relay/src/response-handler.ts
@@ -53,7 +53,7 @@
         crashWatch.recordFailure();
         state.mayHaveExecuted = true;
         state.lastFailure = "the backend server's answer was damaged";
-        sender().retryIfIdempotent(() => end.fail(state.lastFailure));
+        sender().retryWhenAdmitted(() => end.fail(state.lastFailure));
     };
 
     const onSuccess = (attempt: RunningAttempt, response: UpstreamResponse) => {
--- a/packages/relay/test/doubtful-ends.test.ts
+++ b/packages/relay/test/doubtful-ends.test.ts
@@ -178,6 +178,27 @@
     }
 });
 
+// Guards against 502 for a request that another server could run a moment later.
+test("an idempotent request whose response is in doubt waits for a free slot of another server", async t => {
+    const spoiling = await startServer(
+        (text, socket) =>
+            void socket.write(formats["with a length"]!(getRequestId(text), 200, missingBytes) + errorText),
+    );
+    const busy = await startServer((text, socket) => {
+        const response = formats["with a length"]!(getRequestId(text), 200, 0);
+        setTimeout(() => socket.write(response), 60);
+    });
+    const instance = await startInstance([spoiling, busy]);
+    t.after(() => {
+        instance.close();
+        [spoiling, busy].forEach(server => server.close());
+    });
+    const ids = ["a", "b", "c", "d", "e", "f"];
+    const texts = await Promise.all(ids.map(id => sendRaw(instance.port, formatRequest(Idempotent, id), 1)));
+    assert.ok(spoiling.requests.length > 0);
+    texts.forEach(text => assert.equal(checkResponse(text, 200), true));
+});
+
 test("a request that is not idempotent reaches one server when its response is in doubt", async t => {
     const way = {
         format: formats["with a length"]!,
