test(carrier): one fixture for requests to a server on raw sockets

Cause: damaged-responses had the set-up of late-copies a second time.

Change: dispatch-fixture has it once; all tests and their checks stay as they were.

--- a/packages/carrier/test/damaged-responses.test.ts
+++ b/packages/carrier/test/damaged-responses.test.ts
@@ -1,13 +1,10 @@
 /** Backend servers of the older daemon that break off a response and go on with other bytes. */
 import assert from "node:assert/strict";
-import { createServer } from "node:net";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import { test } from "node:test";
-import type { TestContext } from "node:test";
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
-import { createConnectionPools } from "@waxwingdale/carrier";
-import { createSystemClock } from "@waxwingdale/core";
-import { DispatchPhase, dispatchRequest } from "../src/dispatch-request.js";
+import { DispatchPhase } from "../src/dispatch-request.js";
+import { setUp } from "./dispatch-fixture.js";
 
 const body = "0123456789".repeat(40);
 const missingBytes = 100;
@@ -16,40 +13,6 @@
 const chunkedHead = `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${body.length.toString(16)}\r\n`;
 const cutBody = body.slice(0, -missingBytes);
 
-/** Starts a server that responds to each request in the given way, and returns a function that sends a request. */
-async function setUp(t: TestContext, respond: (socket: Socket) => unknown) {
-    const sockets: Socket[] = [];
-    const server = createServer(socket => {
-        sockets.push(socket);
-        socket.on("error", () => undefined);
-        socket.on("data", () => void respond(socket));
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const clock = createSystemClock();
-    const pools = createConnectionPools(() => clock.now());
-    t.after(async () => {
-        await pools.close();
-        server.close();
-        sockets.forEach(socket => socket.destroy());
-    });
-    const pool = pools.get(`127.0.0.1:${(server.address() as AddressInfo).port}`, 2);
-    return async () => {
-        let text = "";
-        const { phase } = await dispatchRequest({
-            pool,
-            clock,
-            method: "GET",
-            path: "/",
-            headers: {},
-            body: undefined,
-            deadlineAt: clock.now() + 500,
-            signal: undefined,
-            onResponseHead: () => ({ write: chunk => void (text += chunk.toString()) }),
-        });
-        return { phase, text };
-    };
-}
-
 async function writePieces(socket: Socket, bytes: string, pieceBytes: number, pauseMs: number) {
     for (let from = 0; from < bytes.length; from += pieceBytes) {
         socket.write(bytes.slice(from, from + pieceBytes));
@@ -73,7 +36,7 @@
 for (const [name, respond] of Object.entries(ways)) {
     // Guards against a broken-off body that other bytes fill up (MIXED).
     test(`a response that breaks off and goes on with other bytes, ${name}, is not complete`, async t => {
-        const send = await setUp(t, respond);
+        const { send } = await setUp(t, respond);
         const { phase, text } = await send();
         assert.equal(phase, DispatchPhase.Truncated);
         // Only the end of a body in chunks is marked, so its caller sees that the mark is missing.
@@ -85,16 +48,16 @@
 // Guards against a body that the beginning of the next response fills up.
 test("a response that breaks off and goes on with another response is not complete", async t => {
     const other = `HTTP/1.1 500 X\r\nContent-Length: 300\r\n\r\n${"x".repeat(300)}`;
-    const send = await setUp(t, socket => socket.write(sizedHead + cutBody + other));
+    const { send } = await setUp(t, socket => socket.write(sizedHead + cutBody + other));
     assert.equal((await send()).phase, DispatchPhase.Truncated);
 });
 
 test("a whole response in chunks is complete, whatever follows it", async t => {
-    const send = await setUp(t, socket => socket.write(`${chunkedHead}${body}\r\n0\r\n\r\n${errorText}`));
+    const { send } = await setUp(t, socket => socket.write(`${chunkedHead}${body}\r\n0\r\n\r\n${errorText}`));
     assert.deepEqual(await send(), { phase: DispatchPhase.Complete, text: body });
 });
 
 test("a response in pieces with pauses is complete", async t => {
-    const send = await setUp(t, socket => writePieces(socket, sizedHead + body, 70, 3));
+    const { send } = await setUp(t, socket => writePieces(socket, sizedHead + body, 70, 3));
     assert.deepEqual(await send(), { phase: DispatchPhase.Complete, text: body });
 });
