--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -1,7 +1,20 @@
 /** A connection to a backend server. It sends one request at a time and checks that the response belongs to it. */
 import { connect } from "node:net";
-import { createByteCollector, createEndHold, maxEndHoldMs, splitAddress } from "@waxwingdale/core";
-import type { ByteCollector, Clock, EndHold, EventLoopMonitor, Timer } from "@waxwingdale/core";
+import {
+    createByteCollector,
+    createEndHold,
+    createStatusLineFinder,
+    maxEndHoldMs,
+    splitAddress,
+} from "@waxwingdale/core";
+import type {
+    ByteCollector,
+    Clock,
+    EndHold,
+    EventLoopMonitor,
+    StatusLineFinder,
+    Timer,
+} from "@waxwingdale/core";
 import type { BodyHold, BodyMemory } from "./body-memory.js";
 import { BodyFraming } from "./body-reader.js";
 import type { ResponseHead } from "./head-reader.js";
@@ -11,8 +24,6 @@
 import { findEndDoubt, followingBytes, isOther } from "./response-end.js";
 import type { EndDoubt } from "./response-end.js";
 import { createResponseParser } from "./response-parser.js";
-import { createStatusLineFinder } from "@waxwingdale/core";
-import type { StatusLineFinder } from "@waxwingdale/core";
 import type { ResponseInfo, WireProtocol } from "./wire-protocol.js";
 
 /** A complete response. */
@@ -255,7 +266,7 @@
         current.events.onResponse(response);
     };
 
-    /** Completes the response once bytes that belong to it, although its length is reached, would have come. */
+    /** Completes the response when other bytes would have come, with which the server goes on after it has broken off. */
     const completeAfterHold = (current: Exchange) => {
         const completeUnlessDone = () => {
             if (exchange === current) {
