--- a/packages/gateway/test/crash-report-exchange.test.ts
+++ b/packages/gateway/test/crash-report-exchange.test.ts
@@ -53,7 +53,6 @@
     ageMs: 0,
     crashAgeMs: 0,
     servers: ["i-1", "i-0"],
-    hasEnded: true,
 };
 
 const identify = (request: string, caller = "1"): RequestIdentity => ({
--- a/packages/relay/src/crash-suspects.ts
+++ b/packages/relay/src/crash-suspects.ts
@@ -29,7 +29,7 @@
     survivals?: number;
     /** Ids of the servers of the last crashes. */
     servers?: string[];
-    /** Whether the server of the last crash has ended, and is not only silent, as servers are to many requests at once. */
+    /** Whether the server of the last crash has ended. Servers that hang do so to many requests at once. */
     hasEnded?: boolean;
     /**
      * For the fingerprint of a caller: whether several servers crashed at the same time. They count as one crash, as servers
@@ -47,8 +47,8 @@
     serverId: string;
     sentAt: number;
     lostAt: number;
-    /** Whether the server accepts connections and does not respond. */
-    isSilent?: boolean;
+    /** Whether the process of the server has ended, and it does not only hang, or close its connections. */
+    hasEnded?: boolean;
 }
 
 export interface CrashCounts {
@@ -242,8 +242,8 @@
         { serverId, sentAt, lostAt }: CrashedAttempt,
     ): boolean => sentAt >= crashedAt && !(servers.includes(serverId) && lostAt - crashedAt < serverBackMs);
 
-    const describeCrash = ({ servers }: Suspect, { serverId, lostAt, isSilent }: CrashedAttempt) => ({
-        hasEnded: isSilent !== true,
+    const describeCrash = ({ servers }: Suspect, { serverId, lostAt, hasEnded }: CrashedAttempt) => ({
+        hasEnded,
         trialSteps: 0,
         crashedAt: lostAt,
         servers: [serverId, ...servers].slice(0, maxServers),
@@ -259,7 +259,7 @@
         const isKnown = isTrial && suspect.trialSteps === 0 && suspect.crashes >= quarantineCrashes;
         if (!isKnown && isCounted(suspect, attempt, isTrial)) {
             change(caller, { crashes: suspect.crashes + 1, ...describeCrash(suspect, attempt) });
-        } else if (attempt.isSilent !== true && isPartOfWave(suspect, attempt.serverId)) {
+        } else if (attempt.hasEnded === true && isPartOfWave(suspect, attempt.serverId)) {
             const servers = [attempt.serverId, ...suspect.servers].slice(0, maxServers);
             change(caller, { servers, isWave: true });
         }
@@ -409,10 +409,10 @@
     return suspect.isWave === true && suspect.crashes > 0 ? crashes + 1 : crashes;
 }
 
-/** Whether the server crashed at the same time as others that are known, and not the same one again. */
+/** Whether the server ended at the same time as that of the first crash, and is not the same one. */
 function isPartOfWave({ crashes, servers, hasEnded }: Suspect, serverId: string): boolean {
     const isOther = servers.length > 0 && !servers.includes(serverId);
-    return isOther && hasEnded === true && crashes < quarantineCrashes;
+    return isOther && hasEnded === true && crashes === 1;
 }
 
 /** Whether another instance knows as many crashes, of which the last one was of another server. */
--- a/packages/relay/src/crash-watch.ts
+++ b/packages/relay/src/crash-watch.ts
@@ -143,10 +143,10 @@
         if (isCrash(verdict) && !crashed.has(attempt)) {
             crashed.add(attempt);
             const { sentAt, server } = attempt;
-            const isSilent = verdict === ServerVerdict.Silent;
+            const hasEnded = verdict === ServerVerdict.Gone || verdict === ServerVerdict.Replaced;
             suspects.recordCrash(
                 identify(),
-                { serverId: server.record.id, sentAt, lostAt, isSilent },
+                { serverId: server.record.id, sentAt, lostAt, hasEnded },
                 isTrial,
             );
         }
@@ -193,35 +193,37 @@
         }
     };
 
-    /** Returns whether the examinations go on. */
+    /** Returns the verdict, or undefined if the server is not examined. */
     const checkAbandoned = async (
         attempt: WatchedAttempt,
         endedAt: number,
         { atMs, survivedMs, provesSurvival, skipsLeaving }: AbandonedCheck,
-    ): Promise<boolean> => {
+    ): Promise<ServerVerdict | undefined> => {
         await clock.sleep(endedAt + atMs - clock.now());
-        if (skipsLeaving && attempt.server.isLeaving) {
-            return false;
+        if (crashed.has(attempt) || (skipsLeaving && attempt.server.isLeaving)) {
+            return undefined;
         }
         const verdict = await examiner.examineSilence(attempt, endedAt, endedAt + survivedMs);
         if (isCrash(verdict)) {
             recordVerdict(attempt, AttemptLoss.Abandoned, clock.now(), verdict);
-            return false;
-        }
-        if (provesSurvival && verdict === ServerVerdict.Alive && !crashed.has(attempt)) {
+        } else if (provesSurvival && verdict === ServerVerdict.Alive && !crashed.has(attempt)) {
             suspects.recordSurvival(identify());
         }
-        return !crashed.has(attempt);
+        return verdict;
     };
 
     /** A server may go on with a request whose caller has left, and end seconds later. */
     const examineAbandoned = async (attempt: WatchedAttempt, endedAt: number) => {
+        let verdict: ServerVerdict | undefined;
         for (const check of abandonedChecks) {
-            if (!(await checkAbandoned(attempt, endedAt, check))) {
+            verdict = await checkAbandoned(attempt, endedAt, check);
+            if (verdict === undefined || isCrash(verdict)) {
                 return;
             }
         }
-        withdrawTrial();
+        if (verdict === ServerVerdict.Alive) {
+            withdrawTrial();
+        }
     };
 
     return {
--- a/packages/relay/src/suspect-table.ts
+++ b/packages/relay/src/suspect-table.ts
@@ -17,7 +17,7 @@
     survivals: number;
     /** Ids of the servers of the last crashes. */
     servers: readonly string[];
-    /** Whether the server of the last crash has ended, and is not only silent. */
+    /** Whether the server of the last crash has ended, and does not only hang. */
     hasEnded?: boolean;
     /** Whether several servers crashed at the same time under one caller's request. */
     isWave?: boolean;
--- a/packages/relay/test/crash-suspects.test.ts
+++ b/packages/relay/test/crash-suspects.test.ts
@@ -57,7 +57,7 @@
 });
 
 /** Crashes servers at the same time, each at an instance of its own that then hears of the others. */
-function crashAtOnce(clock: ManualClock, instances: readonly CrashSuspects[], isSilent = false): void {
+function crashAtOnce(clock: ManualClock, instances: readonly CrashSuspects[], hasEnded = true): void {
     const sentAt = clock.now();
     clock.jump(1);
     instances.forEach(suspects =>
@@ -65,7 +65,7 @@
             serverId: nextServer(),
             sentAt,
             lostAt: clock.now(),
-            isSilent,
+            hasEnded,
         }),
     );
     instances.forEach(from => instances.forEach(to => exchange(from, to)));
@@ -95,10 +95,23 @@
 test("servers that fall silent at the same time are no reason for a trial", () => {
     const { clock, suspects } = setUp();
     const instances = [suspects, createCrashSuspects(clock)];
-    crashAtOnce(clock, instances, true);
+    crashAtOnce(clock, instances, false);
     assert.ok(instances.every(instance => !instance.needsTrial(identify("a"))));
 });
 
+// Guards against a harmless request that is rejected after two losses at servers that hang and close their connections.
+test("servers that end at several instances after the second crash are no reason to reject a request earlier", () => {
+    const { clock, suspects } = setUp();
+    const instances = [suspects, createCrashSuspects(clock)];
+    crash({ clock, suspects }, identify("a"), 1);
+    exchange(suspects, instances[1]!);
+    crashAtOnce(clock, instances);
+    for (const instance of instances) {
+        assert.equal(instance.countCrashes(identify("a")).ofCaller, 2);
+        assert.equal(instance.rejectedMs(identify("a")), 0);
+    }
+});
+
 // Guards against a popular path that is rejected for the callers of servers that crash at the same time.
 test("servers that crash at the same time under requests of many callers count once", () => {
     const { clock, suspects } = setUp();
--- a/packages/relay/test/crash-watch.test.ts
+++ b/packages/relay/test/crash-watch.test.ts
@@ -96,3 +96,19 @@
     await clock.advance(2000);
     assert.equal(suspects.rejectedMs(identity), 0);
 });
+
+// Guards against a trial that is taken back although nobody knows what became of its server.
+test("a trial whose server can't be examined stays open", async () => {
+    const { clock, suspects, createWatch, createAttempt } = setUp(ServerVerdict.Unknown);
+    for (const server of ["i-1", "i-2"]) {
+        const sentAt = clock.now();
+        await clock.advance(1);
+        suspects.recordCrash(identity, { serverId: server, sentAt, lostAt: clock.now() });
+    }
+    const watch = createWatch();
+    assert.equal(await watch.beginTrial(), true);
+    watch.recordAbandoned(createAttempt("i-3"));
+    watch.end(true);
+    await clock.advance(10_000);
+    assert.ok(suspects.rejectedMs(identity) > 0);
+});
