perf(gateway): first crashes wait for each other before they are written to the store

Cause: each first crash was written to the store within 10 ms, then twice a second.

Change: gateway/archive-changes decides when the archive is written. Second and later crashes, trials, waves and their ends at once, as before; first crashes alone at once, then every 250 ms for each instance, 2 s at least and 10 s at most; none if the request has succeeded meanwhile. What changes while the store does not respond is bounded. The price: a loss of all instances in that time forgets one first crash.

New unit tests: 90 writes in 60 s before, 8 or 9 after.

--- a/packages/gateway/src/crash-archive.ts
+++ b/packages/gateway/src/crash-archive.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps what this instance knows of requests that crash servers in the store, for the time after all instances have ended at
- * once. Each instance writes one object, soon after a change and not often, and reads those of all when it starts.
+ * once. Each instance writes one object after changes, at a bounded rate, and reads those of all when it starts.
  */
 import { StoreConflictError, getErrorMessage } from "@waxwingdale/core";
 import type { Clock, Logger, ObjectStore, Random, StoredObject } from "@waxwingdale/core";
@@ -8,6 +8,7 @@
 import type { CrashReport, CrashSuspects } from "@waxwingdale/relay";
 import { getBackoff } from "@waxwingdale/store";
 import * as v from "valibot";
+import { createArchiveChanges } from "./archive-changes.js";
 import { crashReportSchema } from "./crash-report-schema.js";
 
 export interface CrashArchiveOptions {
@@ -81,26 +82,19 @@
 export function createCrashArchive(options: CrashArchiveOptions): CrashArchive {
     const { suspects, store, clock, logger } = options;
     const key = `${ownPrefix}${options.instanceId}`;
-    /** Fingerprints that this instance has changed, with the epochs that its object has. */
+    const changes = createArchiveChanges(clock, options.countInstances);
+    /** Fingerprints in this instance's object, with their epochs. */
     const kept = new Map<string, number>();
     let version = 0;
-    let isDirty = false;
-    let wake: () => void = () => undefined;
 
-    const markDirty = () => {
-        isDirty = true;
-        wake();
-    };
-
-    suspects.onAnyChange(({ fingerprint, epoch }) => {
-        kept.set(fingerprint, epoch);
-        markDirty();
-    });
+    suspects.onAnyChange(report => changes.record(report));
+    suspects.onChange(({ fingerprint }) => changes.recordUrgent(fingerprint));
 
     const isKept = ({ crashes, ageMs }: CrashReport) => ageMs < (crashes > 1 ? lifetimeMs : freshMs);
 
     const collectReports = (): CrashReport[] => {
-        const reports = [...kept.keys()].map(fingerprint => suspects.report(fingerprint)).filter(isKept);
+        const fingerprints = new Set([...kept.keys(), ...changes.take()]);
+        const reports = [...fingerprints].map(fingerprint => suspects.report(fingerprint)).filter(isKept);
         reports.sort((a, b) => b.crashes - a.crashes || a.ageMs - b.ageMs);
         reports.length = Math.min(reports.length, getReportLimit(options.countInstances()));
         kept.clear();
@@ -109,11 +103,9 @@
     };
 
     const write = async () => {
-        isDirty = false;
         try {
             version = await store.put(key, encodeReports(clock, collectReports()), version);
         } catch (err) {
-            isDirty = true;
             if (err instanceof StoreConflictError) {
                 // An earlier write took effect although its response was lost.
                 version = err.currentVersion ?? 0;
@@ -163,25 +155,16 @@
         }
     };
 
-    const waitForChange = () =>
-        new Promise<void>(resolve => {
-            wake = resolve;
-            if (isDirty) {
-                resolve();
-            }
-        });
-
     return {
         recordMerged: reports => {
-            if (reports.some(({ fingerprint, epoch }) => epoch > (kept.get(fingerprint) ?? Infinity))) {
-                markDirty();
-            }
+            reports
+                .filter(({ fingerprint, epoch }) => epoch > (kept.get(fingerprint) ?? Infinity))
+                .forEach(({ fingerprint }) => changes.recordUrgent(fingerprint));
         },
         run: async signal => {
-            signal.addEventListener("abort", () => wake(), { once: true });
             await persist(() => load(signal), signal);
             while (!signal.aborted) {
-                await waitForChange();
+                await changes.waitUntilDue(signal);
                 await clock.sleep(collectMs, signal);
                 await persist(write, signal);
                 const intervalMs = Math.max(minIntervalMs, intervalMsPerInstance * options.countInstances());
--- a/packages/gateway/test/crash-archive.test.ts
+++ b/packages/gateway/test/crash-archive.test.ts
@@ -141,6 +141,55 @@
     assert.equal((object!.value as { reports: unknown[] }).reports.length, 20);
 });
 
+// Guards against a write for each server that ends by its own fault, which cost a day of many such ends a thousand calls.
+test("first crashes are written at once, then seldom", async t => {
+    const { clock, store, start } = setUp(t);
+    const { suspects } = start("g-1", 0, 27);
+    await clock.advance(100);
+    for (let count = 0; count < 120; count++) {
+        crash(clock, suspects, 1, false, identify(`r${count}`));
+        await clock.advance(0.5 * second);
+    }
+    // One every 6.75 s.
+    const { writes } = store.counters;
+    assert.ok(writes >= 8 && writes <= 9, `${writes} writes in 60 s`);
+    await clock.advance(10 * second);
+    const { suspects: restarted } = start("g-2");
+    await clock.advance(100);
+    assert.equal(restarted.countCrashes(identify("r119")).ofCaller, 1);
+});
+
+test("a first crash whose request succeeds while it waits is not written", async t => {
+    const { clock, store, start } = setUp(t);
+    const { suspects } = start("g-1", 0, 27);
+    await clock.advance(100);
+    for (const identity of [identify("b"), request]) {
+        crash(clock, suspects, 1, false, identity);
+        await clock.advance(second);
+    }
+    suspects.recordSuccess(request);
+    await clock.advance(60 * second);
+    assert.equal(store.counters.writes, 1);
+});
+
+// Guards against a count that a total loss forgets because writes of other requests' first crashes have to wait.
+test("a second crash is written at once while first crashes wait", async t => {
+    const { clock, start } = setUp(t);
+    const { suspects, stop } = start("g-1", 0, 27);
+    await clock.advance(100);
+    for (let count = 0; count < 10; count++) {
+        crash(clock, suspects, 1, false, identify(`r${count}`));
+        await clock.advance(second);
+    }
+    crash(clock, suspects, 2);
+    await clock.advance(100);
+    stop();
+    const { suspects: restarted } = start("g-2");
+    await clock.advance(100);
+    assert.equal(restarted.countCrashes(request).ofCaller, 2);
+    assert.equal(restarted.countCrashes(identify("r9")).ofCaller, 1);
+});
+
 test("what happens while the store is away is written when it is back", async t => {
     const { clock, store, start } = setUp(t);
     store.faults.down = true;
