fix(balancing): what a server has said of itself outlives its entry (BUDGET, DRAIN)

Cause: an entry that lapses, for example during an outage of the store, and comes back with the same process behind it made a new state.

An entry with the same id, start time, address and service takes over health, pause, rate limit and shutdown; also what a response says that comes while the entry is away. Another start, or another address, takes over nothing.

--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -49,15 +49,18 @@
     recentColdSenders: (zone: string) => readonly (readonly string[])[];
     rateLimit: Omit<ServerRateLimitOptions, "serverId" | "self" | "now">;
     now: number;
+    /** State of the same process before its entry was removed. */
+    earlier?: BackendState | undefined;
 }
 
 export function createBackendState(options: BackendStateOptions): BackendState {
-    const { record, region, recentColdSenders } = options;
+    const { record, region, recentColdSenders, earlier } = options;
+    const hasAnnouncedLeaving = earlier?.hasAnnouncedLeaving === true;
     return {
         record,
         region,
         load: createServerLoad(),
-        health: createServerHealth(),
+        health: earlier?.health ?? createServerHealth(),
         warm: createWarmObjects(maxWarmObjects),
         coldLimit: createColdLimit({
             serverId: record.id,
@@ -65,15 +68,17 @@
             requestsPerSecond: options.coldRequestsPerSecond,
             recentSenders: () => recentColdSenders(record.zone),
         }),
-        rateLimit: createServerRateLimit({
-            ...options.rateLimit,
-            serverId: record.id,
-            self: options.self,
-            now: options.now,
-        }),
+        rateLimit:
+            earlier?.rateLimit ??
+            createServerRateLimit({
+                ...options.rateLimit,
+                serverId: record.id,
+                self: options.self,
+                now: options.now,
+            }),
         coldUntil: options.now + record.coldRemainingMs,
         slowness: 1,
-        hasAnnouncedLeaving: false,
-        isLeaving: record.phase === ServerPhase.Draining,
+        hasAnnouncedLeaving,
+        isLeaving: hasAnnouncedLeaving || record.phase === ServerPhase.Draining,
     };
 }
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger } from "@waxwingdale/core";
 import { createBackendState } from "./backend-state.js";
 import type { BackendState } from "./backend-state.js";
+import { createRemovedServers, isSameProcess } from "./removed-servers.js";
 import type { ReportSource } from "./report-source.js";
 import type { ServerRateLimitOptions } from "./server-rate-limit.js";
 import { ServerPhase } from "./server-record.js";
@@ -54,6 +55,7 @@
 export function createBackendTable(options: BackendTableOptions): BackendTable {
     const { clock, logger } = options;
     const byId = new Map<string, BackendState>();
+    const removed = createRemovedServers(clock);
     const evacuated = new Set<string>();
     const usableByService = new Map<string, readonly BackendState[]>();
     let services = new Map<string, Service>();
@@ -90,6 +92,7 @@
             recentColdSenders: options.recentColdSenders,
             rateLimit: createRateLimitOptions(record.id, region),
             now,
+            earlier: removed.take(record),
         });
         if (isChange) {
             server.coldUntil = Math.max(server.coldUntil, now + coldStartMs(record.service));
@@ -102,6 +105,7 @@
             address: record.address,
             zone: record.zone,
             coldMs: Math.round(server.coldUntil - now),
+            isLeaving: server.isLeaving,
         });
     };
 
@@ -117,6 +121,7 @@
     const removeServer = (server: BackendState, reason: string) => {
         server.isLeaving = true;
         byId.delete(server.record.id);
+        removed.add(server);
         logger.info("server-removed", {
             server: server.record.id,
             service: server.record.service,
@@ -143,11 +148,7 @@
                 add(record, region, isChange);
                 return;
             }
-            const isSameServer =
-                existing.record.startedAt === record.startedAt &&
-                existing.record.address === record.address &&
-                existing.record.service === record.service;
-            if (isSameServer) {
+            if (isSameProcess(existing.record, record)) {
                 update(existing, record);
                 return;
             }
@@ -164,7 +165,8 @@
             }
         },
         markLeaving: (id, source) => {
-            const server = byId.get(id);
+            // A response may come when the entry has lapsed.
+            const server = byId.get(id) ?? removed.find(id);
             if (server === undefined || server.hasAnnouncedLeaving) {
                 return;
             }
