--- a/packages/gateway/src/bin/waxwingdale-gateway.ts
+++ b/packages/gateway/src/bin/waxwingdale-gateway.ts
@@ -3,14 +3,8 @@
 import sade from "sade";
 import { GatewayListenError } from "../listeners.js";
 import { startGateway } from "../run-gateway.js";
-import type { Gateway } from "../run-gateway.js";
 import { readGatewaySettings } from "../settings.js";
-
-enum ExitCode {
-    Settings = 2,
-    Listen = 3,
-    Internal = 70,
-}
+import { ExitCode, handleSignals } from "../signals.js";
 
 interface Flags {
     settings?: string;
@@ -22,40 +16,26 @@
 async function run(flags: Flags): Promise<void> {
     const path = flags.settings ?? process.env.WAXWINGDALE_NODE_FILE ?? defaultSettings;
     try {
-        const settings = await readGatewaySettings(path);
         if (flags.check) {
+            await readGatewaySettings(path);
             process.stdout.write(`${path}: ok\n`);
             return;
         }
-        handleSignals(await startGateway(settings, path));
+        const started = start(path);
+        handleSignals({ source: process, started, exit: code => process.exit(code) });
+        await started;
     } catch (err) {
         process.stderr.write(`waxwingdale-gateway: ${getErrorMessage(err)}\n`);
         process.exit(getExitCode(err));
     }
 }
 
-/** Shuts down on SIGTERM or SIGINT, immediately on a second one; reloads the settings on SIGHUP. */
-function handleSignals(gateway: Gateway): void {
-    let isStopping = false;
-    const stop = () => {
-        if (isStopping) {
-            process.exit(ExitCode.Internal);
-        }
-        isStopping = true;
-        gateway.stop().then(
-            () => process.exit(),
-            (err: unknown) => {
-                gateway.logger.error("shutdown-failed", { error: getErrorMessage(err) });
-                process.exit(ExitCode.Internal);
-            },
-        );
-    };
-    process.on("SIGTERM", stop);
-    process.on("SIGINT", stop);
-    process.on("SIGHUP", () => void gateway.reload());
+async function start(settingsPath: string) {
+    const gateway = await startGateway(await readGatewaySettings(settingsPath), settingsPath);
     process.on("unhandledRejection", err =>
         gateway.logger.error("unhandled-rejection", { error: getErrorMessage(err) }),
     );
+    return gateway;
 }
 
 function getExitCode(err: unknown): ExitCode {
