refactor(relay): crashes at the same time are called simultaneous, and one place knows how a status line begins

Cause: `isWave` named by a metaphor what the field calls simultaneous, and response-end repeated the number of bytes that status-line-finder knows.

Change: names only; the length comes from core. A flag that an instance of the version before has written is ignored: it is one crash less for one request.

--- a/packages/core/src/status-line-finder.ts
+++ b/packages/core/src/status-line-finder.ts
@@ -5,6 +5,8 @@
 const version = Buffer.from("HTTP/1.", "latin1");
 /** Beginning of a status line, as long as what the expression matches. */
 const example = "HTTP/1.1 200";
+/** Number of bytes that tell whether a status line begins with them. */
+export const statusLineStartBytes = example.length;
 /** The beginning of a status line, from its version on, or a whole one without its line end, at the end of a text. */
 const unfinishedStatusLine = /HTTP\/1\.(?:[01](?: (?:[1-5]\d{0,2}(?: [^\r\n]*)?)?)?)?\r?$/;
 /** Number of bytes at the end of a body that are searched for an unfinished status line. */
--- a/packages/gateway/src/archive-changes.ts
+++ b/packages/gateway/src/archive-changes.ts
@@ -93,6 +93,6 @@
 }
 
 /** Whether the report is of a single crash, or of its end, and there is no trial. */
-function isFirstCrash({ crashes, isWave = false, trialSteps = 0 }: CrashReport): boolean {
-    return crashes <= 1 && !isWave && trialSteps === 0;
+function isFirstCrash({ crashes, isSimultaneous = false, trialSteps = 0 }: CrashReport): boolean {
+    return crashes <= 1 && !isSimultaneous && trialSteps === 0;
 }
--- a/packages/gateway/src/crash-report-schema.ts
+++ b/packages/gateway/src/crash-report-schema.ts
@@ -19,7 +19,7 @@
     survivals: v.optional(countSchema),
     servers: v.optional(v.pipe(v.array(serverIdSchema), v.maxLength(maxServers))),
     hasEnded: v.optional(v.boolean()),
-    isWave: v.optional(v.boolean()),
+    isSimultaneous: v.optional(v.boolean()),
     source: v.optional(fingerprintSchema),
     isShared: v.optional(v.boolean()),
 });
--- a/packages/relay/src/crash-suspects.ts
+++ b/packages/relay/src/crash-suspects.ts
@@ -35,7 +35,7 @@
      * For the fingerprint of a caller: whether several servers crashed at the same time. They count as one crash, as servers
      * end together for other reasons too, but from then on the request is sent one at a time, and rejected a crash earlier.
      */
-    isWave?: boolean;
+    isSimultaneous?: boolean;
     /** For the fingerprint of all callers: the first caller whose request crashed a server. */
     source?: string;
     /** For the fingerprint of all callers: whether requests of different callers crashed servers. */
@@ -163,7 +163,7 @@
             ...(survivals > 0 ? { survivals } : {}),
             ...(servers.length > 0 ? { servers: [...servers] } : {}),
             ...(suspect.hasEnded === true ? { hasEnded: true } : {}),
-            ...(suspect.isWave === true ? { isWave: true } : {}),
+            ...(suspect.isSimultaneous === true ? { isSimultaneous: true } : {}),
             ...(source === undefined ? {} : { source, isShared: isShared === true }),
         };
     };
@@ -174,7 +174,7 @@
         const before = find(fingerprint);
         const after = { ...before, ...changes, changedAt: clock.now() };
         table.set(fingerprint, after);
-        if (Math.max(after.crashes, before.crashes) > 1 || after.isWave !== before.isWave) {
+        if (Math.max(after.crashes, before.crashes) > 1 || after.isSimultaneous !== before.isSimultaneous) {
             notify(fingerprint);
         }
         allListeners.forEach(listener => listener(toReport(fingerprint)));
@@ -259,9 +259,9 @@
         const isKnown = isTrial && suspect.trialSteps === 0 && suspect.crashes >= quarantineCrashes;
         if (!isKnown && isCounted(suspect, attempt, isTrial)) {
             change(caller, { crashes: suspect.crashes + 1, ...describeCrash(suspect, attempt) });
-        } else if (attempt.hasEnded === true && isPartOfWave(suspect, attempt.serverId)) {
+        } else if (attempt.hasEnded === true && isSimultaneousCrash(suspect, attempt.serverId)) {
             const servers = [attempt.serverId, ...suspect.servers].slice(0, maxServers);
-            change(caller, { servers, isWave: true });
+            change(caller, { servers, isSimultaneous: true });
         }
     };
 
@@ -297,7 +297,7 @@
                 survivals: 0,
                 servers: [],
                 hasEnded: undefined,
-                isWave: undefined,
+                isSimultaneous: undefined,
                 source: undefined,
                 isShared: undefined,
             });
@@ -367,8 +367,9 @@
                 (isSameEpoch && crashes > known.crashes) ||
                 (hasSameCrashes && trialSteps > known.trialSteps);
             const survivals = Math.max(report.survivals ?? 0, isSameEpoch ? known.survivals : 0);
-            const isWave = isSameEpoch && (known.isWave === true || isOtherWave(known, report));
-            const merged = { survivals, isWave: isWave || report.isWave === true };
+            const isSimultaneous =
+                isSameEpoch && (known.isSimultaneous === true || isOtherSimultaneous(known, report));
+            const merged = { survivals, isSimultaneous: isSimultaneous || report.isSimultaneous === true };
             if (isNewer) {
                 const now = clock.now();
                 const times = { changedAt: now - ageMs, crashedAt: now - crashAgeMs };
@@ -403,28 +404,31 @@
     return suspect.crashes + (isTrialOpen(suspect) ? 1 : 0);
 }
 
-/** Number of crashes by which a request is judged. A wave weighs as one more. */
+/** Number of crashes by which a request is judged. Crashes at the same time weigh as one more. */
 function getLevel(suspect: Suspect): number {
     const crashes = getAssumedCrashes(suspect);
-    return suspect.isWave === true && suspect.crashes > 0 ? crashes + 1 : crashes;
+    return suspect.isSimultaneous === true && suspect.crashes > 0 ? crashes + 1 : crashes;
 }
 
 /** Whether the server ended at the same time as that of the first crash, and is not the same one. */
-function isPartOfWave({ crashes, servers, hasEnded }: Suspect, serverId: string): boolean {
+function isSimultaneousCrash({ crashes, servers, hasEnded }: Suspect, serverId: string): boolean {
     const isOther = servers.length > 0 && !servers.includes(serverId);
     return isOther && hasEnded === true && crashes === 1;
 }
 
 /** Whether another instance knows as many crashes, of which the last one was of another server. */
-function isOtherWave(known: Suspect, report: CrashReport): boolean {
+function isOtherSimultaneous(known: Suspect, report: CrashReport): boolean {
     const { fingerprint, crashes, hasEnded, servers = [] } = report;
     const [last] = servers;
     const isEnd = crashes === known.crashes && hasEnded === true && last !== undefined;
-    return isCallerFingerprint(fingerprint) && isEnd && isPartOfWave(known, last);
+    return isCallerFingerprint(fingerprint) && isEnd && isSimultaneousCrash(known, last);
 }
 
-function isChanged(known: Suspect, { survivals, isWave }: { survivals: number; isWave: boolean }): boolean {
-    return survivals > known.survivals || isWave !== (known.isWave === true);
+function isChanged(
+    known: Suspect,
+    { survivals, isSimultaneous }: { survivals: number; isSimultaneous: boolean },
+): boolean {
+    return survivals > known.survivals || isSimultaneous !== (known.isSimultaneous === true);
 }
 
 /** Returns the time in milliseconds for which a request is rejected after its last crash. */
--- a/packages/relay/src/response-end.ts
+++ b/packages/relay/src/response-end.ts
@@ -6,7 +6,13 @@
 import { createHeadReader } from "./head-reader.js";
 import type { ResponseHead } from "./head-reader.js";
 import { InvalidResponseError } from "./invalid-response-error.js";
-import { beginsStatusLine, endsInStatusLine, findStatusLines, runsIntoResponse } from "@waxwingdale/core";
+import {
+    beginsStatusLine,
+    endsInStatusLine,
+    findStatusLines,
+    runsIntoResponse,
+    statusLineStartBytes,
+} from "@waxwingdale/core";
 
 /** Why the end of a response is in doubt. */
 export enum EndDoubt {
@@ -25,7 +31,7 @@
 }
 
 /** Number of bytes behind a response that are looked at: as many as tell whether a status line begins there. */
-export const followingBytes = 12;
+export const followingBytes = statusLineStartBytes;
 /** Number of status lines in a body that are looked at; a body with more of them quotes responses. */
 const maxStatusLines = 32;
 /** Number of bytes behind a status line that are read as a head. */
--- a/packages/relay/src/suspect-table.ts
+++ b/packages/relay/src/suspect-table.ts
@@ -20,7 +20,7 @@
     /** Whether the server of the last crash has ended, and does not only hang. */
     hasEnded?: boolean;
     /** Whether several servers crashed at the same time under one caller's request. */
-    isWave?: boolean;
+    isSimultaneous?: boolean;
     /** For the fingerprint of all callers: the first caller whose request crashed a server. */
     source?: string;
     /** For the fingerprint of all callers: whether requests of different callers crashed servers. */
