fix(balancing): what is kept of removed servers is bounded at 10 MB

Cause: the whole state of a removed server was kept, with the objects for which it was warm: 39.5 MB after 4,000 removals, of which 2,000 were kept, on instances that have 250 MB.

Change: only what the server has said of itself and its health is kept, of the latest 1,000.

--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -5,6 +5,7 @@
 import type { ServerLoad } from "./server-load.js";
 import { createServerRateLimit } from "./server-rate-limit.js";
 import type { ServerRateLimit, ServerRateLimitOptions } from "./server-rate-limit.js";
+import type { RemovedServer } from "./removed-servers.js";
 import { ServerPhase } from "./server-record.js";
 import type { ServerRecord } from "./server-record.js";
 import { createWarmObjects } from "./warm-objects.js";
@@ -49,8 +50,8 @@
     recentColdSenders: (zone: string) => readonly (readonly string[])[];
     rateLimit: Omit<ServerRateLimitOptions, "serverId" | "self" | "now">;
     now: number;
-    /** State of the same process before its entry was removed. */
-    earlier?: BackendState | undefined;
+    /** What is known of the same process from before its entry was removed. */
+    earlier?: RemovedServer | undefined;
 }
 
 export function createBackendState(options: BackendStateOptions): BackendState {
--- a/packages/balancing/src/removed-servers.ts
+++ b/packages/balancing/src/removed-servers.ts
@@ -6,23 +6,29 @@
 import type { BackendState } from "./backend-state.js";
 import type { ServerRecord } from "./server-record.js";
 
+/** What is kept of a server: what it has said, and not what this instance has learned from its requests. */
+export type RemovedServer = Pick<
+    BackendState,
+    "record" | "health" | "rateLimit" | "hasAnnouncedLeaving" | "isLeaving"
+>;
+
 export interface RemovedServers {
     add(server: BackendState): void;
-    /** Returns the state of a removed server by its id. */
-    find(id: string): BackendState | undefined;
-    /** Forgets the server with the id of a record. Returns its state if the record is of the same process. */
-    take(record: ServerRecord): BackendState | undefined;
+    /** Returns what is kept of a removed server by its id. */
+    find(id: string): RemovedServer | undefined;
+    /** Forgets the server with the id of a record. Returns what was kept if the record is of the same process. */
+    take(record: ServerRecord): RemovedServer | undefined;
 }
 
 /** Time in milliseconds for which a server is remembered: longer than it may ask for no requests. */
 const memoryMs = 4_000_000;
 /** Number of servers that are remembered: the latest. */
-const maxServers = 2000;
+const maxServers = 1000;
 
 export function createRemovedServers(clock: Clock): RemovedServers {
-    const byId = new Map<string, { server: BackendState; removedAt: number }>();
+    const byId = new Map<string, { server: RemovedServer; removedAt: number }>();
 
-    const find = (id: string): BackendState | undefined => {
+    const find = (id: string): RemovedServer | undefined => {
         const removed = byId.get(id);
         return removed !== undefined && clock.now() - removed.removedAt <= memoryMs
             ? removed.server
@@ -30,8 +36,9 @@
     };
 
     return {
-        add: server => {
-            const { id } = server.record;
+        add: ({ record, health, rateLimit, hasAnnouncedLeaving, isLeaving }) => {
+            const { id } = record;
+            const server = { record, health, rateLimit, hasAnnouncedLeaving, isLeaving };
             byId.delete(id);
             byId.set(id, { server, removedAt: clock.now() });
             if (byId.size > maxServers) {
