refactor(core): one bounded map for those that drop their oldest entry

Waiting for a change of the archive raced promises where peer-fetch aborts the sleep.

The comment on what is kept of a removed server names its health. An import and a comment are put in order. Bounds are unchanged.

--- a/packages/balancing/src/candidate-history.ts
+++ b/packages/balancing/src/candidate-history.ts
@@ -1,7 +1,7 @@
 /**
  * Instances that may send to the limited servers of an area, a region or an availability zone, as this instance has seen them
- * lately. Shares are
- * worked out from all of these lists, so that they add up to the limit while the instances' views still differ.
+ * lately. Shares are worked out from all of these lists, so that they add up to the limit while the instances' views still
+ * differ.
  */
 import type { Clock } from "@waxwingdale/core";
 
--- a/packages/balancing/src/removed-servers.ts
+++ b/packages/balancing/src/removed-servers.ts
@@ -2,11 +2,12 @@
  * Remembers servers whose entries were removed. An entry that lapsed is back with the same process behind it, for example
  * after an outage of the store, and what that process has said of itself still holds.
  */
+import { setBounded } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
 import type { BackendState } from "./backend-state.js";
 import type { ServerRecord } from "./server-record.js";
 
-/** What is kept of a server: what it has said, and not what this instance has learned from its requests. */
+/** What is kept of a server: what it has said of itself, and its health. */
 export type RemovedServer = Pick<
     BackendState,
     "record" | "health" | "rateLimit" | "hasAnnouncedLeaving" | "isLeaving"
@@ -39,12 +40,7 @@
         add: ({ record, health, rateLimit, hasAnnouncedLeaving, isLeaving }) => {
             const { id } = record;
             const server = { record, health, rateLimit, hasAnnouncedLeaving, isLeaving };
-            byId.delete(id);
-            byId.set(id, { server, removedAt: clock.now() });
-            if (byId.size > maxServers) {
-                const [oldest] = byId.keys();
-                byId.delete(oldest!);
-            }
+            setBounded(byId, id, { server, removedAt: clock.now() }, maxServers);
         },
         find,
         take: record => {
--- a/packages/carrier/src/dispatch-request.ts
+++ b/packages/carrier/src/dispatch-request.ts
@@ -1,8 +1,8 @@
 /** Sends a request over a pooled connection and streams the response with backpressure. */
 import type { Dispatcher, Pool } from "undici";
 import { toError } from "@waxwingdale/core";
-import { createResponseEnd } from "./response-end.js";
 import type { Clock, AbortSignalLike } from "@waxwingdale/core";
+import { createResponseEnd } from "./response-end.js";
 
 /** How far an attempt got, to tell a request that certainly did not run from one that may have run. */
 export enum DispatchPhase {
--- a/packages/config/src/peer-fetch.ts
+++ b/packages/config/src/peer-fetch.ts
@@ -1,5 +1,5 @@
 /** Fetches a document from peers that announce a newer value in gossip. */
-import { getErrorMessage } from "@waxwingdale/core";
+import { getErrorMessage, setBounded } from "@waxwingdale/core";
 import type { Clock, Logger, PeerTransport, Random } from "@waxwingdale/core";
 import { getBackoff } from "@waxwingdale/store";
 import * as v from "valibot";
@@ -97,7 +97,7 @@
         const backoff = isInvalid ? invalidBackoff : unreachableBackoff;
         const retryAt = clock.now() + getBackoff(count, backoff, random);
         consecutiveInvalid = isInvalid ? consecutiveInvalid + 1 : consecutiveInvalid;
-        setBounded(failures, peerAddress, { count, retryAt });
+        setBounded(failures, peerAddress, { count, retryAt }, maxPeers);
         logger.warn("document-fetch-failed", {
             document: name,
             peer: peerAddress,
@@ -131,7 +131,7 @@
     return {
         recordAnnouncement: (peerAddress, order) => {
             if (isAhead(order)) {
-                setBounded(announcements, peerAddress, order);
+                setBounded(announcements, peerAddress, order, maxPeers);
                 wake();
             }
         },
@@ -151,11 +151,3 @@
         },
     };
 }
-
-function setBounded<Value>(map: Map<string, Value>, key: string, value: Value): void {
-    map.delete(key);
-    map.set(key, value);
-    if (map.size > maxPeers) {
-        map.delete(map.keys().next().value!);
-    }
-}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,6 +25,7 @@
 export * from "./claim-service.js";
 export * from "./crash-guard.js";
 export * from "./link-shaper.js";
+export * from "./set-bounded.js";
 export * from "./settings-file.js";
 export * from "./slot-source.js";
 export * from "./traffic-steering.js";
--- a/packages/gateway/src/archive-changes.ts
+++ b/packages/gateway/src/archive-changes.ts
@@ -2,6 +2,7 @@
  * Decides when an instance writes its crash archive. Most servers end by their own fault, and a first crash is forgotten
  * with the next success: such changes wait for each other. All others are written at once.
  */
+import { setBounded } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
 import type { CrashReport } from "@waxwingdale/relay";
 
@@ -36,24 +37,16 @@
         Math.min(maxIntervalMs, Math.max(minIntervalMs, intervalMsPerInstance * countInstances()));
 
     /** Resolves with the next change, after the given time, or when the signal is aborted. */
-    const waitForChange = async (signal: AbortSignal, timeoutMs?: number): Promise<void> => {
-        const timeout = new AbortController();
-        const nextChange = new Promise<void>(resolve => {
-            wake = resolve;
-            signal.addEventListener("abort", () => resolve(), { once: true, signal: timeout.signal });
-        });
-        const elapsed = timeoutMs === undefined ? [] : [clock.sleep(timeoutMs, timeout.signal)];
-        await Promise.race([nextChange, ...elapsed]);
-        timeout.abort();
+    const waitForChange = async (signal: AbortSignal, timeoutMs: number): Promise<void> => {
+        const controller = new AbortController();
+        wake = () => controller.abort();
+        signal.addEventListener("abort", wake, { once: true });
+        await clock.sleep(timeoutMs, controller.signal);
+        signal.removeEventListener("abort", wake);
     };
 
     const record = (fingerprint: string, isNeededAtOnce: boolean) => {
-        changed.delete(fingerprint);
-        changed.set(fingerprint, isNeededAtOnce);
-        if (changed.size > maxChanges) {
-            const [oldest] = changed.keys();
-            changed.delete(oldest!);
-        }
+        setBounded(changed, fingerprint, isNeededAtOnce, maxChanges);
         isUrgent ||= isNeededAtOnce;
         wake();
     };
@@ -80,7 +73,7 @@
                     nextAt = clock.now() + getIntervalMs();
                     return;
                 }
-                await waitForChange(signal, changed.size > 0 ? delayMs : undefined);
+                await waitForChange(signal, changed.size > 0 ? delayMs : maxIntervalMs);
             }
         },
         take: () => {
--- a/packages/gateway/src/crash-trial.ts
+++ b/packages/gateway/src/crash-trial.ts
@@ -2,7 +2,7 @@
  * Begins the trial of a request that may crash servers, at one instance only. The store decides: an instance may send the
  * request once it has written the trial, which counts as a crash until its outcome is known, under the version that it read.
  */
-import { StoreConflictError, getErrorMessage } from "@waxwingdale/core";
+import { StoreConflictError, getErrorMessage, setBounded } from "@waxwingdale/core";
 import type { Clock, Logger, ObjectStore } from "@waxwingdale/core";
 import { crashSuspectsPrefix } from "@waxwingdale/platform";
 import type { BeginTrial, CrashReport, CrashSuspects, RequestIdentity } from "@waxwingdale/relay";
@@ -93,11 +93,10 @@
         if (!suspects.isQuarantined(identity)) {
             return false;
         }
-        const since = undecidedSince.get(fingerprint) ?? clock.now();
-        undecidedSince.set(fingerprint, since);
-        if (undecidedSince.size > maxUndecided) {
-            const [oldest] = undecidedSince.keys();
-            undecidedSince.delete(oldest!);
+        const since = undecidedSince.get(fingerprint);
+        if (since === undefined) {
+            setBounded(undecidedSince, fingerprint, clock.now(), maxUndecided);
+            return true;
         }
         return clock.now() - since < maxUndecidedMs;
     };
--- a/packages/relay/src/server-examiner.ts
+++ b/packages/relay/src/server-examiner.ts
@@ -1,5 +1,6 @@
 /** Finds out whether a backend server still lives after a request to it has ended without a response. */
 import type { BackendState } from "@waxwingdale/balancing";
+import { setBounded } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
 import { ProbeResult } from "./upstream-pool.js";
 import type { UpstreamPool } from "./upstream-pool.js";
@@ -137,12 +138,7 @@
         if (isSameEnd && sentAt > last) {
             return ServerVerdict.Unknown;
         }
-        endedAt.delete(id);
-        endedAt.set(id, isSameEnd ? Math.min(last, missedAt) : missedAt);
-        if (endedAt.size > maxEnds) {
-            const [oldest] = endedAt.keys();
-            endedAt.delete(oldest!);
-        }
+        setBounded(endedAt, id, isSameEnd ? Math.min(last, missedAt) : missedAt, maxEnds);
         return verdict;
     };
 
