feat(relay): requests with keys of workspaces, decided before anything else of them

Cause: the configuration of some deployments has workspaces ("tenants"), whose callers identify themselves by a key. The gateway ignored them: the key was forwarded to the backend server, the name of the workspace was not, and withdrawn or unknown keys ran.

Allowed regions of a workspace bind like those of its route. relay/early-rejection is split off from relay/relay. Interfaces for quotas and for the freshness of the view are in place, and always admit.

--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -106,7 +106,8 @@
         !req.tried.has(server.record.id) &&
         server.health.isUsable(now, server.load.inFlight()) &&
         isWithinColdLimit(server, now) &&
-        (req.route.allowedRegions.length === 0 || req.route.allowedRegions.includes(server.region));
+        isRegionAllowed(req.route.allowedRegions, server.region) &&
+        isRegionAllowed(req.workspace?.allowedRegions ?? [], server.region);
 
     const isAvailable = (server: BackendState, req: RoutedRequest, now: number): boolean =>
         isEligible(server, req, now) &&
@@ -281,3 +282,7 @@
 function countSlots(servers: readonly BackendState[]): number {
     return servers.reduce((sum, { record }) => sum + record.slots, 0);
 }
+
+function isRegionAllowed(allowedRegions: readonly string[], region: string): boolean {
+    return allowedRegions.length === 0 || allowedRegions.includes(region);
+}
--- a/packages/balancing/src/placement.ts
+++ b/packages/balancing/src/placement.ts
@@ -1,11 +1,13 @@
 /** A request to be balanced, and the backend server chosen for it. */
 import type { BackendState } from "./backend-state.js";
-import type { Route } from "./traffic-config.js";
+import type { Route, Workspace } from "./traffic-config.js";
 
 /** The properties of a request that determine its backend server. */
 export interface RoutedRequest {
     route: Route;
     service: string;
+    /** Undefined if the request has no key, or needs none. */
+    workspace?: Workspace | undefined;
     objectKey: string;
     /** Clock time at which the request arrived. */
     arrivedAt: number;
--- a/packages/balancing/src/route-index.ts
+++ b/packages/balancing/src/route-index.ts
@@ -1,8 +1,12 @@
 /** Route lookup by host and longest path prefix. */
 import type { Route, TrafficConfig } from "./traffic-config.js";
+import { createWorkspaceIndex } from "./workspace-index.js";
+import type { WorkspaceIndex } from "./workspace-index.js";
 
 export interface RouteIndex {
     readonly version: number;
+    /** Undefined if requests need no keys. */
+    readonly workspaces: WorkspaceIndex | undefined;
     /** Returns the matching route, or undefined if there is none. */
     find(host: string, path: string): Route | undefined;
 }
@@ -18,6 +22,7 @@
     byHost.forEach(routes => routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length));
     return {
         version: config.version,
+        workspaces: config.workspaces && createWorkspaceIndex(config.workspaces),
         find: (host, path) =>
             byHost.get(normalizeHost(host))?.find(({ pathPrefix }) => path.startsWith(pathPrefix)),
     };
--- a/packages/balancing/src/server-load.ts
+++ b/packages/balancing/src/server-load.ts
@@ -5,6 +5,11 @@
     running: number;
     waiting: number;
     slots: number;
+    /**
+     * Time that work takes on the server's machine at this moment, relative to the usual time; undefined if the server does
+     * not report it.
+     */
+    workTimeFactor?: number | undefined;
 }
 
 export interface ServerLoad {
--- a/packages/balancing/src/traffic-config.ts
+++ b/packages/balancing/src/traffic-config.ts
@@ -36,6 +36,22 @@
     /** Regions in which requests may run; empty means any. */
     allowedRegions: readonly string[];
     shares: readonly ServiceShare[];
+    /** Whether requests need no key, where the configuration has workspaces. */
+    isPublic: boolean;
+}
+
+/** A customer of the operators, whose callers identify themselves by its keys. */
+export interface Workspace {
+    name: string;
+    apiKeys: readonly string[];
+    /** Precedes the priority of the route; 0 is the most urgent. */
+    priority: number;
+    /** Quota for the requests of all instances together; 0 means no limit. */
+    requestsPerSecond: number;
+    /** Requests that the quota allows at once in addition. */
+    burst: number;
+    /** Regions in which requests may run, in addition to those of the route; empty means any. */
+    allowedRegions: readonly string[];
 }
 
 export interface Service {
@@ -63,4 +79,6 @@
     routes: readonly Route[];
     services: readonly Service[];
     limits: CallerLimits;
+    /** Undefined if requests need no keys. */
+    workspaces: readonly Workspace[] | undefined;
 }
--- a/packages/balancing/test/fixtures.ts
+++ b/packages/balancing/test/fixtures.ts
@@ -35,6 +35,7 @@
         hasAffinity: true,
         allowedRegions: [],
         shares: [{ service: "files", weight: 1 }],
+        isPublic: false,
         ...fields,
     };
 }
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -5,6 +5,7 @@
     createBackendTable,
     createBalancer,
     createCandidateHistory,
+    createOpenQuotaGate,
     createWindowedRetryBudget,
 } from "@waxwingdale/balancing";
 import type { Service, WindowedRetryBudget } from "@waxwingdale/balancing";
@@ -226,6 +227,7 @@
     add(tokens.admission, get =>
         createAdmissionControl({ clock: get(tokens.context).clock, balancer: get(tokens.balancer) }),
     );
+    add(tokens.quota, () => createOpenQuotaGate());
     add(tokens.retryBudgets, get => {
         const { clock, settings } = get(tokens.context);
         const { retryRatio, retrySlack, retryWindowSeconds } = settings().bounds;
@@ -284,6 +286,7 @@
             protocol,
             balancer: get(tokens.balancer),
             admission: get(tokens.admission),
+            quota: get(tokens.quota),
             pool: get(tokens.pool),
             crashSuspects: get(tokens.crashSuspects),
             crashObserver: createCrashLog(logger, metrics),
@@ -295,6 +298,7 @@
             random,
             startupGate: get(tokens.startupGate),
             maxBodyBytes: () => config.current()?.limits.bodyBytes ?? defaultMaxBodyBytes,
+            mayServeKeys: () => true,
             onRequest: record => {
                 metrics.observe(record);
                 logRequest(logger, record);
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -4,6 +4,7 @@
     BackendTable,
     Balancer,
     CandidateHistory,
+    QuotaGate,
     WindowedRetryBudget,
 } from "@waxwingdale/balancing";
 import type { DocumentExchange } from "@waxwingdale/config";
@@ -73,6 +74,7 @@
     storeView: createToken<StoreView>("storeView"),
     balancer: createToken<Balancer>("balancer"),
     admission: createToken<AdmissionControl>("admission"),
+    quota: createToken<QuotaGate>("quota"),
     retryBudgets: createToken<(service: string) => WindowedRetryBudget>("retryBudgets"),
     pool: createToken<UpstreamPool>("pool"),
     crashSuspects: createToken<CrashSuspects>("crashSuspects"),
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -11,6 +11,7 @@
         request: record.requestId,
         route: record.route,
         service: record.service,
+        workspace: record.workspace,
         object: record.object || undefined,
         status: record.status,
         reason: record.reason || undefined,
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -10,6 +10,7 @@
     resolveToken,
 } from "@waxwingdale/core";
 import type { Logger, Token } from "@waxwingdale/core";
+import type { TrafficConfig } from "@waxwingdale/balancing";
 import {
     PlatformProtocol,
     PlatformStore,
@@ -255,7 +256,7 @@
 
 function describeState(get: Get): unknown {
     return {
-        config: get(tokens.config).current(),
+        config: describeConfig(get(tokens.config).current()),
         membership: get(tokens.membership).state(),
         balancer: get(tokens.balancer).describe(),
         evacuatedZones: get(tokens.table).evacuatedZones(),
@@ -272,6 +273,15 @@
     };
 }
 
+/** Leaves out the keys of the workspaces. */
+function describeConfig(config: TrafficConfig | undefined): unknown {
+    const workspaces = config?.workspaces?.map(({ apiKeys, ...workspace }) => ({
+        ...workspace,
+        keys: apiKeys.length,
+    }));
+    return config && { ...config, workspaces };
+}
+
 function describeSuspects(get: Get): unknown {
     const suspects = get(tokens.crashSuspects);
     const rejected = new Set(suspects.rejected());
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -4,7 +4,14 @@
 
 const nonNegativeNumber = v.pipe(v.number("must be a number"), v.minValue(0, "must not be negative"));
 /** Defaults of the optional bounds. */
-const defaultBounds = { configApplySeconds: 2.5, drainSeconds: 2.5, evacuateSeconds: 5 };
+const defaultBounds = {
+    configApplySeconds: 2.5,
+    drainSeconds: 2.5,
+    evacuateSeconds: 5,
+    quotaWindowSeconds: 5,
+    quotaOverage: 0,
+    quotaSlack: 0,
+};
 const positiveNumber = v.pipe(v.number("must be a number"), v.gtValue(0, "must be greater than 0"));
 const nonEmptyString = v.pipe(v.string("must be a string"), v.minLength(1, "must not be empty"));
 
@@ -37,6 +44,8 @@
             coreShare: nonNegativeNumber,
             /** Bandwidth of the network link in each direction. */
             linkMbps: nonNegativeNumber,
+            /** Memory in megabytes above which the process is killed. */
+            memoryMb: v.optional(positiveNumber),
         }),
     ),
     /** Bounds that the deployment declares. */
@@ -60,6 +69,15 @@
         evacuateSeconds: v.optional(positiveNumber, defaultBounds.evacuateSeconds),
         /** Fraction of a region's requests that may move to other regions from one two-second window to the next. */
         maxRegionShift: nonNegativeNumber,
+        /** Time from the withdrawal of a key until no instance serves it; absent if instances may serve it longer. */
+        revokeSeconds: v.optional(positiveNumber),
+        /**
+         * In any window of this length, the instances together let a workspace exceed its quota by the fraction
+         * `quotaOverage` and by `quotaSlack` requests.
+         */
+        quotaWindowSeconds: v.optional(positiveNumber, defaultBounds.quotaWindowSeconds),
+        quotaOverage: v.optional(nonNegativeNumber, defaultBounds.quotaOverage),
+        quotaSlack: v.optional(nonNegativeNumber, defaultBounds.quotaSlack),
     }),
 });
 
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -12,6 +12,9 @@
     coldFactor: 1.5,
     coldSlack: 5,
     maxRegionShift: 0.15,
+    quotaWindowSeconds: 5,
+    quotaOverage: 0,
+    quotaSlack: 0,
 };
 
 export function createMember(id: string, zone: string, region: string, fields: Partial<Member> = {}): Member {
--- a/packages/gateway/test/gateway-metrics.test.ts
+++ b/packages/gateway/test/gateway-metrics.test.ts
@@ -12,6 +12,7 @@
         route: "r-1",
         kind: RequestKind.Idempotent,
         service: "files",
+        workspace: undefined,
         object: "",
         outcome: RequestOutcome.Answered,
         status: 200,
--- a/packages/relay/src/attempt-sender.ts
+++ b/packages/relay/src/attempt-sender.ts
@@ -51,7 +51,7 @@
     const { request, routed, running, sentTo, crashWatch, deadlineAt, isIdempotent } = state;
     const { req, info, route } = request;
     const retryBudget = options.getRetryBudget(request.service);
-    const head = formatRequestHead(req, request.body, protocol);
+    const head = formatRequestHead(req, request.body, protocol, request.identity);
     let delayTimer: Timer | undefined;
     end.onEnded(() => delayTimer?.cancel());
 
--- a/packages/relay/src/end-to-end-headers.ts
+++ b/packages/relay/src/end-to-end-headers.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import type { ResponseHead } from "./head-reader.js";
 import type { WireProtocol } from "./wire-protocol.js";
+import type { CallerIdentity } from "./workspace-access.js";
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), and `Content-Length`, which is calculated for each message. */
 const hopByHopHeaders = new Set([
@@ -23,6 +24,7 @@
     req: IncomingMessage,
     body: Buffer | undefined,
     protocol: WireProtocol,
+    { needsKeys, workspace }: CallerIdentity,
 ): string {
     const connectionOptions = parseConnectionHeader(req.headers.connection);
     let head = `${req.method} ${req.url} HTTP/1.1\r\n`;
@@ -32,7 +34,7 @@
         if (
             !hopByHopHeaders.has(name) &&
             !connectionOptions.has(name) &&
-            !protocol.replacesRequestHeader(name)
+            !protocol.replacesRequestHeader(name, needsKeys)
         ) {
             head += `${rawHeaders[index]}: ${rawHeaders[index + 1]}\r\n`;
         }
@@ -40,6 +42,9 @@
     if (body !== undefined || req.method === "POST" || req.method === "PUT" || req.method === "PATCH") {
         head += `Content-Length: ${body?.length ?? 0}\r\n`;
     }
+    if (workspace !== undefined) {
+        head += protocol.formatWorkspaceHeaders(workspace.name);
+    }
     return head;
 }
 
--- a/packages/relay/src/forwarded-request.ts
+++ b/packages/relay/src/forwarded-request.ts
@@ -42,7 +42,7 @@
     options: ForwardingOptions,
     request: RelayedRequest,
 ): ForwardedRequest {
-    const { req, info, route, service, arrivedAt } = request;
+    const { req, info, identity, route, service, arrivedAt } = request;
     const callerDeadlineMs = getCallerDeadlineMs(info.deadlineMs);
     const deadlineAt = getDeadline(request, callerDeadlineMs, route);
     // The address is known only as long as the connection is open.
@@ -55,6 +55,7 @@
         routed: {
             route,
             service,
+            workspace: identity.workspace,
             objectKey: info.objectKey ?? info.requestId ?? "",
             arrivedAt,
             deadlineAt,
--- a/packages/relay/src/forwarding-options.ts
+++ b/packages/relay/src/forwarding-options.ts
@@ -1,6 +1,12 @@
 /** What forwarding needs: the components of the instance, and the request. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { AdmissionControl, Balancer, Route, WindowedRetryBudget } from "@waxwingdale/balancing";
+import type {
+    AdmissionControl,
+    Balancer,
+    QuotaGate,
+    Route,
+    WindowedRetryBudget,
+} from "@waxwingdale/balancing";
 import type { Clock, EventLoopMonitor } from "@waxwingdale/core";
 import type { CrashSuspects } from "./crash-suspects.js";
 import type { BeginTrial, CrashObserver } from "./crash-watch.js";
@@ -9,6 +15,7 @@
 import type { ServerExaminer } from "./server-examiner.js";
 import type { UpstreamPool } from "./upstream-pool.js";
 import type { RequestInfo, WireProtocol } from "./wire-protocol.js";
+import type { CallerIdentity } from "./workspace-access.js";
 
 /** Components that all forwarded requests share. */
 export interface ForwardingOptions {
@@ -17,6 +24,8 @@
     protocol: WireProtocol;
     balancer: Balancer;
     admission: AdmissionControl;
+    /** Quotas of the workspaces. */
+    quota: QuotaGate;
     pool: UpstreamPool;
     /** Requests that may crash servers. */
     crashSuspects: CrashSuspects;
@@ -37,8 +46,11 @@
     req: IncomingMessage;
     res: ServerResponse;
     info: RequestInfo;
+    identity: CallerIdentity;
     route: Route;
     service: string;
     configVersion: number;
     body: Buffer | undefined;
+    /** Returns what the request has taken from the quota of its workspace; called if it was never sent. */
+    refundQuota: () => void;
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -23,3 +23,4 @@
 export * from "./upstream-connection.js";
 export * from "./upstream-pool.js";
 export * from "./wire-protocol.js";
+export * from "./workspace-access.js";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,31 +1,57 @@
 /** Accepts requests of callers: selects route and service, reads the body and forwards the request. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { createServiceSplit } from "@waxwingdale/balancing";
+import { QuotaVerdict, createServiceSplit } from "@waxwingdale/balancing";
 import type { Route, RouteIndex, ServiceSplit } from "@waxwingdale/balancing";
 import type { Random } from "@waxwingdale/core";
 import { createAcceptDelay } from "./accept-delay.js";
 import { createBodyMemory } from "./body-memory.js";
 import { onceResponseCloses, sendLocalResponse } from "./caller-response.js";
+import {
+    describeDenial,
+    describeMissingRoute,
+    describeQuota,
+    describeRejection,
+    describeShutdown,
+} from "./early-rejection.js";
+import type { EarlyRejection } from "./early-rejection.js";
 import { forwardRequest } from "./forward-request.js";
 import type { ForwardingOptions } from "./forwarding-options.js";
-import { BodyRejection, discardBody, readBody } from "./request-body.js";
+import { discardBody, readBody } from "./request-body.js";
 import { getCallerDeadlineMs } from "./request-deadline.js";
 import type { Arrival } from "./request-deadline.js";
 import { RequestOutcome } from "./request-outcome.js";
 import type { StartupGate } from "./startup-gate.js";
-import type { RequestInfo, WireProtocol } from "./wire-protocol.js";
+import type { RequestInfo } from "./wire-protocol.js";
+import { checkAccess } from "./workspace-access.js";
+import type { CallerIdentity } from "./workspace-access.js";
 
 export interface RelayOptions extends ForwardingOptions {
     /** Current routes; undefined until the first configuration is loaded. */
     routes: () => RouteIndex | undefined;
     maxBodyBytes: () => number;
+    /** Whether this instance would know if a key had been withdrawn. */
+    mayServeKeys: () => boolean;
     /** Number of instances that serve traffic. */
     instances: () => number;
     random: Random;
     startupGate: StartupGate;
 }
 
+/** A request whose headers have been read. */
+interface ReadRequest extends Arrival {
+    req: IncomingMessage;
+    res: ServerResponse;
+    info: RequestInfo;
+}
+
+/** Where a request goes, and whose it is. */
+interface Target {
+    index: RouteIndex;
+    route: Route;
+    identity: CallerIdentity;
+}
+
 export interface Relay {
     /** Must be called for each connection of a caller when it is accepted. */
     handleConnection(socket: Socket): void;
@@ -38,10 +64,6 @@
     requestBytes(): number;
 }
 
-/** Retry delay sent to callers while the instance has no configuration. */
-const noConfigRetryMs = 300;
-/** Retry delay sent to callers while there is no memory for their bodies. */
-const noMemoryRetryMs = 500;
 /** Limit in bytes for the bodies of all requests together; a body that is alone may exceed it. */
 const maxRequestMemoryBytes = 48 * 1024 * 1024;
 /** Maximum wait for startup: two round trips to a store in another region, doubled. */
@@ -78,9 +100,16 @@
 
     /** Rejects a request before a service is selected for it. */
     const reject = (
-        res: ServerResponse,
-        info: RequestInfo,
-        { status, reason, headers, outcome = RequestOutcome.Refused, route, version }: EarlyRejection,
+        { res, info }: ReadRequest,
+        {
+            status,
+            reason,
+            headers,
+            outcome = RequestOutcome.Refused,
+            route,
+            workspace,
+            version,
+        }: EarlyRejection,
     ) => {
         sendLocalResponse(res, status, reason, headers);
         options.onRequest({
@@ -88,6 +117,7 @@
             route: route?.name ?? "",
             kind: route?.kind,
             service: "",
+            workspace,
             object: info.objectKey ?? "",
             outcome,
             status,
@@ -101,57 +131,108 @@
         });
     };
 
-    const handle = (req: IncomingMessage, res: ServerResponse, info: RequestInfo, arrival: Arrival) => {
+    /** Rejects a request whose body has not been read. */
+    const rejectUnread = (read: ReadRequest, rejection: EarlyRejection) => {
+        discardBody(read.req, options.maxBodyBytes());
+        reject(read, rejection);
+    };
+
+    const mayEndLate = ({ info, arrivedAt }: ReadRequest, route: Route) =>
+        arrivedAt + Math.min(getCallerDeadlineMs(info.deadlineMs), route.timeoutMs) > endAt;
+
+    const handle = (read: ReadRequest) => {
+        const { req, info } = read;
         const index = options.routes();
         const route = index?.find(req.headers.host ?? "", getPath(req.url ?? "/"));
         if (index === undefined || route === undefined) {
-            discardBody(req, options.maxBodyBytes());
-            reject(res, info, describeMissingRoute(index, protocol));
+            rejectUnread(read, describeMissingRoute(index, protocol));
             return;
         }
+        const { version } = index;
+        const access = checkAccess(index, route, info.apiKey, options.mayServeKeys);
+        if ("denial" in access) {
+            rejectUnread(read, { ...describeDenial(access.denial, protocol), route, version });
+            return;
+        }
+        if (mayEndLate(read, route)) {
+            rejectUnread(read, { ...describeShutdown(protocol), route, version });
+            return;
+        }
+        handleIdentified(read, { index, route, identity: access.identity });
+    };
+
+    /** Takes the request from the quota of its workspace, reads its body and forwards it. */
+    const handleIdentified = (read: ReadRequest, target: Target) => {
+        const { req, res } = read;
+        const { index, route, identity } = target;
+        const { workspace } = identity;
+        let hasLeft = false;
         active += 1;
-        const memory = requestMemory.open();
         onceResponseCloses(req, res, () => {
             active -= 1;
-            memory.release();
+            hasLeft = true;
         });
-        const callerDeadlineMs = getCallerDeadlineMs(info.deadlineMs);
-        if (arrival.arrivedAt + Math.min(callerDeadlineMs, route.timeoutMs) > endAt) {
-            discardBody(req, options.maxBodyBytes());
-            reject(res, info, { ...describeShutdown(protocol), route, version: index.version });
+        if (workspace === undefined) {
+            readAndForward(read, target, () => undefined);
             return;
         }
+        const refund = () => options.quota.refund(workspace);
+        options.quota.acquire(workspace, decision => {
+            const isAdmitted = decision.verdict === QuotaVerdict.Admitted;
+            if (hasLeft && isAdmitted) {
+                refund();
+            } else if (isAdmitted) {
+                readAndForward(read, target, refund);
+            } else if (!hasLeft) {
+                rejectUnread(read, {
+                    ...describeQuota(decision, protocol),
+                    route,
+                    workspace: workspace.name,
+                    version: index.version,
+                });
+            }
+        });
+    };
+
+    const readAndForward = (
+        read: ReadRequest,
+        { index, route, identity }: Target,
+        refundQuota: () => void,
+    ) => {
+        const { req, res, info, ...arrival } = read;
+        const { version } = index;
+        const memory = requestMemory.open();
+        onceResponseCloses(req, res, () => memory.release());
         readBody(req, options.maxBodyBytes(), memory, result => {
             if ("rejection" in result) {
-                const { version } = index;
-                reject(res, info, { ...describeRejection(result.rejection, protocol), route, version });
+                refundQuota();
+                const workspace = identity.workspace?.name;
+                reject(read, { ...describeRejection(result.rejection, protocol), route, workspace, version });
                 return;
             }
-            const service = getSplit(route, index.version).next(info.objectKey);
+            const service = getSplit(route, version).next(info.objectKey);
             forwardRequest(options, {
                 req,
                 res,
                 info,
+                identity,
                 route,
                 service,
                 ...arrival,
-                configVersion: index.version,
+                configVersion: version,
                 body: result.body,
+                refundQuota,
             });
         });
     };
 
-    const handleAfterStartup = async (
-        req: IncomingMessage,
-        res: ServerResponse,
-        info: RequestInfo,
-        arrival: Arrival,
-    ) => {
+    const handleAfterStartup = async (read: ReadRequest) => {
+        const { socket } = read.req;
         await options.startupGate.wait(
-            Math.min(maxStartupWaitMs, (info.deadlineMs ?? Infinity) * startupWaitFraction),
+            Math.min(maxStartupWaitMs, (read.info.deadlineMs ?? Infinity) * startupWaitFraction),
         );
-        if (!req.socket.destroyed && !req.socket.readableEnded) {
-            handle(req, res, info, arrival);
+        if (!socket.destroyed && !socket.readableEnded) {
+            handle(read);
         }
     };
 
@@ -163,63 +244,23 @@
         requestBytes: () => requestMemory.heldBytes(),
         handleConnection: socket => acceptDelay.recordConnection(socket),
         handle: (req, res) => {
-            const info = protocol.readRequest(req.headers);
-            const arrival = {
+            const read = {
+                req,
+                res,
+                info: protocol.readRequest(req.headers),
                 arrivedAt: clock.now(),
                 unreadMs: options.eventLoop.pendingMs(),
                 queuedMs: acceptDelay.pendingMs(req.socket),
             };
             if (options.startupGate.isOpen()) {
-                handle(req, res, info, arrival);
+                handle(read);
             } else {
-                void handleAfterStartup(req, res, info, arrival);
+                void handleAfterStartup(read);
             }
         },
     };
 }
 
-/** A response to a request that is rejected before a service is selected for it. */
-interface EarlyRejection {
-    status: number;
-    reason: string;
-    headers?: Record<string, string>;
-    /** @default RequestOutcome.Refused */
-    outcome?: RequestOutcome;
-    route?: Route;
-    /** Version of the configuration. */
-    version?: number;
-}
-
-function describeMissingRoute(index: RouteIndex | undefined, protocol: WireProtocol): EarlyRejection {
-    return index === undefined
-        ? {
-              status: 503,
-              reason: "no configuration yet",
-              headers: protocol.formatRetryAfter(noConfigRetryMs),
-          }
-        : { status: 404, reason: "no route", outcome: RequestOutcome.NoRoute, version: index.version };
-}
-
-/** The caller can return to another instance at once. */
-function describeShutdown(protocol: WireProtocol): EarlyRejection {
-    return {
-        status: 503,
-        reason: "the instance is shutting down",
-        headers: { Connection: "close", ...protocol.formatRetryAfter(0) },
-    };
-}
-
-function describeRejection(rejection: BodyRejection, protocol: WireProtocol): EarlyRejection {
-    const headers = { Connection: "close" };
-    return rejection === BodyRejection.TooLarge
-        ? { status: 413, reason: "the body is too large", headers }
-        : {
-              status: 503,
-              reason: "no memory for the body",
-              headers: { ...headers, ...protocol.formatRetryAfter(noMemoryRetryMs) },
-          };
-}
-
 function getPath(url: string): string {
     const queryIndex = url.indexOf("?");
     return queryIndex < 0 ? url : url.slice(0, queryIndex);
--- a/packages/relay/src/request-end.ts
+++ b/packages/relay/src/request-end.ts
@@ -33,6 +33,9 @@
     const settle = (outcome: RequestOutcome, status: number, reason: string) => {
         state.isDone = true;
         cleanUps.forEach(cleanUp => cleanUp());
+        if (state.sentTo.size === 0) {
+            request.refundQuota();
+        }
         for (const attempt of running) {
             attempt.connection.destroy();
             endAttempt(options, state, attempt, ServerOutcome.Cancelled, outcome);
@@ -118,12 +121,13 @@
     status: number,
     reason: string,
 ): void {
-    const { info, route, service, arrivedAt, unreadMs, queuedMs } = request;
+    const { info, identity, route, service, arrivedAt, unreadMs, queuedMs } = request;
     onRequest({
         requestId: info.requestId ?? "",
         route: route.name,
         kind: route.kind,
         service,
+        workspace: identity.workspace?.name,
         object: info.objectKey ?? "",
         outcome,
         status,
--- a/packages/relay/src/request-outcome.ts
+++ b/packages/relay/src/request-outcome.ts
@@ -11,6 +11,10 @@
     TimedOut = "timed-out",
     CallerLeft = "caller-left",
     NoRoute = "no-route",
+    /** The caller's key is unknown. */
+    Unauthorized = "unauthorized",
+    /** The workspace has used up its quota. */
+    QuotaExceeded = "quota-exceeded",
 }
 
 /** One attempt to forward a request. Times are in milliseconds. */
@@ -34,6 +38,8 @@
     /** Undefined for a request without a route. */
     kind: RequestKind | undefined;
     service: string;
+    /** Name of the caller's workspace, if it is known. */
+    workspace: string | undefined;
     /** Key of the requested object. */
     object: string;
     outcome: RequestOutcome;
--- a/packages/relay/src/wire-protocol.ts
+++ b/packages/relay/src/wire-protocol.ts
@@ -10,6 +10,8 @@
     deadlineMs: number | undefined;
     /** Identifies the requested object. */
     objectKey: string | undefined;
+    /** Key of the caller's workspace. It must not be logged. */
+    apiKey?: string | undefined;
 }
 
 /** Metadata in the headers of a backend server's response. */
@@ -35,8 +37,13 @@
 
 export abstract class WireProtocol {
     abstract readRequest(headers: IncomingHttpHeaders): RequestInfo;
-    /** Whether the relay replaces this request header with its own. The name is in lower case. */
-    abstract replacesRequestHeader(name: string): boolean;
+    /**
+     * Whether the relay replaces this request header with its own. The name is in lower case. `needsKeys` is true where the
+     * configuration has workspaces.
+     */
+    abstract replacesRequestHeader(name: string, needsKeys: boolean): boolean;
+    /** Formats the headers that tell a backend server whose request it is. */
+    abstract formatWorkspaceHeaders(workspaceName: string): string;
     /** Formats the headers of an attempt: the remaining time of the caller, and the id of the intended server. */
     abstract formatAttemptHeaders(deadlineMs: number, serverId: string): string;
     /**
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -11,9 +11,10 @@
     createBackendTable,
     createBalancer,
     createWindowedRetryBudget,
+    createOpenQuotaGate,
     createRouteIndex,
 } from "@waxwingdale/balancing";
-import type { Route } from "@waxwingdale/balancing";
+import type { QuotaGate, Route, Workspace } from "@waxwingdale/balancing";
 import { createEventLoopMonitor, createSilentLogger, createSystemClock } from "@waxwingdale/core";
 import {
     WireProtocol,
@@ -40,11 +41,16 @@
             requestId: (headers["x-id"] as string | undefined) || undefined,
             deadlineMs: Number(headers["x-deadline"] ?? 1000),
             objectKey: (headers["x-object"] as string | undefined) ?? "1",
+            apiKey: headers["x-key"] as string | undefined,
         };
     }
 
-    override replacesRequestHeader(name: string): boolean {
-        return name === "x-deadline";
+    override replacesRequestHeader(name: string, needsKeys: boolean): boolean {
+        return name === "x-deadline" || (needsKeys && (name === "x-key" || name === "x-workspace"));
+    }
+
+    override formatWorkspaceHeaders(workspaceName: string): string {
+        return `X-Workspace: ${workspaceName}\r\n`;
     }
 
     override formatAttemptHeaders(deadlineMs: number, serverId: string): string {
@@ -178,6 +184,7 @@
         hasAffinity: true,
         allowedRegions: [],
         shares: [{ service: "files", weight: 1 }],
+        isPublic: false,
     };
 }
 
@@ -185,10 +192,26 @@
 const tickIntervalMs = 100;
 const soleSenders: readonly (readonly string[])[] = [["g-1"]];
 
+export interface InstanceOptions {
+    /** Whether the instance has no configuration until `openGate` is called. */
+    isStarting?: boolean;
+    bodyBytes?: number;
+    /** @default no workspaces, so that requests need no keys */
+    workspaces?: readonly Workspace[];
+    quota?: QuotaGate;
+    mayServeKeys?: () => boolean;
+}
+
 /** Starts an instance that forwards requests to the given servers. */
 export async function startInstance(
     servers: readonly ScriptedServer[],
-    { isStarting = false, bodyBytes = limits.bodyBytes } = {},
+    {
+        isStarting = false,
+        bodyBytes = limits.bodyBytes,
+        workspaces,
+        quota = createOpenQuotaGate(),
+        mayServeKeys = () => true,
+    }: InstanceOptions = {},
 ): Promise<TestInstance> {
     const clock = createSystemClock();
     const protocol = new TestProtocol();
@@ -251,7 +274,7 @@
     });
     const crashSuspects = createCrashSuspects(clock);
     const routes = [RequestKind.Idempotent, RequestKind.NonIdempotent].map(createTestRoute);
-    const index = createRouteIndex({ version: 1, routes, services: [], limits });
+    const index = createRouteIndex({ version: 1, routes, services: [], limits, workspaces });
     const records: RequestRecord[] = [];
     const examinations: LossExamination[] = [];
     const cleared: ClearedSuspicion[] = [];
@@ -265,6 +288,7 @@
         protocol,
         balancer,
         admission: createAdmissionControl({ clock, balancer }),
+        quota,
         pool,
         crashSuspects,
         beginTrial: async identity => crashSuspects.beginTrial(identity),
@@ -279,6 +303,7 @@
         random: () => 0,
         startupGate,
         maxBodyBytes: () => bodyBytes,
+        mayServeKeys,
         onRequest: record => records.push(record),
         onMisdirected: id => table.remove(id),
         onLeaving: id => table.markLeaving(id, ReportSource.Response),
