--- a/packages/carrier/src/dispatch-request.ts
+++ b/packages/carrier/src/dispatch-request.ts
@@ -1,6 +1,6 @@
 /** Sends a request over a pooled connection and streams the response with backpressure. */
 import type { Dispatcher, Pool } from "undici";
-import { toError } from "@waxwingdale/core";
+import { isFinalStatus, toError } from "@waxwingdale/core";
 import type { Clock, AbortSignalLike } from "@waxwingdale/core";
 import { createResponseEnd } from "./response-end.js";
 
@@ -62,6 +62,18 @@
 class ResponseMismatchError extends Error {}
 class DamagedResponseError extends Error {}
 
+function findInvalid(
+    status: number,
+    headers: ResponseHeaders,
+    findMismatch: DispatchOptions["findMismatch"],
+): Error | undefined {
+    if (!isFinalStatus(status)) {
+        return new DamagedResponseError(`the response has the invalid status ${status}`);
+    }
+    const mismatch = findMismatch?.(headers);
+    return mismatch === undefined ? undefined : new ResponseMismatchError(mismatch);
+}
+
 /** Runs one attempt. Never rejects: failures are reported in the result. */
 export function dispatchRequest(options: DispatchOptions): Promise<DispatchResult> {
     return new Promise(resolve => {
@@ -130,12 +142,12 @@
                 result.phase = DispatchPhase.Sent;
             },
             onResponseStart: (started, status, headers) => {
-                if (settled || status < 200) {
+                const isInterim = status >= 100 && status < 200;
+                if (settled || isInterim) {
                     return;
                 }
-                const mismatch = options.findMismatch?.(headers);
-                if (mismatch !== undefined) {
-                    const err = new ResponseMismatchError(mismatch);
+                const err = findInvalid(status, headers, options.findMismatch);
+                if (err !== undefined) {
                     finish(err);
                     started.abort(err);
                     return;
--- a/packages/core/src/http-client.ts
+++ b/packages/core/src/http-client.ts
@@ -6,6 +6,7 @@
 import { createByteCollector } from "./byte-collector.js";
 import { WaxwingdaleError } from "./errors.js";
 import type { ErrorOptions } from "./errors.js";
+import { isFinalStatus } from "./http-status.js";
 import { IdleCheckingAgent } from "./idle-checking-agent.js";
 import type { Logger } from "./log.js";
 import { createPieceLimit } from "./piece-limit.js";
@@ -161,6 +162,12 @@
         });
         req.once("response", res => {
             const { socket, statusCode: status = 0 } = res;
+            if (!isFinalStatus(status)) {
+                // The request may have released its connection already, so destroying it has no effect.
+                socket.destroy();
+                fail(`the answer has the invalid status ${status}`, undefined);
+                return;
+            }
             const isEarly = !req.writableFinished;
             if (isEarly && status < firstErrorStatus) {
                 fail("an answer arrived before the request was sent completely", undefined);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./hash.js";
 export * from "./http-client.js";
 export * from "./http-limits.js";
+export * from "./http-status.js";
 export * from "./log-output.js";
 export * from "./log.js";
 export * from "./object-store.js";
--- a/packages/core/test/http-client.test.ts
+++ b/packages/core/test/http-client.test.ts
@@ -214,3 +214,14 @@
         assert.ok(performance.now() - startedAt < 5000);
     });
 }
+
+// Guards against a status that HTTP does not have, which callers of the client would take for a decision of the server.
+for (const status of ["000", "001", "099", "600", "999"]) {
+    test(`a response with status ${status} fails the call, and its connection is not used again`, async () => {
+        const address = await listen(socket =>
+            socket.write(`HTTP/1.1 ${sockets.size === 1 ? status : 200} X\r\nContent-Length: 2\r\n\r\nok`),
+        );
+        await assert.rejects(call(address), HttpCallError);
+        assert.deepEqual(await call(address), { status: 200, text: "ok" });
+    });
+}
--- a/packages/relay/src/head-reader.ts
+++ b/packages/relay/src/head-reader.ts
@@ -34,8 +34,8 @@
 /** Every head begins with it, so that other bytes are recognized before the end of a line. */
 const headStart = Buffer.from("HTTP/1.", "latin1");
 const maxHeadBytes = 80 * 1024;
-/** The library also accepts more digits and no space. */
-const statusLine = /^HTTP\/1\.[01] ([1-9]\d\d)(?: (.*))?$/;
+/** The library also accepts more digits, no space, and statuses outside 100 to 599, which HTTP does not have. */
+const statusLine = /^HTTP\/1\.[01] ([1-5]\d\d)(?: (.*))?$/;
 const switchingProtocolsStatus = 101;
 /** Value that tells the parser to expect no body. */
 const noBody = 1;
