feat(relay): memory for bodies follows the machine, and callers that read slowly make room for others

Cause: 208 MiB of bodies were allowed on any machine, also on one of 250 MB. A response counted until its caller had read it, but nothing ended one whose caller read slowly, so a few such callers left no room for all others.

When there is no room, the response that has been sent for the longest time, and for more than a second, goes first, with its caller's connection.

Result: the new test of relay/body-memory fails before, since nothing could be evicted.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -20,6 +20,7 @@
     createServerExaminer,
     createStartupGate,
     createUpstreamPool,
+    getBodyLimits,
 } from "@waxwingdale/relay";
 import { createRelayedStore } from "@waxwingdale/store";
 import { container } from "tsyringe";
@@ -252,11 +253,12 @@
 
 function composeRelay(add: RegisterComponent): void {
     add(tokens.pool, get => {
-        const { clock, protocol, logger } = get(tokens.context);
+        const { clock, protocol, logger, settings } = get(tokens.context);
         const balancer = get(tokens.balancer);
         const metrics = get(tokens.metrics);
         return createUpstreamPool({
             clock,
+            maxBodyBytes: getBodyLimits(settings().machine?.memoryMb).responseBytes,
             eventLoop: get(tokens.eventLoop),
             protocol,
             roundTripMs: server => balancer.roundTripMs(server),
@@ -277,7 +279,7 @@
     composeCrashSuspects(add);
     add(tokens.startupGate, get => createStartupGate(get(tokens.context).clock));
     add(tokens.relay, get => {
-        const { clock, protocol, logger, random } = get(tokens.context);
+        const { clock, protocol, logger, random, settings } = get(tokens.context);
         const config = get(tokens.config);
         const metrics = get(tokens.metrics);
         return createRelay({
@@ -297,6 +299,7 @@
             instances: () => get(tokens.topology).budgetDivisor(),
             random,
             startupGate: get(tokens.startupGate),
+            maxRequestMemoryBytes: getBodyLimits(settings().machine?.memoryMb).requestBytes,
             maxBodyBytes: () => config.current()?.limits.bodyBytes ?? defaultMaxBodyBytes,
             mayServeKeys: () => true,
             onRequest: record => {
--- a/packages/relay/src/body-memory.ts
+++ b/packages/relay/src/body-memory.ts
@@ -1,14 +1,18 @@
 /** Bounds the memory for the bodies of all requests and responses of the process. */
+import type { Clock } from "@waxwingdale/core";
 
 /** Memory of one body. */
 export interface BodyHold {
     /**
-     * Adds bytes. Returns false if there is no room for them. Holds that may be evicted make room first, the largest one
-     * before the others; if this is the largest, it has no room.
+     * Adds bytes. Returns false if there is no room for them. Bodies that are sent slowly make room first, the one that is
+     * sent for the longest time before the others; then those that may be evicted, the largest one before the others. If this
+     * is the largest, it has no room.
      */
     grow(bytes: number): boolean;
     /** Makes the body safe from eviction, since it is complete. */
     complete(): void;
+    /** Must be called when the body is sent to its caller. If that takes long, the body may be evicted again. */
+    startSending(onEvict: () => void): void;
     /** Frees the memory; has no effect the second time. */
     release(): void;
 }
@@ -23,10 +27,15 @@
 interface Entry {
     bytes: number;
     onEvict: (() => void) | undefined;
+    /** Clock time at which the body was handed over to the caller's connection; undefined before. */
+    sendingSince: number | undefined;
 }
 
+/** Time in milliseconds after which a caller that has not read its response is slow: several round trips. */
+const slowSendMs = 1000;
+
 /** Creates a memory of `limitBytes`. A body that is held alone may exceed it. */
-export function createBodyMemory(limitBytes: number): BodyMemory {
+export function createBodyMemory(limitBytes: number, clock: Clock): BodyMemory {
     const entries = new Set<Entry>();
     let held = 0;
 
@@ -36,10 +45,23 @@
         }
     };
 
+    const findSlowest = (): Entry | undefined => {
+        let slowest: Entry | undefined;
+        let since = clock.now() - slowSendMs;
+        for (const entry of entries) {
+            if (entry.sendingSince !== undefined && entry.sendingSince <= since) {
+                slowest = entry;
+                since = entry.sendingSince;
+            }
+        }
+        return slowest;
+    };
+
     const findLargestEvictable = (): Entry | undefined => {
         let largest: Entry | undefined;
         for (const entry of entries) {
-            if (entry.onEvict !== undefined && entry.bytes > (largest?.bytes ?? 0)) {
+            const isEvictable = entry.onEvict !== undefined && entry.sendingSince === undefined;
+            if (isEvictable && entry.bytes > (largest?.bytes ?? 0)) {
                 largest = entry;
             }
         }
@@ -49,7 +71,7 @@
     /** Returns whether there is room for the bytes that `entry` already includes. */
     const makeRoom = (entry: Entry): boolean => {
         while (held > limitBytes && held > entry.bytes) {
-            const victim = findLargestEvictable();
+            const victim = findSlowest() ?? findLargestEvictable();
             if (victim === undefined || victim === entry) {
                 return false;
             }
@@ -62,7 +84,7 @@
     return {
         heldBytes: () => held,
         open: onEvict => {
-            const entry: Entry = { bytes: 0, onEvict };
+            const entry: Entry = { bytes: 0, onEvict, sendingSince: undefined };
             entries.add(entry);
             return {
                 grow: bytes => {
@@ -80,6 +102,10 @@
                 complete: () => {
                     entry.onEvict = undefined;
                 },
+                startSending: onSlow => {
+                    entry.onEvict = onSlow;
+                    entry.sendingSince = clock.now();
+                },
                 release: () => free(entry),
             };
         },
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,5 +1,6 @@
 /** HTTP/1.1 reverse proxy between callers and backend servers. */
 export * from "./accept-delay.js";
+export * from "./body-limits.js";
 export * from "./body-memory.js";
 export * from "./caller-response.js";
 export * from "./caller-server-options.js";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -5,6 +5,7 @@
 import type { Route, RouteIndex, ServiceSplit } from "@waxwingdale/balancing";
 import type { Random } from "@waxwingdale/core";
 import { createAcceptDelay } from "./accept-delay.js";
+import { getBodyLimits } from "./body-limits.js";
 import { createBodyMemory } from "./body-memory.js";
 import { onceResponseCloses, sendLocalResponse } from "./caller-response.js";
 import {
@@ -30,6 +31,11 @@
     /** Current routes; undefined until the first configuration is loaded. */
     routes: () => RouteIndex | undefined;
     maxBodyBytes: () => number;
+    /**
+     * Limit in bytes for the bodies of all requests together; a body that is alone may exceed it.
+     * @default that of a machine with enough memory
+     */
+    maxRequestMemoryBytes?: number;
     /** Whether this instance would know if a key had been withdrawn. */
     mayServeKeys: () => boolean;
     /** Number of instances that serve traffic. */
@@ -64,8 +70,6 @@
     requestBytes(): number;
 }
 
-/** Limit in bytes for the bodies of all requests together; a body that is alone may exceed it. */
-const maxRequestMemoryBytes = 48 * 1024 * 1024;
 /** Maximum wait for startup: two round trips to a store in another region, doubled. */
 const maxStartupWaitMs = 600;
 /** Fraction of the caller's deadline that the wait may use; the rest is left for the request itself. */
@@ -74,7 +78,10 @@
 export function createRelay(options: RelayOptions): Relay {
     const { clock, protocol } = options;
     const acceptDelay = createAcceptDelay(clock, options.eventLoop);
-    const requestMemory = createBodyMemory(maxRequestMemoryBytes);
+    const requestMemory = createBodyMemory(
+        options.maxRequestMemoryBytes ?? getBodyLimits(undefined).requestBytes,
+        clock,
+    );
     let active = 0;
     /** Clock time at which the instance ends. */
     let endAt = Infinity;
--- a/packages/relay/src/request-end.ts
+++ b/packages/relay/src/request-end.ts
@@ -1,7 +1,12 @@
 /** Ends a forwarded request: with exactly one response, or when its caller disconnects. */
 import { ServerOutcome } from "@waxwingdale/balancing";
 import type { Refusal } from "@waxwingdale/balancing";
-import { onceResponseCloses, sendLocalResponse, sendUpstreamResponse } from "./caller-response.js";
+import {
+    closeIfStalled,
+    onceResponseCloses,
+    sendLocalResponse,
+    sendUpstreamResponse,
+} from "./caller-response.js";
 import { endAttempt, watchAbandoned } from "./forwarded-request.js";
 import type { ForwardedRequest } from "./forwarded-request.js";
 import type { ForwardingOptions } from "./forwarding-options.js";
@@ -105,7 +110,9 @@
         forward: response => {
             state.forwarded = response;
             settle(RequestOutcome.Answered, response.head.status, "");
+            response.memory.startSending(() => req.socket.destroy());
             sendUpstreamResponse(res, response);
+            closeIfStalled(req, res);
             onceResponseCloses(req, res, () => response.memory.release());
         },
         fail,
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -1,6 +1,7 @@
 /** Pool of keep-alive connections to all backend servers. */
 import type { BackendState } from "@waxwingdale/balancing";
 import type { Clock, EventLoopMonitor } from "@waxwingdale/core";
+import { getBodyLimits } from "./body-limits.js";
 import { createBodyMemory } from "./body-memory.js";
 import { createIdleLimit } from "./idle-limit.js";
 import { ExchangeFailure, connectTimeoutDetail, openUpstreamConnection } from "./upstream-connection.js";
@@ -64,6 +65,11 @@
     /** Round-trip time to a server in milliseconds. */
     roundTripMs: (server: BackendState) => number;
     recordConnectTime: (server: BackendState, connectMs: number) => void;
+    /**
+     * Limit in bytes for the bodies of all responses together that are being received or forwarded.
+     * @default that of a machine with enough memory
+     */
+    maxBodyBytes?: number;
     /** Path of the health check of a service. */
     healthPath: (service: string) => string;
     /** Called for a response that is not that to the request in flight, and for bytes on an idle connection. */
@@ -74,8 +80,6 @@
 const connectSlackMs = 250;
 /** Responses are buffered in memory up to this size. */
 const maxResponseBytes = 16 * 1024 * 1024;
-/** Limit in bytes for the bodies of all responses together that are being received or forwarded. */
-const maxResponseMemoryBytes = 160 * 1024 * 1024;
 const maxIdleMs = 60_000;
 /** Time in milliseconds after the round trip within which a server responds to a health check. */
 const healthCheckMs = 500;
@@ -106,7 +110,10 @@
     const { clock, protocol } = options;
     const byServer = new Map<string, ServerConnections>();
     const idleLimit = createIdleLimit(clock);
-    const responseMemory = createBodyMemory(maxResponseMemoryBytes);
+    const responseMemory = createBodyMemory(
+        options.maxBodyBytes ?? getBodyLimits(undefined).responseBytes,
+        clock,
+    );
 
     const getConnections = (server: BackendState): ServerConnections => {
         const { id } = server.record;
--- a/packages/relay/test/body-memory.test.ts
+++ b/packages/relay/test/body-memory.test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RequestKind } from "@waxwingdale/balancing";
+import { createManualClock } from "@waxwingdale/core";
 import { createBodyMemory } from "@waxwingdale/relay";
 import { measureMemory } from "../../core/test/heap.js";
 import { formatRequest, formatResponse, sendRaw, startInstance, startServer } from "./fixtures.js";
@@ -11,14 +12,14 @@
 const mib = 1024 * 1024;
 
 test("a body that is alone may exceed the limit", () => {
-    const memory = createBodyMemory(10);
+    const memory = createBodyMemory(10, createManualClock(0));
     assert.ok(memory.open().grow(12));
     assert.equal(memory.open().grow(1), false);
     assert.equal(memory.heldBytes(), 12);
 });
 
 test("the largest body that is being received makes room for others", () => {
-    const memory = createBodyMemory(10);
+    const memory = createBodyMemory(10, createManualClock(0));
     const evicted: string[] = [];
     memory.open(() => evicted.push("small")).grow(2);
     memory.open(() => evicted.push("large")).grow(5);
@@ -28,14 +29,37 @@
 });
 
 test("a body that would have to evict smaller ones has no room", () => {
-    const memory = createBodyMemory(10);
+    const memory = createBodyMemory(10, createManualClock(0));
     memory.open(() => assert.fail("evicted")).grow(4);
     assert.equal(memory.open(() => undefined).grow(7), false);
     assert.equal(memory.heldBytes(), 4);
 });
 
+/** Guards against callers that do not read their responses and leave no room for others (LOST). */
+test("the body that has been sent for the longest time makes room, before one that is being received", async () => {
+    const clock = createManualClock(0);
+    const memory = createBodyMemory(10, clock);
+    const evicted: string[] = [];
+    for (const [name, bytes] of [
+        ["first", 2],
+        ["second", 4],
+    ] as const) {
+        const hold = memory.open(() => assert.fail("evicted as incomplete"));
+        hold.grow(bytes);
+        hold.complete();
+        hold.startSending(() => evicted.push(name));
+        await clock.advance(100);
+    }
+    memory.open(() => evicted.push("incoming")).grow(3);
+    assert.equal(memory.open().grow(2), true);
+    assert.deepEqual(evicted, ["incoming"]);
+    await clock.advance(950);
+    assert.equal(memory.open().grow(4), true);
+    assert.deepEqual(evicted, ["incoming", "first"]);
+});
+
 test("a complete body is not evicted and is freed once", () => {
-    const memory = createBodyMemory(10);
+    const memory = createBodyMemory(10, createManualClock(0));
     const hold = memory.open(() => assert.fail("evicted"));
     hold.grow(8);
     hold.complete();
