feat(balancing): slots go to competing workspaces by priority and fair share

Requests waited in the order of route priority and arrival, so a workspace that sends many times its usual load took the slots of the others.

Where the configuration has workspaces, waiting requests are ordered by the priority of the workspace, that of the route, what the workspace has had of the service in the last seconds, and arrival. A workspace served less than 0.35 as often as all comes first whatever its priority. A new request does not overtake waiting ones that rank before it and want the same server; the one that ranks last leaves a full queue; one that would wait more than twice the time that it may wait is rejected at once.

--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -4,10 +4,15 @@
  * immediately.
  */
 import type { Clock, Timer } from "@waxwingdale/core";
+import { createAdmissionOrder } from "./admission-order.js";
+import type { QueuedRequest } from "./admission-order.js";
 import type { BackendState } from "./backend-state.js";
 import type { Balancer, Choice } from "./balancer.js";
+import { createFairShare } from "./fair-share.js";
 import { ChoiceKind } from "./placement.js";
 import type { Placement, RoutedRequest } from "./placement.js";
+import { createRoomForecast } from "./room-forecast.js";
+import type { Workspace } from "./traffic-config.js";
 
 export enum RefusalReason {
     /** The response cannot arrive before the deadline. */
@@ -45,15 +50,24 @@
 export interface AdmissionOptions {
     clock: Clock;
     balancer: Balancer;
+    /**
+     * Returns the workspaces of the configuration, which compete for the slots; undefined if it has none. Returns a new array
+     * when they change.
+     */
+    workspaces?: () => readonly Workspace[] | undefined;
+}
+
+/** The server that a request must wait for. */
+interface Wait {
+    waitFor: BackendState;
+    /** Whether the server has a rate limit or has asked for a pause, so that the end of the wait is known. */
+    isThrottled: boolean;
 }
 
-interface WaitingRequest {
-    req: RoutedRequest;
+interface WaitingRequest extends QueuedRequest {
     /** Clock time at which the request stops waiting and is rejected. */
     rejectAt: number;
     settle: (admission: AdmissionDecision) => void;
-    /** The server that the request is queued for. */
-    server: BackendState;
 }
 
 /** Fraction of the target latency that a request may always wait for a slot, even if the target will be missed. */
@@ -66,14 +80,28 @@
 const retryIntervalMs = 20;
 /** Maximum queue length; retrying a longer queue would take too long. */
 const maxQueueLength = 200;
+/** Maximum number of waiting requests that are retried before a new one may take a slot that they want. */
+const maxRetriedRivals = 8;
+/**
+ * Multiple of the time left to wait from which the expected wait counts as too long. The margin is for slots that become free
+ * faster than of late.
+ */
+const hopelessWaitFactor = 2;
 
 /** Returns the time in milliseconds after which the caller of a rejected request may retry. */
 export function getRetryAfterMs({ deadlineAt }: RoutedRequest, now: number): number {
     return Math.max(0, deadlineAt - now) * retryAfterFraction;
 }
 
-export function createAdmissionControl({ clock, balancer }: AdmissionOptions): AdmissionControl {
+export function createAdmissionControl({
+    clock,
+    balancer,
+    workspaces = () => undefined,
+}: AdmissionOptions): AdmissionControl {
     const queue: WaitingRequest[] = [];
+    const fairShare = createFairShare(clock.now());
+    const order = createAdmissionOrder(fairShare, workspaces);
+    const forecast = createRoomForecast();
     let timer: Timer | undefined;
     let isRetrying = false;
 
@@ -109,10 +137,10 @@
         req: RoutedRequest,
         { server, throttledMs }: Choice & { kind: ChoiceKind.Throttled },
         rejectAt: number,
-    ): AdmissionDecision | { waitFor: BackendState } => {
+    ): AdmissionDecision | Wait => {
         const now = clock.now();
         if (now + throttledMs <= Math.min(rejectAt, req.deadlineAt)) {
-            return { waitFor: server };
+            return { waitFor: server, isThrottled: true };
         }
         const detail = describeThrottling(server, now);
         const isNear = now + throttledMs < req.deadlineAt;
@@ -120,7 +148,7 @@
     };
 
     /** Returns the decision, or the server that the request must wait for. */
-    const decide = (req: RoutedRequest, rejectAt: number): AdmissionDecision | { waitFor: BackendState } => {
+    const decide = (req: RoutedRequest, rejectAt: number): AdmissionDecision | Wait => {
         const choice = balancer.choose(req);
         switch (choice.kind) {
             case ChoiceKind.Send:
@@ -132,7 +160,7 @@
             case ChoiceKind.Throttled:
                 return decideThrottled(req, choice, rejectAt);
             case ChoiceKind.Full:
-                return { waitFor: choice.server };
+                return { waitFor: choice.server, isThrottled: false };
         }
     };
 
@@ -140,12 +168,29 @@
         a.route.priority < b.route.priority ||
         (a.route.priority === b.route.priority && a.arrivedAt < b.arrivedAt);
 
+    const isCompeting = () => workspaces() !== undefined;
+
+    const recordDecision = ({ workspace, service }: RoutedRequest, decision: AdmissionDecision) => {
+        const now = clock.now();
+        const isAdmitted = "placement" in decision;
+        if (isAdmitted) {
+            forecast.recordAdmitted(service, now);
+        }
+        if (isAdmitted && isCompeting()) {
+            fairShare.recordAdmitted(workspace?.name, service, decision.placement.workMs, now);
+        } else if (isCompeting()) {
+            fairShare.recordRejected(workspace?.name, now);
+        }
+    };
+
     const enqueue = (waiting: WaitingRequest) => {
         let index = queue.length;
         while (index > 0 && isBefore(waiting.req, queue[index - 1]!.req)) {
             index--;
         }
         queue.splice(index, 0, waiting);
+        waiting.server.load.addWaiting();
+        forecast.addWaiting(waiting.req.service, clock.now());
     };
 
     const dequeue = (waiting: WaitingRequest): boolean => {
@@ -155,6 +200,7 @@
         }
         queue.splice(index, 1);
         waiting.server.load.removeWaiting();
+        forecast.removeWaiting(waiting.req.service, clock.now());
         return true;
     };
 
@@ -174,6 +220,28 @@
             : undefined;
     };
 
+    const settle = (waiting: WaitingRequest, decision: AdmissionDecision) => {
+        recordDecision(waiting.req, decision);
+        if (dequeue(waiting)) {
+            waiting.settle(decision);
+        }
+    };
+
+    const retry = (waiting: WaitingRequest) => {
+        // The callback of an earlier decision may have canceled the request.
+        const decision = queue.includes(waiting) ? retryDecision(waiting) : undefined;
+        if (decision !== undefined) {
+            settle(waiting, decision);
+        }
+    };
+
+    const retryByRank = () => {
+        const ranked = order.sort(queue);
+        while (ranked.length > 0) {
+            retry(order.takeFirst(ranked));
+        }
+    };
+
     /**
      * Not reentrant: a callback may end another request and call this again; the running loop sees the freed slot
      * anyway.
@@ -185,12 +253,10 @@
         isRetrying = true;
         timer?.cancel();
         timer = undefined;
-        for (const waiting of [...queue]) {
-            // The callback of an earlier decision may have canceled the request.
-            const decision = queue.includes(waiting) ? retryDecision(waiting) : undefined;
-            if (decision !== undefined && dequeue(waiting)) {
-                waiting.settle(decision);
-            }
+        if (isCompeting()) {
+            retryByRank();
+        } else {
+            [...queue].forEach(retry);
         }
         isRetrying = false;
         schedule();
@@ -202,21 +268,82 @@
         }
     };
 
+    /** Decides a new request after those that rank before it and want the same room. */
+    const decideNew = (req: RoutedRequest, rejectAt: number): AdmissionDecision | Wait => {
+        const decision = decide(req, rejectAt);
+        if (!("placement" in decision) || queue.length === 0 || !isCompeting()) {
+            return decision;
+        }
+        const { server } = decision.placement;
+        const rivals = order.findRivals(queue, req, server, maxRetriedRivals);
+        if (rivals.length === 0) {
+            return decision;
+        }
+        if (isRetrying) {
+            // The rivals come first in the running pass, or in the next one.
+            return { waitFor: server, isThrottled: false };
+        }
+        rivals.forEach(retry);
+        // Where the rivals cannot use the room, the new request takes it.
+        return decide(req, rejectAt);
+    };
+
+    /** Rejects a new request that would be rejected later, given those that rank before it and the recent rate of slots. */
+    const refuseHopeless = (
+        req: RoutedRequest,
+        { waitFor, isThrottled }: Wait,
+        rejectAt: number,
+    ): AdmissionDecision | undefined => {
+        if (isThrottled || queue.length === 0 || !isCompeting()) {
+            return undefined;
+        }
+        const now = clock.now();
+        const ahead = order.countAhead(queue, req, waitFor);
+        const expectedMs = forecast.expectedMs(req.service, ahead, now);
+        const leftMs = Math.min(rejectAt, req.deadlineAt) - now;
+        if (expectedMs === undefined || expectedMs <= leftMs * hopelessWaitFactor) {
+            return undefined;
+        }
+        const detail = `${describeLoad(waitFor)}; ${ahead} requests come first, for ${Math.round(expectedMs)} ms`;
+        const retryAfterMs = Math.min(expectedMs, getRetryAfterMs(req, now));
+        return refuse(req, RefusalReason.Overloaded, detail, retryAfterMs);
+    };
+
+    const refuseForFullQueue = (req: RoutedRequest) =>
+        refuse(req, RefusalReason.Overloaded, `${maxQueueLength} requests are waiting`);
+
+    /** Queues a new request; returns a decision if the queue is full and no other request gives way. */
+    const tryEnqueue = (waiting: WaitingRequest): AdmissionDecision | undefined => {
+        if (queue.length < maxQueueLength) {
+            enqueue(waiting);
+            return undefined;
+        }
+        const replaced = isCompeting() ? order.findLast(queue, waiting.req) : undefined;
+        if (replaced === undefined) {
+            return refuseForFullQueue(waiting.req);
+        }
+        enqueue(waiting);
+        settle(replaced, refuseForFullQueue(replaced.req));
+        return undefined;
+    };
+
     return {
         request: (req, onDecision) => {
             const rejectAt = getRejectAt(req, clock.now());
-            const decision = decide(req, rejectAt);
-            if (!("waitFor" in decision)) {
+            const answer = (decision: AdmissionDecision) => {
+                recordDecision(req, decision);
                 onDecision(decision);
                 return () => undefined;
+            };
+            const first = decideNew(req, rejectAt);
+            if (!("waitFor" in first)) {
+                return answer(first);
             }
-            if (queue.length >= maxQueueLength) {
-                onDecision(refuse(req, RefusalReason.Overloaded, `${maxQueueLength} requests are waiting`));
-                return () => undefined;
+            const waiting = { req, rejectAt, settle: onDecision, server: first.waitFor };
+            const refusal = refuseHopeless(req, first, rejectAt) ?? tryEnqueue(waiting);
+            if (refusal !== undefined) {
+                return answer(refusal);
             }
-            const waiting = { req, rejectAt, settle: onDecision, server: decision.waitFor };
-            enqueue(waiting);
-            waiting.server.load.addWaiting();
             schedule();
             return () => void dequeue(waiting);
         },
--- /dev/null
+++ b/packages/balancing/src/fair-share.ts
@@ -0,0 +1,110 @@
+/**
+ * What the workspaces have had of each service's capacity at this instance over the last seconds, and which of them are
+ * served too rarely.
+ */
+import { setBounded } from "@waxwingdale/core";
+
+/** Name of a workspace; undefined stands for all requests without one, which form a group of their own. */
+export type GroupName = string | undefined;
+
+export interface FairShare {
+    /** Counts a request that is sent to a server, with its expected work in milliseconds. */
+    recordAdmitted(group: GroupName, service: string, workMs: number, now: number): void;
+    /** Counts a request that is rejected. */
+    recordRejected(group: GroupName, now: number): void;
+    /**
+     * What the group has had of a service, as a decaying sum. All values decay by the same factor, so they are comparable
+     * until the next call of `recordAdmitted` or `recordRejected`, and not afterwards.
+     */
+    usage(group: GroupName, service: string): number;
+    /** Whether the group has been served so rarely that its next request comes first, whatever its priority. */
+    hasClaim(group: GroupName): boolean;
+    /** Number of groups of which something is known. */
+    size(): number;
+}
+
+interface Group {
+    /** Work by service, scaled like all sums. */
+    work: Map<string, number>;
+    /** Requests that the group should have had served on account of its minimum, less those that it had. */
+    claim: number;
+    lastUsedAt: number;
+}
+
+/** Time constant in milliseconds of the sums; a workspace that was idle has at most this much of its share to make up. */
+const decayMs = 4000;
+/** Exponent at which the scale is reset; e^40 leaves enough precision. */
+const maxScaleExponent = 40;
+/** Time in milliseconds after which an unused group is dropped; its sums have decayed to nothing. */
+const retentionMs = 60_000;
+const maxGroups = 2000;
+/** Minimum share served of a workspace, relative to that of all; a quarter is guaranteed, the rest is a margin. */
+const minRelativeShare = 0.35;
+/** Claim of a group that is not known yet, so that it does not take many rejections until the first request is served. */
+const initialClaim = 0.5;
+/** Maximum claim, so that a workspace that cannot be served at present does not come first for long afterwards. */
+const maxClaim = 3;
+
+export function createFairShare(startedAt: number): FairShare {
+    const groups = new Map<GroupName, Group>();
+    let epoch = startedAt;
+    let admitted = 0;
+    let decided = 0;
+
+    /** Divides all sums by the current scale, and drops the groups that have not been used for long. */
+    const rescale = (now: number) => {
+        const factor = Math.exp((epoch - now) / decayMs);
+        epoch = now;
+        admitted *= factor;
+        decided *= factor;
+        for (const [name, { work, lastUsedAt }] of groups) {
+            work.forEach((sum, service) => work.set(service, sum * factor));
+            if (now - lastUsedAt > retentionMs) {
+                groups.delete(name);
+            }
+        }
+    };
+
+    /** Weight of an event at `now`. It grows instead of letting all sums decay, so that reading them costs nothing. */
+    const getScale = (now: number): number => {
+        if (now - epoch > maxScaleExponent * decayMs) {
+            rescale(now);
+        }
+        return Math.exp((now - epoch) / decayMs);
+    };
+
+    const getGroup = (name: GroupName, now: number): Group => {
+        let group = groups.get(name);
+        if (group === undefined) {
+            group = { work: new Map(), claim: initialClaim, lastUsedAt: now };
+            setBounded(groups, name, group, maxGroups);
+        }
+        group.lastUsedAt = now;
+        return group;
+    };
+
+    const addClaim = (group: Group, served: number) => {
+        const shareOfAll = decided > 0 ? admitted / decided : 0;
+        const claim = group.claim + minRelativeShare * shareOfAll - served;
+        group.claim = Math.min(maxClaim, Math.max(0, claim));
+    };
+
+    return {
+        recordAdmitted: (name, service, workMs, now) => {
+            const scale = getScale(now);
+            const group = getGroup(name, now);
+            group.work.set(service, (group.work.get(service) ?? 0) + workMs * scale);
+            admitted += scale;
+            decided += scale;
+            addClaim(group, 1);
+        },
+        recordRejected: (name, now) => {
+            const scale = getScale(now);
+            decided += scale;
+            addClaim(getGroup(name, now), 0);
+        },
+        usage: (name, service) => groups.get(name)?.work.get(service) ?? 0,
+        hasClaim: name => (groups.get(name)?.claim ?? 0) >= 1,
+        size: () => groups.size,
+    };
+}
--- a/packages/balancing/src/index.ts
+++ b/packages/balancing/src/index.ts
@@ -1,10 +1,12 @@
 /** Load balancing and admission control, without any I/O: which service and server gets a request, and when. */
 export * from "./admission.js";
+export * from "./admission-order.js";
 export * from "./backend-state.js";
 export * from "./backend-table.js";
 export * from "./balancer.js";
 export * from "./candidate-history.js";
 export * from "./cold-limit.js";
+export * from "./fair-share.js";
 export * from "./rate-limit-share.js";
 export * from "./report-source.js";
 export * from "./reuse-estimator.js";
@@ -14,6 +16,7 @@
 export * from "./quota-gate.js";
 export * from "./region-spillover.js";
 export * from "./windowed-retry-budget.js";
+export * from "./room-forecast.js";
 export * from "./route-index.js";
 export * from "./server-health.js";
 export * from "./server-load.js";
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -225,7 +225,11 @@
         });
     });
     add(tokens.admission, get =>
-        createAdmissionControl({ clock: get(tokens.context).clock, balancer: get(tokens.balancer) }),
+        createAdmissionControl({
+            clock: get(tokens.context).clock,
+            balancer: get(tokens.balancer),
+            workspaces: () => get(tokens.config).current()?.workspaces,
+        }),
     );
     add(tokens.quota, () => createOpenQuotaGate());
     add(tokens.retryBudgets, get => {
