feat(gateway): share of requests served of the worst-served workspaces

Nothing showed that single workspaces are served far less than the others: request metrics have no label for them, since their number is not bounded.

A rejected retry no longer counts as a rejected request for the fair share.

--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -170,7 +170,7 @@
 
     const isCompeting = () => workspaces() !== undefined;
 
-    const recordDecision = ({ workspace, service }: RoutedRequest, decision: AdmissionDecision) => {
+    const recordDecision = ({ workspace, service, tried }: RoutedRequest, decision: AdmissionDecision) => {
         const now = clock.now();
         const isAdmitted = "placement" in decision;
         if (isAdmitted) {
@@ -178,7 +178,8 @@
         }
         if (isAdmitted && isCompeting()) {
             fairShare.recordAdmitted(workspace?.name, service, decision.placement.workMs, now);
-        } else if (isCompeting()) {
+        } else if (!isAdmitted && isCompeting() && tried.size === 0) {
+            // A retry that is rejected has had its slot before.
             fairShare.recordRejected(workspace?.name, now);
         }
     };
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -33,6 +33,7 @@
 import type { GatewayContext, RegisterComponent } from "./gateway-tokens.js";
 import { createInstanceDirectory } from "./instance-directory.js";
 import { createInstanceTopology } from "./instance-topology.js";
+import { createServedShares } from "./served-shares.js";
 import { createServerReportExchange } from "./server-report-exchange.js";
 import { createCrashLog, logRequest, logSkippedResponse } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
@@ -284,6 +285,12 @@
         const { clock, protocol, logger, random } = get(tokens.context);
         const config = get(tokens.config);
         const metrics = get(tokens.metrics);
+        const servedShares = createServedShares(clock, logger);
+        metrics.addGauge(
+            "waxwingdale_gateway_worst_served_share",
+            "Mean share of requests served of the worst-served tenth of the workspaces; 1 without workspaces",
+            () => servedShares.worstShare(),
+        );
         return createRelay({
             clock,
             eventLoop: get(tokens.eventLoop),
@@ -305,6 +312,7 @@
             mayServeKeys: () => true,
             onRequest: record => {
                 metrics.observe(record);
+                servedShares.observe(record);
                 logRequest(logger, record);
             },
             onMisdirected: serverId => get(tokens.table).remove(serverId),
