fix(balancing): workspaces with few requests at each instance get their minimum

A claim grew with the rejections at one instance and started at a fixed value or at 0. Where many instances each get few requests of a less urgent workspace, none of them rejected enough of them to serve one: 40 workspaces with 0.2 requests per second each at the instance had 0.04 of their requests served in 10 s, with 0.52 of all.

Below six recent requests, the claim starts at random, so that the instances together serve the minimum.

--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -3,7 +3,7 @@
  * server, so that the most urgent one gets the next free slot. A request that cannot meet its deadline is rejected
  * immediately.
  */
-import type { Clock, Timer } from "@waxwingdale/core";
+import type { Clock, Random, Timer } from "@waxwingdale/core";
 import { createAdmissionOrder } from "./admission-order.js";
 import type { QueuedRequest } from "./admission-order.js";
 import type { BackendState } from "./backend-state.js";
@@ -55,6 +55,8 @@
      * when they change.
      */
     workspaces?: () => readonly Workspace[] | undefined;
+    /** Spreads the minimum of workspaces with few requests over the instances. */
+    random?: Random;
 }
 
 /** The server that a request must wait for. */
@@ -97,9 +99,10 @@
     clock,
     balancer,
     workspaces = () => undefined,
+    random = () => 0.5,
 }: AdmissionOptions): AdmissionControl {
     const queue: WaitingRequest[] = [];
-    const fairShare = createFairShare(clock.now());
+    const fairShare = createFairShare(clock.now(), random);
     const order = createAdmissionOrder(fairShare, workspaces);
     const forecast = createRoomForecast();
     let timer: Timer | undefined;
--- a/packages/balancing/src/fair-share.ts
+++ b/packages/balancing/src/fair-share.ts
@@ -3,6 +3,7 @@
  * served too rarely.
  */
 import { setBounded } from "@waxwingdale/core";
+import type { Random } from "@waxwingdale/core";
 
 /** Name of a workspace; undefined stands for all requests without one, which form a group of their own. */
 export type GroupName = string | undefined;
@@ -26,6 +27,8 @@
 interface Group {
     /** Work by service, scaled like all sums. */
     work: Map<string, number>;
+    /** Requests that were admitted or rejected, scaled like all sums. */
+    decided: number;
     /** Requests that the group should have had served on account of its minimum, less those that it had. */
     claim: number;
     lastUsedAt: number;
@@ -40,12 +43,15 @@
 const maxGroups = 2000;
 /** Minimum share served of a workspace, relative to that of all; a quarter is guaranteed, the rest is a margin. */
 const minRelativeShare = 0.35;
-/** Claim of a group that is not known yet, so that it does not take many rejections until the first request is served. */
-const initialClaim = 0.5;
+/**
+ * Number of recent requests below which a group's claim starts at random. Where many instances get few requests each, no
+ * instance would reject enough of them to serve one otherwise, and the group would get nothing.
+ */
+const minDecided = 6;
 /** Maximum claim, so that a workspace that cannot be served at present does not come first for long afterwards. */
 const maxClaim = 3;
 
-export function createFairShare(startedAt: number): FairShare {
+export function createFairShare(startedAt: number, random: Random): FairShare {
     const groups = new Map<GroupName, Group>();
     let epoch = startedAt;
     let admitted = 0;
@@ -57,9 +63,11 @@
         epoch = now;
         admitted *= factor;
         decided *= factor;
-        for (const [name, { work, lastUsedAt }] of groups) {
+        for (const [name, group] of groups) {
+            const { work } = group;
             work.forEach((sum, service) => work.set(service, sum * factor));
-            if (now - lastUsedAt > retentionMs) {
+            group.decided *= factor;
+            if (now - group.lastUsedAt > retentionMs) {
                 groups.delete(name);
             }
         }
@@ -76,17 +84,22 @@
     const getGroup = (name: GroupName, now: number): Group => {
         let group = groups.get(name);
         if (group === undefined) {
-            group = { work: new Map(), claim: initialClaim, lastUsedAt: now };
+            group = { work: new Map(), decided: 0, claim: random(), lastUsedAt: now };
             setBounded(groups, name, group, maxGroups);
         }
         group.lastUsedAt = now;
         return group;
     };
 
-    const addClaim = (group: Group, served: number) => {
-        const shareOfAll = decided > 0 ? admitted / decided : 0;
-        const claim = group.claim + minRelativeShare * shareOfAll - served;
-        group.claim = Math.min(maxClaim, Math.max(0, claim));
+    /** Counts a decision, and what it means for the minimum of the group. */
+    const recordDecision = (group: Group, scale: number, served: number) => {
+        admitted += served * scale;
+        decided += scale;
+        group.decided += scale;
+        const earned = (minRelativeShare * admitted) / decided;
+        const claim = group.claim + earned - served;
+        const minClaim = group.decided < minDecided * scale ? random() + earned : 0;
+        group.claim = claim < 0 ? minClaim : Math.min(maxClaim, claim);
     };
 
     return {
@@ -94,14 +107,11 @@
             const scale = getScale(now);
             const group = getGroup(name, now);
             group.work.set(service, (group.work.get(service) ?? 0) + workMs * scale);
-            admitted += scale;
-            decided += scale;
-            addClaim(group, 1);
+            recordDecision(group, scale, 1);
         },
         recordRejected: (name, now) => {
             const scale = getScale(now);
-            decided += scale;
-            addClaim(getGroup(name, now), 0);
+            recordDecision(getGroup(name, now), scale, 0);
         },
         usage: (name, service) => groups.get(name)?.work.get(service) ?? 0,
         hasClaim: name => (groups.get(name)?.claim ?? 0) >= 1,
--- a/packages/balancing/test/competing-callers.test.ts
+++ b/packages/balancing/test/competing-callers.test.ts
@@ -58,6 +58,13 @@
     });
 }
 
+// Guards against a minimum that none of many instances grants, since each of them sees only a few of the requests.
+test("priority: less urgent workspaces with few requests at the instance get their minimum together", async () => {
+    const senders = [...createSenders(5, "urgent", 2.4), ...createSenders(40, "less", 0.4, 1)];
+    const { all, share } = await measure({ senders, slots: 4, workMs: 400 });
+    assert.ok(getShare(all.slice(5)) >= share / 4, `share served ${getShare(all.slice(5))} of ${share}`);
+});
+
 // Guards against requests that wait in vain, against rejecting those that would be served, and against late retry times.
 test("overload: requests without a chance are rejected at once, and no fewer are served", async () => {
     const senders = createSenders(10, "one", 20);
@@ -150,7 +157,7 @@
 
 // Guards against a workspace that claims the capacity of a minute after a minute without requests.
 test("an idle workspace collects credit for a few seconds at most, and leaves nothing in memory", () => {
-    const fairShare = createFairShare(0);
+    const fairShare = createFairShare(0, () => 0);
     let now = 0;
     for (; now < 60_000; now += 100) {
         fairShare.recordAdmitted("busy", "files", 100, now);
--- a/packages/balancing/test/competing-fixtures.ts
+++ b/packages/balancing/test/competing-fixtures.ts
@@ -9,7 +9,7 @@
     RoutedRequest,
     Workspace,
 } from "@waxwingdale/balancing";
-import { createManualClock } from "@waxwingdale/core";
+import { createManualClock, createRandom } from "@waxwingdale/core";
 import { createRoute, createServer } from "./fixtures.js";
 
 export function createWorkspace(name: string, priority = 0): Workspace {
@@ -28,6 +28,7 @@
         clock,
         balancer: { choose } as unknown as Balancer,
         workspaces: () => workspaces,
+        random: createRandom(1),
     });
     const createRequest = (
         workspace: Workspace | undefined,
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -230,6 +230,7 @@
             clock: get(tokens.context).clock,
             balancer: get(tokens.balancer),
             workspaces: () => get(tokens.config).current()?.workspaces,
+            random: get(tokens.context).random,
         }),
     );
     add(tokens.quota, () => createOpenQuotaGate());
