--- a/packages/balancing/test/competing-callers.test.ts
+++ b/packages/balancing/test/competing-callers.test.ts
@@ -8,6 +8,7 @@
     createServerLoad,
 } from "@waxwingdale/balancing";
 import type { BackendState, Balancer, Choice, Placement, Workspace } from "@waxwingdale/balancing";
+import { createRandom } from "@waxwingdale/core";
 import { createContendedServer, createWorkspace, getShare, sendLoad } from "./competing-fixtures.js";
 import type { Sender } from "./competing-fixtures.js";
 
@@ -177,3 +178,12 @@
     }
     assert.ok(fairShare.size() <= 2000, `${fairShare.size()} groups`);
 });
+
+// Guards against a minimum that begins at zero after normal operation at each of many instances with few requests.
+test("of workspaces with few requests, a random part has its minimum due at once", () => {
+    const fairShare = createFairShare(0, createRandom(1));
+    const names = Array.from({ length: 200 }, (_, index) => `w-${index}`);
+    names.forEach(name => fairShare.recordAdmitted(name, "files", 100, 0));
+    const due = names.filter(name => fairShare.hasClaim(name)).length;
+    assert.ok(due >= 40 && due <= 100, `${due} of 200`);
+});
