--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -34,6 +34,7 @@
 import type { GatewayContext, RegisterComponent } from "./gateway-tokens.js";
 import { createInstanceDirectory } from "./instance-directory.js";
 import { createInstanceTopology } from "./instance-topology.js";
+import { createServedShares } from "./served-shares.js";
 import { createServerReportExchange } from "./server-report-exchange.js";
 import { createCrashLog, logRequest, logSkippedResponse } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
@@ -226,7 +227,12 @@
         });
     });
     add(tokens.admission, get =>
-        createAdmissionControl({ clock: get(tokens.context).clock, balancer: get(tokens.balancer) }),
+        createAdmissionControl({
+            clock: get(tokens.context).clock,
+            balancer: get(tokens.balancer),
+            workspaces: () => get(tokens.config).current()?.workspaces,
+            random: get(tokens.context).random,
+        }),
     );
     add(tokens.quota, () => createOpenQuotaGate());
     add(tokens.retryBudgets, get => {
@@ -282,6 +288,12 @@
         const { clock, protocol, logger, random, settings } = get(tokens.context);
         const config = get(tokens.config);
         const metrics = get(tokens.metrics);
+        const servedShares = createServedShares(clock, logger);
+        metrics.addGauge(
+            "waxwingdale_gateway_worst_served_share",
+            "Mean share of requests served of the worst-served tenth of the workspaces; 1 without workspaces",
+            () => servedShares.worstShare(),
+        );
         return createRelay({
             clock,
             eventLoop: get(tokens.eventLoop),
@@ -304,6 +316,7 @@
             mayServeKeys: () => true,
             onRequest: record => {
                 metrics.observe(record);
+                servedShares.observe(record);
                 logRequest(logger, record);
             },
             onMisdirected: serverId => get(tokens.table).remove(serverId),
