--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -27,6 +27,8 @@
     slowness: number;
     /** True if the server has announced in a response that it shuts down; its record may still say otherwise. */
     hasAnnouncedLeaving: boolean;
+    /** True if an entry of this process has said that it is draining. */
+    hasDrained: boolean;
     /** True if the server receives no new requests: it is draining, was removed or has been replaced. */
     isLeaving: boolean;
 }
@@ -50,6 +52,8 @@
     recentColdSenders: (zone: string) => readonly (readonly string[])[];
     rateLimit: Omit<ServerRateLimitOptions, "serverId" | "self" | "now">;
     now: number;
+    /** Whether a drain holds until the process ends, whatever later entries say. */
+    isDrainFinal: boolean;
     /** What is known of the same process from before its entry was removed. */
     earlier?: RemovedServer | undefined;
 }
@@ -57,6 +61,8 @@
 export function createBackendState(options: BackendStateOptions): BackendState {
     const { record, region, recentColdSenders, earlier } = options;
     const hasAnnouncedLeaving = earlier?.hasAnnouncedLeaving === true;
+    const isDraining = record.phase === ServerPhase.Draining;
+    const hasDrained = isDraining || earlier?.hasDrained === true;
     return {
         record,
         region,
@@ -80,6 +86,7 @@
         coldUntil: options.now + record.coldRemainingMs,
         slowness: 1,
         hasAnnouncedLeaving,
-        isLeaving: hasAnnouncedLeaving || record.phase === ServerPhase.Draining,
+        hasDrained,
+        isLeaving: hasAnnouncedLeaving || isDraining || (options.isDrainFinal && hasDrained),
     };
 }
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -2,10 +2,10 @@
 import type { Clock, Logger } from "@waxwingdale/core";
 import { createBackendState } from "./backend-state.js";
 import type { BackendState } from "./backend-state.js";
-import { createRemovedServers, isSameProcess } from "./removed-servers.js";
+import { createRemovedServers } from "./removed-servers.js";
 import type { ReportSource } from "./report-source.js";
 import type { ServerRateLimitOptions } from "./server-rate-limit.js";
-import { ServerPhase } from "./server-record.js";
+import { ServerPhase, isSameProcess } from "./server-record.js";
 import type { ServerRecord } from "./server-record.js";
 import type { Service } from "./traffic-config.js";
 
@@ -29,6 +29,12 @@
      */
     recentColdSenders: (zone: string) => readonly (readonly string[])[];
     rateLimits: RateLimitFleet;
+    /**
+     * Whether entries may be older than those before, since the store may come back from an older copy. A drain then holds
+     * until the process ends, and an earlier process of a known server is ignored.
+     * @default never
+     */
+    mayEntriesBeOlder?: () => boolean;
     /** Called when a server has been removed, so that its connections can be closed. */
     onServerRemoved: (server: BackendState) => void;
 }
@@ -66,6 +72,14 @@
         usableByService.clear();
     };
 
+    const mayEntriesBeOlder = () => options.mayEntriesBeOlder?.() ?? false;
+
+    /** Whether a removed server is known with a later start than in the record. */
+    const isEarlierProcess = (record: ServerRecord): boolean => {
+        const known = removed.find(record.id);
+        return mayEntriesBeOlder() && known !== undefined && known.record.startedAt > record.startedAt;
+    };
+
     const coldStartMs = (service: string) => services.get(service)?.coldStartMs ?? 0;
 
     const createRateLimitOptions = (server: string, region: string) => ({
@@ -92,6 +106,7 @@
             recentColdSenders: options.recentColdSenders,
             rateLimit: createRateLimitOptions(record.id, region),
             now,
+            isDrainFinal: mayEntriesBeOlder(),
             earlier: removed.take(record),
         });
         if (isChange) {
@@ -110,7 +125,10 @@
     };
 
     const update = (server: BackendState, record: ServerRecord) => {
-        const isLeaving = record.phase === ServerPhase.Draining || server.hasAnnouncedLeaving;
+        const isDraining = record.phase === ServerPhase.Draining;
+        server.hasDrained ||= isDraining;
+        const isLeaving =
+            isDraining || server.hasAnnouncedLeaving || (server.hasDrained && mayEntriesBeOlder());
         if (server.isLeaving !== isLeaving) {
             logger.info("server-phase", { server: record.id, phase: record.phase, zone: record.zone });
         }
@@ -145,7 +163,9 @@
             invalidateUsable();
             const existing = byId.get(record.id);
             if (existing === undefined) {
-                add(record, region, isChange);
+                if (!isEarlierProcess(record)) {
+                    add(record, region, isChange);
+                }
                 return;
             }
             if (isSameProcess(existing.record, record)) {
--- a/packages/balancing/src/removed-servers.ts
+++ b/packages/balancing/src/removed-servers.ts
@@ -5,12 +5,13 @@
 import { setBounded } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
 import type { BackendState } from "./backend-state.js";
+import { isSameProcess } from "./server-record.js";
 import type { ServerRecord } from "./server-record.js";
 
 /** What is kept of a server: what it has said of itself, and its health. */
 export type RemovedServer = Pick<
     BackendState,
-    "record" | "health" | "rateLimit" | "hasAnnouncedLeaving" | "isLeaving"
+    "record" | "health" | "rateLimit" | "hasAnnouncedLeaving" | "hasDrained" | "isLeaving"
 >;
 
 export interface RemovedServers {
@@ -37,9 +38,9 @@
     };
 
     return {
-        add: ({ record, health, rateLimit, hasAnnouncedLeaving, isLeaving }) => {
+        add: ({ record, health, rateLimit, hasAnnouncedLeaving, hasDrained, isLeaving }) => {
             const { id } = record;
-            const server = { record, health, rateLimit, hasAnnouncedLeaving, isLeaving };
+            const server = { record, health, rateLimit, hasAnnouncedLeaving, hasDrained, isLeaving };
             setBounded(byId, id, { server, removedAt: clock.now() }, maxServers);
         },
         find,
@@ -50,8 +51,3 @@
         },
     };
 }
-
-/** Whether two records are of the same start of the same server. */
-export function isSameProcess(a: ServerRecord, b: ServerRecord): boolean {
-    return a.startedAt === b.startedAt && a.address === b.address && a.service === b.service;
-}
--- a/packages/balancing/src/server-record.ts
+++ b/packages/balancing/src/server-record.ts
@@ -20,3 +20,8 @@
     /** Time in milliseconds for which the server expects to stay cold. */
     coldRemainingMs: number;
 }
+
+/** Whether two records are of the same start of the same server. */
+export function isSameProcess(a: ServerRecord, b: ServerRecord): boolean {
+    return a.startedAt === b.startedAt && a.address === b.address && a.service === b.service;
+}
--- a/packages/claims/test/claims-harness.ts
+++ b/packages/claims/test/claims-harness.ts
@@ -255,6 +255,8 @@
         }
     };
     return {
+        era: () => undefined,
+        onEraChange: () => () => undefined,
         get: key => guard(store.get(key)),
         list: prefix => guard(store.list(prefix)),
         listWithVersion: prefix => guard(store.listWithVersion(prefix)),
--- a/packages/core/src/http-client.ts
+++ b/packages/core/src/http-client.ts
@@ -1,6 +1,6 @@
 /** HTTP client with keep-alive connections and buffered responses, for calls to the store and to peers. */
 import { request } from "node:http";
-import type { Agent, ClientRequest, IncomingMessage } from "node:http";
+import type { Agent, ClientRequest, IncomingHttpHeaders, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { createByteCollector } from "./byte-collector.js";
@@ -41,7 +41,7 @@
      * Returns why a complete response cannot be that to this call, or undefined if it can. If it cannot, the call fails,
      * and its connection is closed.
      */
-    findMismatch?: (res: HttpResponse) => string | undefined;
+    findMismatch?: (res: HttpResponse, headers: IncomingHttpHeaders) => string | undefined;
 }
 
 export interface HttpResponse {
@@ -169,7 +169,7 @@
             readText(res, options.maxResponseBytes, {
                 onText: text => {
                     const response = { status, text };
-                    const mismatch = call.findMismatch?.(response);
+                    const mismatch = call.findMismatch?.(response, res.headers);
                     if (isEarly || mismatch !== undefined) {
                         // The request may have released its connection already, so destroying it has no effect.
                         socket.destroy();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,5 +30,6 @@
 export * from "./slot-source.js";
 export * from "./traffic-steering.js";
 export * from "./status-line-finder.js";
+export * from "./store-era.js";
 export * from "./tokens.js";
 export * from "./wait-for-drain.js";
--- a/packages/core/src/object-store.ts
+++ b/packages/core/src/object-store.ts
@@ -1,6 +1,7 @@
 /** Client interface of the platform's object API. */
 import { WaxwingdaleError } from "./errors.js";
 import type { ErrorOptions } from "./errors.js";
+import type { EraChange } from "./store-era.js";
 
 /** An object in the store. */
 export interface StoredObject {
@@ -23,6 +24,8 @@
 export interface ObjectList {
     objects: StoredObject[];
     version: number;
+    /** Era of the store at which the objects were read; undefined where the store has none. */
+    era?: number;
 }
 
 /** Result of one watch call. `version` is the version from which the next call continues. */
@@ -36,6 +39,8 @@
      * peer reports. If absent, the caller derives it from the time of its call.
      */
     asOf?: number;
+    /** Era of the store in which the result was made; undefined where the store has none. */
+    era?: number;
 }
 
 export enum InstanceState {
@@ -97,8 +102,31 @@
     }
 }
 
+/**
+ * Checks that a write which is conditional on a version of `era` may be sent to a store in era `current`.
+ * @throws StoreConflictError
+ */
+export function requireSameEra(key: string, era: number | undefined, current: number | undefined): void {
+    if (era !== undefined && era !== current) {
+        throw new StoreConflictError(`the known version of ${key} is of an earlier era`, undefined);
+    }
+}
+
 /** Client of the object API. All methods throw `StoreUnavailableError` when the store cannot be reached. */
 export abstract class ObjectStore {
+    /**
+     * Returns the highest era that any response has shown; undefined where the store has none. The response of a call is
+     * counted before the call resolves. Versions of different eras must not be compared.
+     */
+    era(): number | undefined {
+        return undefined;
+    }
+
+    /** Calls `listener` after the era has increased. Returns a function that removes the listener. */
+    onEraChange(_listener: (change: EraChange) => void): () => void {
+        return () => undefined;
+    }
+
     /** Reads one object. Returns undefined if it does not exist. */
     abstract get(key: string, signal?: AbortSignal): Promise<StoredObject | undefined>;
 
@@ -111,20 +139,29 @@
      */
     async listWithVersion(prefix: string, signal?: AbortSignal): Promise<ObjectList> {
         const objects = await this.list(prefix, signal);
-        return { objects, version: Math.max(0, ...objects.map(({ version }) => version)) };
+        const version = Math.max(0, ...objects.map(object => object.version));
+        return { objects, version, era: this.era() };
     }
 
     /**
      * Writes an object if its version is `expectedVersion`; 0 means that it must not exist. Returns the new version.
+     * `era` is that of `expectedVersion`: if the store is known to be in another one, the write is not sent and fails with a
+     * conflict; if its response shows another one, its outcome is unknown.
      * @throws StoreConflictError, StoreOutcomeUnknownError, StoreRejectedError
      */
-    abstract put(key: string, value: unknown, expectedVersion: number, signal?: AbortSignal): Promise<number>;
+    abstract put(
+        key: string,
+        value: unknown,
+        expectedVersion: number,
+        signal?: AbortSignal,
+        era?: number,
+    ): Promise<number>;
 
     /**
-     * Deletes an object if its version is `expectedVersion`.
+     * Deletes an object if its version is `expectedVersion`. `era` is used as for `put`.
      * @throws StoreConflictError, StoreOutcomeUnknownError
      */
-    abstract delete(key: string, expectedVersion: number, signal?: AbortSignal): Promise<void>;
+    abstract delete(key: string, expectedVersion: number, signal?: AbortSignal, era?: number): Promise<void>;
 
     /** Waits up to `waitMs` for changes after `sinceVersion` under `prefix`. */
     abstract watch(
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -121,6 +121,7 @@
     add(tokens.store, get => {
         const watches = get(tokens.storeWatches);
         const { store, clock, logger, settings, fleetKey } = get(tokens.context);
+        store.onEraChange(({ from, to }) => logger.warn("store-era-changed", { from: from ?? "none", to }));
         // Watches through a peer are long polls, which would block other calls to that peer on a shared connection.
         const transport = createRpcClient({
             id: settings().id,
@@ -175,6 +176,7 @@
                 countInstances: () => get(tokens.topology).budgetDivisor(),
                 recentCandidates: region => get(tokens.candidateHistory).recent(region),
             },
+            mayEntriesBeOlder: () => get(tokens.context).store.era() !== undefined,
             onServerRemoved: ({ record }) => get(tokens.pool).closeIdle(record.id),
         });
         const reports = createServerReportExchange({ table, clock, logger });
--- a/packages/gateway/src/crash-archive.ts
+++ b/packages/gateway/src/crash-archive.ts
@@ -86,6 +86,8 @@
     /** Fingerprints in this instance's object, with their epochs. */
     const kept = new Map<string, number>();
     let version = 0;
+    /** Era of the store that `version` belongs to. */
+    let era = store.era();
 
     suspects.onAnyChange(report => changes.record(report));
     suspects.onChange(({ fingerprint }) => changes.recordUrgent(fingerprint));
@@ -104,17 +106,22 @@
 
     const write = async () => {
         try {
-            version = await store.put(key, encodeReports(clock, collectReports()), version);
+            version = await store.put(key, encodeReports(clock, collectReports()), version, undefined, era);
         } catch (err) {
             if (err instanceof StoreConflictError) {
-                // An earlier write took effect although its response was lost.
+                // An earlier write took effect although its response was lost, or the store is in a new era.
                 version = err.currentVersion ?? 0;
+                era = store.era();
             }
             throw err;
         }
     };
 
-    const applyObject = async (object: StoredObject, deletions: { left: number }) => {
+    const applyObject = async (
+        object: StoredObject,
+        listEra: number | undefined,
+        deletions: { left: number },
+    ) => {
         const reports = decodeReports(clock, object);
         if (reports === undefined) {
             logger.warn("crash-archive-rejected", { key: object.key });
@@ -123,20 +130,22 @@
         reports.forEach(report => suspects.merge(report));
         if (object.key === key) {
             version = object.version;
+            era = listEra;
             reports.forEach(({ fingerprint, epoch }) => kept.set(fingerprint, epoch));
         } else if (!reports.some(isKept) && deletions.left > 0) {
             deletions.left -= 1;
-            await store.delete(object.key, object.version).catch((err: unknown) => {
+            await store.delete(object.key, object.version, undefined, listEra).catch((err: unknown) => {
                 logger.debug("crash-archive-not-deleted", { key: object.key, error: getErrorMessage(err) });
             });
         }
     };
 
     const load = async (signal: AbortSignal) => {
-        const objects = await store.list(crashSuspectsPrefix, signal);
+        const { objects, era: listEra } = await store.listWithVersion(crashSuspectsPrefix, signal);
+        era = listEra;
         const deletions = { left: maxDeletions };
         for (const object of objects) {
-            await applyObject(object, deletions);
+            await applyObject(object, listEra, deletions);
         }
         logger.info("crash-archive-read", { objects: objects.length, suspects: suspects.rejected().length });
     };
@@ -162,6 +171,9 @@
                 .forEach(({ fingerprint }) => changes.recordUrgent(fingerprint));
         },
         run: async signal => {
+            const stopListening = store.onEraChange(() =>
+                kept.forEach((_, fingerprint) => changes.recordUrgent(fingerprint)),
+            );
             await persist(() => load(signal), signal);
             while (!signal.aborted) {
                 await changes.waitUntilDue(signal);
@@ -170,6 +182,7 @@
                 const intervalMs = Math.max(minIntervalMs, intervalMsPerInstance * options.countInstances());
                 await clock.sleep(intervalMs - collectMs, signal);
             }
+            stopListening();
         },
     };
 }
--- a/packages/gateway/src/crash-trial.ts
+++ b/packages/gateway/src/crash-trial.ts
@@ -34,6 +34,22 @@
 const maxUndecidedMs = 300_000;
 /** Number of quarantined requests for which the first undecided trial is kept. */
 const maxUndecided = 1000;
+/**
+ * Time in milliseconds after the store's return from an older copy in which no trial is claimed: the copy lacks trials that the
+ * instances are writing again.
+ */
+const rewriteMs = 2000;
+/** Interval in milliseconds between the attempts to write a trial again, and their number. */
+const rewriteIntervalMs = 200;
+const maxRewrites = 10;
+
+/** An object with a trial that this instance has written. */
+interface WrittenTrial {
+    version: number;
+    era: number | undefined;
+    /** Fingerprints that are on trial. */
+    fingerprints: string[];
+}
 
 const trialKey = (fingerprint: string) => `${crashSuspectsPrefix}trial-${fingerprint}`;
 
@@ -43,8 +59,10 @@
     const claims: number[] = [];
     /** Clock times since which the trial of a quarantined request could not be decided, by fingerprint. */
     const undecidedSince = new Map<string, number>();
-    /** Versions of the trials that this instance has written, by fingerprint. */
-    const versions = new Map<string, number>();
+    /** Trials that this instance has written, by fingerprint. */
+    const written = new Map<string, WrittenTrial>();
+    /** Clock time from which trials are claimed. */
+    let claimFrom = -Infinity;
 
     const mayClaim = (): boolean => {
         const now = clock.now();
@@ -58,28 +76,48 @@
         return true;
     };
 
-    /** @throws the errors of the store. */
-    const claim = async (fingerprint: string, identity: RequestIdentity): Promise<Claim> => {
-        const key = trialKey(fingerprint);
-        const stored = await store.get(key);
+    /** Merges the stored trial of a request. Returns its version, or 0, and its era. */
+    const readTrial = async (fingerprint: string) => {
+        const stored = await store.get(trialKey(fingerprint));
+        const era = store.era();
         const known = stored === undefined ? [] : (decodeReports(clock, stored) ?? []);
         known.forEach(report => suspects.merge(report));
+        return { version: stored?.version ?? 0, era };
+    };
+
+    const writeTrial = async (
+        fingerprint: string,
+        reports: readonly CrashReport[],
+        { version, era }: Pick<WrittenTrial, "version" | "era">,
+    ) => {
+        const value = encodeReports(clock, reports);
+        const fingerprints = reports.map(report => report.fingerprint);
+        const next = await store.put(trialKey(fingerprint), value, version, undefined, era);
+        written.set(fingerprint, { version: next, era, fingerprints });
+    };
+
+    /** @throws the errors of the store. */
+    const claim = async (fingerprint: string, identity: RequestIdentity): Promise<Claim> => {
+        const current = await readTrial(fingerprint);
         if (suspects.rejectedMs(identity) > 0) {
             return Claim.Taken;
         }
-        const reports = suspects.trialReports(identity);
-        const version = await store.put(key, encodeReports(clock, reports), stored?.version ?? 0);
-        versions.set(fingerprint, version);
+        await writeTrial(fingerprint, suspects.trialReports(identity), current);
         return suspects.rejectedMs(identity) > 0 ? Claim.Taken : Claim.Granted;
     };
 
     const claimInTime = async (fingerprint: string, identity: RequestIdentity): Promise<Claim> => {
+        if (clock.now() < claimFrom) {
+            return Claim.Taken;
+        }
         if (!mayClaim()) {
             return Claim.Undecided;
         }
+        const era = store.era();
         const timeout = clock.sleep(decisionMs).then(() => Claim.Undecided);
         const decision = claim(fingerprint, identity).catch((err: unknown) => {
-            if (err instanceof StoreConflictError) {
+            // A write that was sent in another era may have replaced the trial of another instance.
+            if (err instanceof StoreConflictError || store.era() !== era) {
                 return Claim.Taken;
             }
             logger.warn("crash-trial-undecided", { fingerprint, error: getErrorMessage(err) });
@@ -111,18 +149,50 @@
     };
 
     suspects.onChange(({ fingerprint, crashes }: CrashReport) => {
-        const version = versions.get(fingerprint);
-        if (version === undefined || crashes > 0) {
+        const trial = written.get(fingerprint);
+        if (trial === undefined || crashes > 0) {
             return;
         }
-        versions.delete(fingerprint);
+        written.delete(fingerprint);
         undecidedSince.delete(fingerprint);
         // The archive keeps the end of the suspicion; an object that stays is read with it.
-        store.delete(trialKey(fingerprint), version).catch((err: unknown) => {
+        store.delete(trialKey(fingerprint), trial.version, undefined, trial.era).catch((err: unknown) => {
             logger.debug("crash-trial-not-deleted", { fingerprint, error: getErrorMessage(err) });
         });
     });
 
+    const isOpen = (fingerprint: string) => (suspects.report(fingerprint).trialSteps ?? 0) % 2 === 1;
+
+    /** Writes a trial again until it is stored, its outcome is known, or the era has ended. */
+    const rewriteTrial = async (fingerprint: string, era: number) => {
+        for (let attempts = 0; attempts < maxRewrites; attempts++) {
+            const trial = written.get(fingerprint);
+            if (trial === undefined || store.era() !== era || !isOpen(fingerprint)) {
+                return;
+            }
+            try {
+                const current = await readTrial(fingerprint);
+                const reports = trial.fingerprints.map(other => suspects.report(other));
+                await writeTrial(fingerprint, reports, current);
+                return;
+            } catch (err) {
+                logger.warn("crash-trial-not-rewritten", { fingerprint, error: getErrorMessage(err) });
+                await clock.sleep(rewriteIntervalMs);
+            }
+        }
+    };
+
+    const rewriteTrials = async (era: number) => {
+        for (const fingerprint of [...written.keys()]) {
+            await rewriteTrial(fingerprint, era);
+        }
+    };
+
+    store.onEraChange(({ to }) => {
+        claimFrom = clock.now() + rewriteMs;
+        void rewriteTrials(to);
+    });
+
     return async identity => {
         const [report] = suspects.trialReports(identity);
         if (report === undefined) {
--- a/packages/gateway/src/peer-view.ts
+++ b/packages/gateway/src/peer-view.ts
@@ -30,6 +30,11 @@
     hasRead: (prefix: string) => boolean;
     /** Age in milliseconds of this instance's view of the store. */
     ageMs: () => number;
+    /**
+     * Era of the store that this instance's view belongs to; undefined while the view has more than the store, which has just
+     * come back from an older copy.
+     */
+    era: () => number | undefined;
     /** Time in milliseconds after which a peer's view is requested again. */
     refreshMs: number;
     setEvacuated: (zone: string, isEvacuated: boolean) => void;
@@ -40,6 +45,8 @@
     run(): Promise<void>;
     /** Whether a peer has returned its view. */
     hasView(): boolean;
+    /** Era of the latest view, as its peer has stated it. */
+    era(): number | undefined;
     /** Marks a server as known from the store, no longer from peers only. */
     forgetServer(id: string): void;
     /** Marks an evacuated zone likewise. */
@@ -73,6 +80,7 @@
     evacuatedZones: v.optional(v.array(v.string()), []),
     /** Age of the peer's view in milliseconds. */
     ageMs: v.optional(v.number(), 0),
+    era: v.optional(v.number()),
 });
 
 /** Creates the view and registers the RPC method that returns this instance's own view to peers. */
@@ -83,6 +91,7 @@
     const zones = new Set<string>();
     /** Clock time as of which the view is complete. */
     let viewAsOf: number | undefined;
+    let viewEra: number | undefined;
     let lastPeer: string | undefined;
 
     const isComplete = () => hasRead(serversPrefix) && hasRead(evacuationsPrefix);
@@ -120,6 +129,7 @@
             return false;
         }
         viewAsOf = asOf;
+        viewEra = view.era;
         if (!hasRead(serversPrefix)) {
             applyServers(view.servers);
         }
@@ -170,7 +180,12 @@
             phase: isLeaving ? ServerPhase.Draining : ServerPhase.Ready,
             coldRemainingMs: Math.max(0, coldUntil - now),
         }));
-        return { servers: records, evacuatedZones: table.evacuatedZones(), ageMs: options.ageMs() };
+        return {
+            servers: records,
+            evacuatedZones: table.evacuatedZones(),
+            ageMs: options.ageMs(),
+            era: options.era(),
+        };
     });
 
     return {
@@ -182,6 +197,7 @@
             }
         },
         hasView: () => viewAsOf !== undefined,
+        era: () => viewEra,
         forgetServer: id => void servers.delete(id),
         forgetZone: zone => void zones.delete(zone),
         removeUnconfirmed: prefix => {
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -235,6 +235,11 @@
         "Requests that are rejected, since they have crashed backend servers",
         () => get(tokens.crashSuspects).rejected().length,
     );
+    metrics.addGauge(
+        "waxwingdale_gateway_store_era",
+        "Era of the store, which increases when it comes back from an older copy; 0 where it has none",
+        () => get(tokens.store).era() ?? 0,
+    );
     metrics.addViewAges(() => get(tokens.storeWatches).ages());
     metrics.addGauge(
         "waxwingdale_gateway_rate_limited_servers",
--- a/packages/gateway/src/store-view.ts
+++ b/packages/gateway/src/store-view.ts
@@ -1,5 +1,6 @@
 /** Backend servers and evacuated zones from the store, or from a peer's view until the store has been read. */
-import type { BackendTable } from "@waxwingdale/balancing";
+import { isSameProcess } from "@waxwingdale/balancing";
+import type { BackendTable, ServerRecord } from "@waxwingdale/balancing";
 import type {
     Clock,
     Logger,
@@ -37,8 +38,13 @@
 const expiredEntryGraceMs = 2000;
 
 export function createStoreView(options: StoreViewOptions): StoreView {
-    const { clock, logger, table, signal } = options;
+    const { store, clock, logger, table, signal } = options;
     const readPrefixes = new Set<string>();
+    /** Clock time from which nothing is known that the store lacks. */
+    let settledAt = -Infinity;
+    store.onEraChange(() => {
+        settledAt = clock.now() + 2 * expiredEntryGraceMs;
+    });
 
     const setEvacuated = (zone: string, isEvacuated: boolean) => {
         logger.info("zone-evacuation", { zone, isEvacuated });
@@ -52,10 +58,16 @@
             const ages = options.watches.ages();
             return Math.max(ages.get(serversPrefix) ?? 0, ages.get(evacuationsPrefix) ?? 0);
         },
+        era: () => (clock.now() < settledAt ? undefined : store.era()),
         refreshMs: options.watches.timings(serversPrefix).waitMs,
         setEvacuated,
     });
 
+    const isKnownProcess = (record: ServerRecord): boolean => {
+        const known = table.find(record.id);
+        return known !== undefined && isSameProcess(known.record, record);
+    };
+
     const applyServer = (id: string, value: unknown) => {
         peerView.forgetServer(id);
         const record = decodeServer(id, value);
@@ -67,7 +79,10 @@
             table.remove(id);
             return;
         }
-        table.apply(record, readPrefixes.has(serversPrefix));
+        const isRepeated = clock.now() < settledAt && isKnownProcess(record);
+        // The time for which the server is cold counts from when its entry was first read.
+        const applied = isRepeated ? { ...record, coldRemainingMs: 0 } : record;
+        table.apply(applied, readPrefixes.has(serversPrefix));
     };
 
     const recordFirstList = (prefix: string) => {
@@ -76,23 +91,37 @@
         }
         readPrefixes.add(prefix);
         logger.info("store-read", { prefix, servers: table.all().length });
-        peerView.removeUnconfirmed(prefix);
+        if (peerView.era() === store.era()) {
+            peerView.removeUnconfirmed(prefix);
+        } else {
+            void removeUnconfirmedLater(prefix);
+        }
+    };
+
+    /** The store may have come back from an older copy, which lacks what peers know and what is written again in a moment. */
+    const removeUnconfirmedLater = async (prefix: string) => {
+        await clock.sleep(expiredEntryGraceMs, signal);
+        if (!signal.aborted) {
+            peerView.removeUnconfirmed(prefix);
+        }
     };
 
     const watch = (
         prefix: string,
         onObject: (name: string, value: unknown) => void,
         onDeleted: (name: string) => void,
+        holdsReappearing: boolean,
     ) =>
         watchPrefix({
             ...options.watches.watch(prefix),
-            store: options.store,
+            store,
             prefix,
             clock,
             random: options.random,
             logger,
             signal,
             removalGraceMs: expiredEntryGraceMs,
+            holdsReappearing,
             onObject: ({ key, value }) => onObject(nameOf(key), value),
             onDeleted: key => onDeleted(nameOf(key)),
             onListed: () => recordFirstList(prefix),
@@ -106,6 +135,8 @@
                 setEvacuated(zone, true);
             },
             zone => setEvacuated(zone, false),
+            // An evacuation that an older copy has again may have been ordered again.
+            false,
         );
 
     const isComplete = () => readPrefixes.size === 2;
@@ -113,7 +144,7 @@
     return {
         run: async () => {
             await Promise.all([
-                watch(serversPrefix, applyServer, id => table.remove(id)),
+                watch(serversPrefix, applyServer, id => table.remove(id), true),
                 watchEvacuations(),
                 peerView.run(),
             ]);
--- a/packages/store/src/change-log.ts
+++ b/packages/store/src/change-log.ts
@@ -15,6 +15,8 @@
      * log doesn't reach back to `since` or is older than `maxAgeMs`; the follower must then use the store.
      */
     waitForChanges(since: number, waitMs: number, maxAgeMs: number): Promise<FollowResult | undefined>;
+    /** Drops all changes, since the store assigns their versions again, and ends the pending waits. */
+    reset(): void;
 }
 
 /** Watch result for a follower, with the clock time up to which it is complete. */
@@ -69,6 +71,11 @@
             }
             advanceAsOf(asOf);
         },
+        reset: () => {
+            batches = [];
+            latestAsOf = -Infinity;
+            updates.notify();
+        },
         waitForChanges: async (since, waitMs, maxAgeMs) => {
             const deadline = clock.now() + waitMs;
             const initialAsOf = latestAsOf;
--- a/packages/store/src/fenced-writer.ts
+++ b/packages/store/src/fenced-writer.ts
@@ -31,6 +31,7 @@
 
 interface Stored extends FencedOrder {
     version: number;
+    era: number | undefined;
 }
 
 /** Creates a writer that reads the object only if it doesn't know the current version. */
@@ -43,7 +44,7 @@
     const read = async (signal?: AbortSignal): Promise<Stored> => {
         const object = await store.get(key, signal);
         const order = (object && getOrder(object.value)) ?? { epoch: 0, step: 0 };
-        return { epoch: order.epoch, step: order.step, version: object?.version ?? 0 };
+        return { epoch: order.epoch, step: order.step, version: object?.version ?? 0, era: store.era() };
     };
 
     const requireEpoch = (): number => {
@@ -66,7 +67,8 @@
     const put = async (value: Value, current: Stored, next: FencedOrder, signal?: AbortSignal) => {
         stored = undefined;
         try {
-            stored = { ...next, version: await store.put(key, value, current.version, signal) };
+            const version = await store.put(key, value, current.version, signal, current.era);
+            stored = { ...next, version, era: current.era };
         } catch (err) {
             if (!(err instanceof StoreOutcomeUnknownError) && !(err instanceof StoreConflictError)) {
                 throw err;
@@ -78,7 +80,8 @@
     return {
         write: async (makeValue, signal) => {
             const epoch = requireEpoch();
-            const current = stored?.epoch === epoch ? stored : await read(signal);
+            const current =
+                stored?.epoch === epoch && stored.era === store.era() ? stored : await read(signal);
             if (current.epoch > epoch) {
                 throw new LeaseLostError(
                     `cannot write ${key}: stored epoch ${current.epoch} is newer than epoch ${epoch}`,
--- a/packages/store/src/hedged-call.ts
+++ b/packages/store/src/hedged-call.ts
@@ -1,4 +1,5 @@
 /** Hedged call: sends further calls while there is no response yet, and uses the first result. */
+import { StoreUnavailableError } from "@waxwingdale/core";
 import type { Clock, Timer } from "@waxwingdale/core";
 
 export interface HedgedCallOptions<Result> {
@@ -15,6 +16,7 @@
 
 /**
  * Returns the first result and cancels the other calls.
+ * @throws StoreUnavailableError as soon as the calls are canceled, also if one of them cannot be interrupted
  * @throws the error of the last call to fail, if all calls made so far have failed
  */
 export async function callHedged<Result>(options: HedgedCallOptions<Result>): Promise<Result> {
@@ -29,6 +31,9 @@
     try {
         return await new Promise<Result>((resolve, reject) => {
             let pending = 0;
+            controller.signal.addEventListener("abort", () =>
+                reject(new StoreUnavailableError("the calls to the store were canceled")),
+            );
             const send = (call: HedgedCallOptions<Result>["first"]) => {
                 pending += 1;
                 call(controller.signal).then(resolve, (err: Error) => {
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -78,6 +78,8 @@
     version: number;
     /** Time at which the last successful write was sent. */
     sentAt: number;
+    /** Era of the store that has the record. */
+    era: number | undefined;
 }
 
 interface Observation {
@@ -102,7 +104,16 @@
     /** Numbers the writes, so that one read back from the store is never mistaken for a later, equal one. */
     let writeCount = 0;
 
-    const isHeld = () => holding !== undefined && clock.now() < holding.sentAt + usableMs;
+    /** Era of the store at the last step. */
+    let knownEra = store.era();
+    /**
+     * Clock time before which the lease is not acquired: the store may come back without the record of another holder, which
+     * goes on until it hears of the new era or its lease ends.
+     */
+    let acquireFrom = -Infinity;
+
+    const isHeld = () =>
+        holding !== undefined && holding.era === store.era() && clock.now() < holding.sentAt + usableMs;
 
     const markLost = (reason: string) => {
         if (holding !== undefined) {
@@ -111,6 +122,18 @@
         }
     };
 
+    /** Voids what is known of the lease object if the store is in another era. A first era may be a new one as well. */
+    const followEra = () => {
+        const era = store.era();
+        if (era === knownEra) {
+            return;
+        }
+        knownEra = era;
+        markLost("the store came back from an older copy");
+        observation = undefined;
+        acquireFrom = clock.now() + ttlMs;
+    };
+
     /** Records the current state of the lease object. */
     const observe = (object: StoredObject | undefined) => {
         if (object === undefined) {
@@ -142,15 +165,20 @@
         signal?: AbortSignal,
     ): Promise<boolean> => {
         const sentAt = clock.now();
+        const era = store.era();
         let version: number;
         try {
-            version = await store.put(key, record, expectedVersion, signal);
+            version = await store.put(key, record, expectedVersion, signal, era);
         } catch (err) {
             if (!(err instanceof StoreConflictError) && !(err instanceof StoreOutcomeUnknownError)) {
                 throw err;
             }
             // The conflict may be with an earlier write of this process whose response was lost.
             const object = await store.get(key, signal);
+            if (store.era() !== era) {
+                followEra();
+                return false;
+            }
             observe(object);
             if (object === undefined || !isSameRecord(object.value, record)) {
                 return false;
@@ -158,7 +186,7 @@
             version = object.version;
         }
         highestEpoch = Math.max(highestEpoch, record.epoch);
-        holding = { record, version, sentAt };
+        holding = { record, version, sentAt, era };
         observation = { record, version, firstSeenAt: clock.now() };
         return true;
     };
@@ -173,16 +201,18 @@
     /** Continues from the observed record if it belongs to this holding period, such as one from before the renewal. */
     const resumeFromObservation = ({ epoch }: LeaseRecord) => {
         const seen = observation?.record;
-        if (seen === undefined || seen.session !== session || seen.epoch !== epoch) {
+        if (holding === undefined || seen === undefined || seen.session !== session || seen.epoch !== epoch) {
             return false;
         }
-        holding = holding && { ...holding, record: seen, version: observation!.version };
+        holding = { ...holding, record: seen, version: observation!.version };
         return true;
     };
 
     const tryAcquire = async (signal: AbortSignal) => {
-        observe(await store.get(key, signal));
-        if (!canAcquire()) {
+        const object = await store.get(key, signal);
+        followEra();
+        observe(object);
+        if (clock.now() < acquireFrom || !canAcquire()) {
             return;
         }
         const epoch = Math.max(highestEpoch, options.knownEpoch?.() ?? 0) + 1;
@@ -193,6 +223,7 @@
     };
 
     const step = async (signal: AbortSignal) => {
+        followEra();
         if (holding !== undefined && !isHeld()) {
             markLost("not renewed in time");
         }
@@ -210,12 +241,12 @@
         if (holding === undefined || !isHeld()) {
             return;
         }
-        const { record, version } = holding;
+        const { record, version, era } = holding;
         holding = undefined;
         const controller = new AbortController();
         const timer = clock.setTimer(releaseTimeoutMs, () => controller.abort());
         try {
-            await store.put(key, { ...record, session: "" }, version, controller.signal);
+            await store.put(key, { ...record, session: "" }, version, controller.signal, era);
             logger.info("lease-released", { key, epoch: record.epoch });
         } catch (err) {
             logger.warn("lease-release-failed", { key, error: getErrorMessage(err) });
--- a/packages/store/src/memory-object-store.ts
+++ b/packages/store/src/memory-object-store.ts
@@ -5,9 +5,18 @@
     StoreOutcomeUnknownError,
     StoreRejectedError,
     StoreUnavailableError,
+    createEraTracker,
     maxObjectBytes,
+    requireSameEra,
+} from "@waxwingdale/core";
+import type {
+    Clock,
+    EraChange,
+    InstanceRecord,
+    ObjectChange,
+    StoredObject,
+    WatchResult,
 } from "@waxwingdale/core";
-import type { Clock, InstanceRecord, ObjectChange, StoredObject, WatchResult } from "@waxwingdale/core";
 
 /** Faults that a test can inject. They apply to calls that start afterwards. */
 export interface StoreFaults {
@@ -25,6 +34,15 @@
      * @default 10_000
      */
     historyLength?: number;
+    /** Era of the store in its responses; without it, they have none until the store comes back from a copy. */
+    era?: number;
+}
+
+/** Copy of a store, from which it can come back. */
+export interface StoreCopy {
+    version: number;
+    objects: ReadonlyMap<string, { version: number; text: string }>;
+    history: readonly ObjectChange[];
 }
 
 /** Stores each object as JSON text, so that a caller cannot change a stored value in place. */
@@ -34,8 +52,11 @@
     /** Instances that `listInstances` returns, set by tests and the stand-in. */
     instances: InstanceRecord[] = [];
     private version = 0;
-    private readonly objects = new Map<string, { version: number; text: string }>();
-    private readonly history: ObjectChange[] = [];
+    private objects = new Map<string, { version: number; text: string }>();
+    private history: ObjectChange[] = [];
+    /** Era of the stored objects; the tracker has that of the latest response. */
+    private storedEra: number | undefined;
+    private readonly eraTracker = createEraTracker();
     private readonly waiters = new Set<() => void>();
 
     constructor(
@@ -43,23 +64,53 @@
         private readonly options: MemoryObjectStoreOptions = {},
     ) {
         super();
+        this.storedEra = options.era;
+    }
+
+    override era(): number | undefined {
+        return this.eraTracker.current();
+    }
+
+    override onEraChange(listener: (change: EraChange) => void): () => void {
+        return this.eraTracker.onChange(listener);
+    }
+
+    copy(): StoreCopy {
+        return { version: this.version, objects: new Map(this.objects), history: [...this.history] };
+    }
+
+    /** Comes back from an older copy. Pending watches go on, and versions are assigned again. */
+    restore({ version, objects, history }: StoreCopy): void {
+        this.version = version;
+        this.objects = new Map(objects);
+        this.history = [...history];
+        this.storedEra = (this.storedEra ?? 0) + 1;
     }
 
     async get(key: string, signal?: AbortSignal): Promise<StoredObject | undefined> {
         await this.beginRead(signal);
+        this.eraTracker.observe(this.storedEra);
         const found = this.objects.get(key);
         return found && { key, version: found.version, value: JSON.parse(found.text) as unknown };
     }
 
     async list(prefix: string, signal?: AbortSignal): Promise<StoredObject[]> {
         await this.beginRead(signal);
+        this.eraTracker.observe(this.storedEra);
         return [...this.objects]
             .filter(([key]) => key.startsWith(prefix))
             .sort(([a], [b]) => (a < b ? -1 : 1))
             .map(([key, { version, text }]) => ({ key, version, value: JSON.parse(text) as unknown }));
     }
 
-    async put(key: string, value: unknown, expectedVersion: number, signal?: AbortSignal): Promise<number> {
+    async put(
+        key: string,
+        value: unknown,
+        expectedVersion: number,
+        signal?: AbortSignal,
+        era?: number,
+    ): Promise<number> {
+        requireSameEra(key, era, this.era());
         await this.beginWrite(signal);
         const text = JSON.stringify(value);
         if (Buffer.byteLength(text) > maxObjectBytes) {
@@ -69,16 +120,17 @@
         const version = ++this.version;
         this.objects.set(key, { version, text });
         this.record({ key, version, value: JSON.parse(text) as unknown, deleted: false });
-        this.loseResponse(key);
+        this.finishWrite(key, era);
         return version;
     }
 
-    async delete(key: string, expectedVersion: number, signal?: AbortSignal): Promise<void> {
+    async delete(key: string, expectedVersion: number, signal?: AbortSignal, era?: number): Promise<void> {
+        requireSameEra(key, era, this.era());
         await this.beginWrite(signal);
         this.checkVersion(key, expectedVersion);
         this.objects.delete(key);
         this.record({ key, version: ++this.version, value: undefined, deleted: true });
-        this.loseResponse(key);
+        this.finishWrite(key, era);
     }
 
     async watch(
@@ -90,7 +142,8 @@
         await this.beginRead(signal);
         const oldest = this.history[0]?.version ?? this.version + 1;
         if (sinceVersion < oldest - 1 && sinceVersion < this.version) {
-            return { changes: [], version: this.version, expired: true };
+            this.eraTracker.observe(this.storedEra);
+            return { changes: [], version: this.version, expired: true, era: this.storedEra };
         }
         const end = this.clock.now() + waitMs;
         for (;;) {
@@ -99,7 +152,8 @@
             );
             const remaining = end - this.clock.now();
             if (changes.length > 0 || remaining <= 0 || signal?.aborted) {
-                return { changes, version: this.version, expired: false };
+                this.eraTracker.observe(this.storedEra);
+                return { changes, version: this.version, expired: false, era: this.storedEra };
             }
             await this.waitForChange(remaining, signal);
             if (this.faults.down) {
@@ -137,6 +191,9 @@
 
     private checkVersion(key: string, expectedVersion: number): void {
         const current = this.objects.get(key)?.version ?? 0;
+        if (current !== expectedVersion) {
+            this.eraTracker.observe(this.storedEra);
+        }
         if (current !== expectedVersion) {
             throw new StoreConflictError(
                 `object ${key} has version ${current}, not ${expectedVersion}`,
@@ -145,11 +202,17 @@
         }
     }
 
-    private loseResponse(key: string): void {
+    private finishWrite(key: string, era: number | undefined): void {
         if (this.faults.loseWriteAnswers > 0) {
             this.faults.loseWriteAnswers--;
             throw new StoreOutcomeUnknownError(`the response to the write of ${key} was lost`);
         }
+        this.eraTracker.observe(this.storedEra);
+        if (era !== undefined && era !== this.storedEra) {
+            throw new StoreOutcomeUnknownError(
+                `the store came back from an older copy during the write of ${key}`,
+            );
+        }
     }
 
     /** Adds a change to the history and wakes pending watches. */
--- a/packages/store/src/relayed-store.ts
+++ b/packages/store/src/relayed-store.ts
@@ -13,6 +13,7 @@
 } from "@waxwingdale/core";
 import type {
     Clock,
+    EraChange,
     InstanceRecord,
     Logger,
     Member,
@@ -75,7 +76,16 @@
 /** Milliseconds after the last request of a follower for which an instance counts as followed. */
 const followerTimeoutMs = 5000;
 
-const paramsSchema = v.object({ prefix: v.string(), since: v.number(), waitMs: v.number() });
+/**
+ * Parameters of `store.follow`. A follower and a reader with different eras do not serve each other, and an absent era differs
+ * from all others: that of an instance of an earlier release, or one that has read no store with eras.
+ */
+const paramsSchema = v.object({
+    prefix: v.string(),
+    since: v.number(),
+    waitMs: v.number(),
+    era: v.optional(v.number()),
+});
 const changeSchema = v.object({
     key: v.string(),
     version: v.number(),
@@ -83,12 +93,13 @@
     deleted: v.boolean(),
 });
 /**
- * Result of `store.follow`; empty if the follower must use the store. `asOfMs` is the time up to which the result is
+ * Result of `store.follow`, with the reader's era; without `result` if the follower must use the store. `asOfMs` is the time up to which the result is
  * complete, in milliseconds relative to the arrival of the request, because the clocks of two instances have no common
  * reference. It may be negative.
  */
 const responseSchema = v.object({
     result: v.optional(v.object({ changes: v.array(changeSchema), version: v.number(), asOfMs: v.number() })),
+    era: v.optional(v.number()),
 });
 
 /** Picks the readers of a region. Rendezvous hashing keeps most of them the same when instances come and go. */
@@ -117,6 +128,15 @@
     constructor(private readonly options: RelayedStoreOptions) {
         super();
         options.rpc.addMethod(followMethod, params => this.handleFollow(params));
+        options.store.onEraChange(() => this.logs.forEach(log => log.reset()));
+    }
+
+    override era(): number | undefined {
+        return this.options.store.era();
+    }
+
+    override onEraChange(listener: (change: EraChange) => void): () => void {
+        return this.options.store.onEraChange(listener);
     }
 
     override get(key: string, signal?: AbortSignal): Promise<StoredObject | undefined> {
@@ -130,7 +150,9 @@
     override async listWithVersion(prefix: string, signal?: AbortSignal): Promise<ObjectList> {
         const sentAt = this.options.clock.now();
         const list = await this.options.store.listWithVersion(prefix, signal);
-        this.getLog(prefix).recordList(list.version, sentAt);
+        if (list.era === this.era()) {
+            this.getLog(prefix).recordList(list.version, sentAt);
+        }
         return list;
     }
 
@@ -139,12 +161,13 @@
         value: unknown,
         expectedVersion: number,
         signal?: AbortSignal,
+        era?: number,
     ): Promise<number> {
-        return this.options.store.put(key, value, expectedVersion, signal);
+        return this.options.store.put(key, value, expectedVersion, signal, era);
     }
 
-    override delete(key: string, expectedVersion: number, signal?: AbortSignal): Promise<void> {
-        return this.options.store.delete(key, expectedVersion, signal);
+    override delete(key: string, expectedVersion: number, signal?: AbortSignal, era?: number): Promise<void> {
+        return this.options.store.delete(key, expectedVersion, signal, era);
     }
 
     override listInstances(signal?: AbortSignal): Promise<InstanceRecord[]> {
@@ -190,7 +213,9 @@
 
     override async poll(prefix: string, sinceVersion: number, signal?: AbortSignal): Promise<WatchResult> {
         const sentAt = this.options.clock.now();
+        const era = this.era();
         const result = await this.options.store.poll(prefix, sinceVersion, signal);
+        this.requireEra(result, era);
         return this.recordResponse(prefix, sinceVersion, result, sentAt, 0, signal);
     }
 
@@ -209,10 +234,22 @@
         }
         const sentAt = clock.now();
         this.lastWatchAt.set(prefix, sentAt);
+        const era = this.era();
         const result = await this.options.store.watch(prefix, sinceVersion, limitMs, signal);
+        this.requireEra(result, era);
         return this.recordResponse(prefix, sinceVersion, result, sentAt, limitMs, signal);
     }
 
+    /**
+     * Checks that the position of a call, its result and this instance are of one era.
+     * @throws StoreUnavailableError
+     */
+    private requireEra(result: WatchResult, era: number | undefined): void {
+        if (result.era !== era || era !== this.era()) {
+            throw new StoreUnavailableError("the store came back from an older copy during the call");
+        }
+    }
+
     /** Appends a response of the store to the log, with the time up to which it is complete. */
     private recordResponse(
         prefix: string,
@@ -277,14 +314,19 @@
         const { transport, clock, logger } = this.options;
         const waitMs = Math.min(maxWaitMs, this.readerWaitMs(prefix)) + slackMs;
         const sentAt = clock.now();
+        const era = this.era();
         try {
             const response = await transport.call<unknown>(
                 reader.peerAddress,
                 followMethod,
-                { prefix, since, waitMs },
+                { prefix, since, waitMs, era },
                 waitMs + responseMarginMs,
             );
-            const { result } = v.parse(responseSchema, response);
+            const { result, era: readerEra } = v.parse(responseSchema, response);
+            if (readerEra !== era || this.era() !== era) {
+                this.recordOtherEra(reader, prefix, readerEra, result !== undefined);
+                return undefined;
+            }
             return (
                 result && {
                     // JSON omits the undefined value of a deleted object.
@@ -292,6 +334,7 @@
                     version: result.version,
                     expired: false,
                     asOf: sentAt + result.asOfMs,
+                    era,
                 }
             );
         } catch (err) {
@@ -301,19 +344,36 @@
         }
     }
 
+    /** A reader that serves followers of any era is one of an earlier release, which always makes its followers wait. */
+    private recordOtherEra(
+        reader: Member,
+        prefix: string,
+        readerEra: number | undefined,
+        hasServed: boolean,
+    ): void {
+        const { clock, logger } = this.options;
+        logger.debug("store-reader-era", { prefix, reader: reader.id, readerEra, era: this.era() });
+        if (hasServed && readerEra === undefined) {
+            this.avoidUntil.set(reader.id, clock.now() + failedReaderTimeoutMs);
+        }
+    }
+
     private async handleFollow(params: unknown): Promise<unknown> {
-        const { prefix, since, waitMs } = v.parse(paramsSchema, params);
+        const { prefix, since, waitMs, era } = v.parse(paramsSchema, params);
+        if (era !== this.era()) {
+            return { era: this.era() };
+        }
         const receivedAt = this.options.clock.now();
         this.lastFollowedAt = receivedAt;
         const readerWaitMs = this.readerWaitMs(prefix);
         const maxAgeMs = this.options.maxAgeMs?.(prefix) ?? readerWaitMs + ageMarginMs;
         const maxWaitMs = readerWaitMs + followSlackMs;
         const result = await this.getLog(prefix).waitForChanges(since, Math.min(waitMs, maxWaitMs), maxAgeMs);
-        if (result === undefined) {
-            return {};
+        if (result === undefined || era !== this.era()) {
+            return { era: this.era() };
         }
         const { changes, version, asOf } = result;
-        return { result: { changes, version, asOfMs: asOf - receivedAt } };
+        return { result: { changes, version, asOfMs: asOf - receivedAt }, era };
     }
 
     private readerWaitMs(prefix: string): number {
--- a/packages/store/src/version-filter.ts
+++ b/packages/store/src/version-filter.ts
@@ -23,12 +23,23 @@
     size(): number;
     /** Returns the highest version seen. */
     highestVersion(): number;
+    /**
+     * Marks the objects that are missing from a complete list as unconfirmed and removes none. Used while the owners of
+     * the objects still need time to write them again.
+     */
+    keepMissing(listed: ReadonlySet<string>): void;
+    /** Voids all versions seen, since the store assigns them again. Known objects stay until a value replaces them. */
+    startEra(): void;
+    /** Returns whether an object was deleted in an earlier era and has not been accepted again. */
+    wasDeletedBefore(key: string): boolean;
 }
 
 /** Creates an empty filter. */
 export function createVersionFilter(): VersionFilter {
     const live = new Map<string, number>();
     const deleted = new Map<string, number>();
+    /** Objects that had been deleted when the era began. */
+    let deletedBefore = new Set<string>();
     let unconfirmed = new Set<string>();
     let highest = 0;
 
@@ -52,6 +63,7 @@
                 return false;
             }
             deleted.delete(key);
+            deletedBefore.delete(key);
             live.set(key, version);
             highest = Math.max(highest, version);
             return true;
@@ -83,5 +95,16 @@
         hasUnconfirmed: () => [...unconfirmed].some(key => live.has(key)),
         size: () => live.size,
         highestVersion: () => highest,
+        keepMissing: listed => {
+            unconfirmed = new Set(findMissing(listed));
+        },
+        startEra: () => {
+            [...live.keys()].forEach(key => live.set(key, 0));
+            deletedBefore = new Set([...deletedBefore, ...deleted.keys()].slice(-maxDeletedKeys));
+            deleted.clear();
+            unconfirmed = new Set();
+            highest = 0;
+        },
+        wasDeletedBefore: key => deletedBefore.has(key),
     };
 }
--- a/packages/store/src/view-calls.ts
+++ b/packages/store/src/view-calls.ts
@@ -1,4 +1,5 @@
 /** Calls that keep the view of a prefix current. They are hedged once the view is stale. */
+import { StoreUnavailableError } from "@waxwingdale/core";
 import type { Clock, ObjectList, ObjectStore, WatchResult } from "@waxwingdale/core";
 import { computeAsOf } from "./compute-as-of.js";
 import { callHedged } from "./hedged-call.js";
@@ -12,8 +13,8 @@
     store: ObjectStore;
     prefix: string;
     clock: Clock;
-    /** Cancels all calls. */
-    signal: AbortSignal;
+    /** Returns the signal that cancels the calls which start now. */
+    getSignal: () => AbortSignal;
     /** Without it, calls are not hedged. */
     refresh: RefreshOptions | undefined;
     /** Called when a hedged call is sent, with the age of the view in milliseconds. */
@@ -24,8 +25,11 @@
 export interface ViewCalls {
     /** Reads all objects. */
     list(): Promise<ObjectList>;
-    /** Waits for changes after a position. A hedged call may return a list instead. */
-    changes(position: number, waitMs: number): Promise<ViewResult>;
+    /**
+     * Waits for changes after a position of the given era. A hedged call may return a list instead. A result of another
+     * era counts as a failed call, since positions of different eras must not be compared.
+     */
+    changes(position: number, waitMs: number, era: number | undefined): Promise<ViewResult>;
     /** Records that the view is complete up to the clock time `asOf`, as reported by a peer. */
     advanceAsOf: (asOf: number) => void;
     /** Returns the clock time up to which the view is complete. */
@@ -43,7 +47,7 @@
 
 /** Creates the calls of a view that is current at creation. */
 export function createViewCalls(options: ViewCallsOptions): ViewCalls {
-    const { store, prefix, clock, signal } = options;
+    const { store, prefix, clock } = options;
     const schedule = createRefreshSchedule(clock, options.refresh);
 
     /** Makes a call, and hedges it while the view is stale. `hedge` receives the number of hedged calls. */
@@ -57,7 +61,7 @@
         };
         const { answer, asOf } = await callHedged({
             clock,
-            signal,
+            signal: options.getSignal(),
             first: callSignal => send(first, callSignal),
             hedge: callSignal => {
                 options.onRefresh?.(clock.now() - schedule.getAsOf());
@@ -74,31 +78,48 @@
         asOf: sentAt,
     });
 
-    const listInsteadOfChanges: TimedCall<ViewResult> = async (sentAt, callSignal) => {
-        const { answer, asOf } = await readList(sentAt, callSignal);
-        return { answer: { list: answer }, asOf };
-    };
+    const listInsteadOfChanges =
+        (era: number | undefined): TimedCall<ViewResult> =>
+        async (sentAt, callSignal) => {
+            const { answer, asOf } = await readList(sentAt, callSignal);
+            requireEra(answer.era, era);
+            return { answer: { list: answer }, asOf };
+        };
 
     const toTimedAnswer = (
         changes: WatchResult,
         sentAt: number,
         waitMs: number,
-    ): TimedAnswer<ViewResult> => ({
-        answer: { changes },
-        asOf: changes.asOf ?? computeAsOf(changes, sentAt, waitMs, clock.now()),
-    });
+        era: number | undefined,
+    ): TimedAnswer<ViewResult> => {
+        requireEra(changes.era, era);
+        return {
+            answer: { changes },
+            asOf: changes.asOf ?? computeAsOf(changes, sentAt, waitMs, clock.now()),
+        };
+    };
 
     return {
         list: () => callWithHedges(readList, () => readList),
-        changes: (position, waitMs) => {
-            const watch: TimedCall<ViewResult> = async (sentAt, callSignal) =>
-                toTimedAnswer(await store.watch(prefix, position, waitMs, callSignal), sentAt, waitMs);
+        changes: (position, waitMs, era) => {
+            const watch: TimedCall<ViewResult> = async (sentAt, callSignal) => {
+                const result = await store.watch(prefix, position, waitMs, callSignal);
+                return toTimedAnswer(result, sentAt, waitMs, era);
+            };
             const poll: TimedCall<ViewResult> = async (sentAt, callSignal) =>
-                toTimedAnswer(await store.poll(prefix, position, callSignal), sentAt, 0);
+                toTimedAnswer(await store.poll(prefix, position, callSignal), sentAt, 0, era);
+            const list = listInsteadOfChanges(era);
             // Lists may succeed while watches and polls time out, but they are larger, so only every other call is one.
-            return callWithHedges(watch, refreshes => (refreshes % 2 === 1 ? poll : listInsteadOfChanges));
+            return callWithHedges(watch, refreshes => (refreshes % 2 === 1 ? poll : list));
         },
         advanceAsOf: schedule.advanceAsOf,
         getAsOf: schedule.getAsOf,
     };
 }
+
+/** @throws StoreUnavailableError */
+function requireEra(era: number | undefined, expected: number | undefined): void {
+    if (era !== expected) {
+        throw new StoreUnavailableError("the response is of another era of the store");
+    }
+}
--- a/packages/store/src/watch-prefix.ts
+++ b/packages/store/src/watch-prefix.ts
@@ -1,5 +1,5 @@
 /** Watches all objects under a prefix: lists them once, then waits for changes. */
-import { getErrorMessage } from "@waxwingdale/core";
+import { StoreUnavailableError, getErrorMessage } from "@waxwingdale/core";
 import type {
     Clock,
     Logger,
@@ -46,8 +46,15 @@
      * many objects are missing after the store was unavailable, a second list has to confirm it after this many
      * milliseconds: the owners of the objects may not have reached the store either, and need time to write them again.
      * Without this option, a deletion always needs two lists.
+     *
+     * Once the store has come back from an older copy, no missing object is removed for this time, regardless of its share.
      */
     removalGraceMs?: number;
+    /**
+     * Set if an object that was deleted, and that an older copy of the store has again, is not reported during
+     * `removalGraceMs`, unless it is written again or a large share of all objects is in the same state.
+     */
+    holdsReappearing?: boolean;
     /** When to hedge a pending call because the view is stale. Without it, calls are not hedged. */
     refresh?: RefreshOptions;
     /** Called when a hedged call is sent, with the age of the view in milliseconds. */
@@ -108,8 +115,22 @@
     let lastResponseAt = clock.now();
     /** Clock time at which the next list is due. */
     let nextListAt = 0;
+    /** Era of the store that the view and its position belong to. */
+    let viewEra: number | undefined;
+    /** Clock time until which no missing object is removed: the store has come back from an older copy. */
+    let graceUntil = -Infinity;
+    /** Aborted when the watch is stopped, and when the store has come back from an older copy. */
+    let scope = new AbortController();
+    const endScope = () => scope.abort();
     const { refresh, onRefresh } = options;
-    const calls = createViewCalls({ store, prefix, clock, signal, refresh, onRefresh });
+    const calls = createViewCalls({
+        store,
+        prefix,
+        clock,
+        getSignal: () => scope.signal,
+        refresh,
+        onRefresh,
+    });
 
     const applyObject = (object: StoredObject) => {
         if (seen.acceptValue(object.key, object.version)) {
@@ -146,17 +167,58 @@
     /** Returns whether another list has to confirm that the objects missing from the last one are deleted. */
     const isConfirming = () => options.removalGraceMs !== undefined && seen.hasUnconfirmed();
 
-    const applyList = ({ objects, version }: ObjectList) => {
-        objects.forEach(applyObject);
-        const listed = new Set(objects.map(({ key }) => key));
+    /** Whether the view is not complete beyond the grace time after the store's return from an older copy. */
+    const isInGrace = () => calls.getAsOf() < graceUntil;
+
+    /** Voids the versions of the previous era. What is known stays until the store has something newer. */
+    const startEra = (era: number | undefined) => {
+        viewEra = era;
+        if (!hasListed) {
+            return;
+        }
+        seen.startEra();
+        position = 0;
+        wasUnavailable = true;
+        graceUntil = clock.now() + (options.removalGraceMs ?? -Infinity);
+    };
+
+    /** Returns the objects of a list that are not reported yet: an older copy has them again. */
+    const findHeld = (objects: readonly StoredObject[]): Set<string> => {
+        if (options.holdsReappearing !== true || !isInGrace()) {
+            return new Set();
+        }
+        const reappearing = objects.filter(({ key }) => seen.wasDeletedBefore(key));
+        const isLarge = reappearing.length > objects.length * massRemovalFraction;
+        const isMass = isLarge && reappearing.length >= massRemovalCount;
+        return new Set(isMass ? [] : reappearing.map(({ key }) => key));
+    };
+
+    const removeMissing = (listed: ReadonlySet<string>): string[] => {
+        if (isInGrace()) {
+            seen.keepMissing(listed);
+            return [];
+        }
         const mayReappear = wasUnavailable && isLargeShare(seen.countMissing(listed));
         const isTrusted = options.removalGraceMs !== undefined && !mayReappear;
-        const removedKeys = isTrusted ? seen.removeMissing(listed) : seen.removeMissingTwice(listed);
-        removedKeys.forEach(key => options.onDeleted?.(key));
+        return isTrusted ? seen.removeMissing(listed) : seen.removeMissingTwice(listed);
+    };
+
+    /** Returns the time in milliseconds until the next list. Jitter spreads those of instances that started together. */
+    const getRelistMs = (): number => {
+        if (isInGrace()) {
+            return graceUntil - clock.now();
+        }
+        return isConfirming()
+            ? options.removalGraceMs!
+            : (options.relistMs ?? 60_000) * (0.75 + random() / 2);
+    };
+
+    const applyList = ({ objects, version }: ObjectList) => {
+        const held = findHeld(objects);
+        objects.filter(({ key }) => !held.has(key)).forEach(applyObject);
+        removeMissing(new Set(objects.map(({ key }) => key))).forEach(key => options.onDeleted?.(key));
         position = Math.max(position, version, seen.highestVersion());
-        // Jitter spreads the lists of instances that started at the same time.
-        const relistMs = (options.relistMs ?? 60_000) * (0.75 + random() / 2);
-        nextListAt = clock.now() + (isConfirming() ? options.removalGraceMs! : relistMs);
+        nextListAt = clock.now() + getRelistMs();
         hasListed = true;
         options.onListed?.();
     };
@@ -185,10 +247,10 @@
 
     /** Watches for changes until a new list is required. Returns whether the position has expired. */
     const watchChanges = async (): Promise<boolean> => {
-        while (!signal.aborted && clock.now() < nextListAt) {
+        while (!scope.signal.aborted && clock.now() < nextListAt) {
             const nextCallAt = clock.now() + minIntervalMs;
-            const maxWaitMs = isConfirming() ? nextListAt - clock.now() : Infinity;
-            const result = await calls.changes(position, Math.min(nextWaitMs(), maxWaitMs));
+            const maxWaitMs = isConfirming() || isInGrace() ? nextListAt - clock.now() : Infinity;
+            const result = await calls.changes(position, Math.min(nextWaitMs(), maxWaitMs), viewEra);
             recordResponse();
             if ("list" in result) {
                 applyList(result.list);
@@ -204,7 +266,7 @@
                 return false;
             }
             wasUnavailable &&= isConfirming();
-            await clock.sleep(Math.max(0, nextCallAt - clock.now()), signal);
+            await clock.sleep(Math.max(0, nextCallAt - clock.now()), scope.signal);
         }
         return false;
     };
@@ -214,9 +276,9 @@
         // A stalled call to a peer must not delay the next call to the store. Its late response is ignored.
         const changes = await Promise.race([
             store.watchPeers(prefix, position, timeoutMs * peerWaitFraction),
-            clock.sleep(timeoutMs, signal),
+            clock.sleep(timeoutMs, scope.signal),
         ]);
-        if (!changes || signal.aborted) {
+        if (!changes || scope.signal.aborted || changes.era !== viewEra) {
             return false;
         }
         calls.advanceAsOf(changes.asOf ?? -Infinity);
@@ -232,32 +294,46 @@
         let canUsePeers = hasListed;
         while (canUsePeers && clock.now() < endAt) {
             canUsePeers = await applyPeerChanges(endAt - clock.now());
-            await clock.sleep(Math.min(minIntervalMs, Math.max(0, endAt - clock.now())), signal);
+            await clock.sleep(Math.min(minIntervalMs, Math.max(0, endAt - clock.now())), scope.signal);
         }
-        await clock.sleep(Math.max(0, endAt - clock.now()), signal);
+        await clock.sleep(Math.max(0, endAt - clock.now()), scope.signal);
     };
 
     const listAll = async () => {
         const list = await calls.list();
+        if (list.era !== store.era()) {
+            throw new StoreUnavailableError("the list is of an earlier era of the store");
+        }
         recordResponse();
+        if (list.era !== viewEra) {
+            startEra(list.era);
+        }
         applyList(list);
     };
 
-    while (!signal.aborted) {
-        let expired: boolean;
+    /** Lists the objects, then watches them. Returns whether to wait before the next attempt. */
+    const followStore = async (): Promise<boolean> => {
+        scope = new AbortController();
         try {
             await listAll();
-            expired = await watchChanges();
+            return await watchChanges();
         } catch (err) {
-            expired = true;
-            if (!signal.aborted) {
-                recordFailure(err);
-                logger.warn("store-watch-failed", { prefix, failures, error: getErrorMessage(err) });
+            if (scope.signal.aborted) {
+                return false;
             }
+            recordFailure(err);
+            logger.warn("store-watch-failed", { prefix, failures, error: getErrorMessage(err) });
+            return true;
         }
-        if (expired && !signal.aborted) {
+    };
+
+    const stopListening = store.onEraChange(endScope);
+    signal.addEventListener("abort", endScope, { once: true });
+    while (!signal.aborted) {
+        if (await followStore()) {
             failures++;
             await waitForRetry();
         }
     }
+    stopListening();
 }
