--- a/packages/store/test/store-era.test.ts
+++ b/packages/store/test/store-era.test.ts
@@ -8,6 +8,7 @@
     createManualClock,
     createRandom,
     createSilentLogger,
+    rankOwners,
 } from "@waxwingdale/core";
 import type { ManualClock, Member, RpcHandler } from "@waxwingdale/core";
 import {
@@ -122,6 +123,11 @@
         const clock = createManualClock();
         const store = new MemoryObjectStore(clock, { era: 1 });
         await store.put("a/1", "first", 0);
+        // Enough others that a single missing entry is no large share.
+        const others = { "a/4": 4, "a/5": 5, "a/6": 6 };
+        for (const [key, value] of Object.entries(others)) {
+            await store.put(key, value, 0);
+        }
         const copy = store.copy();
         const watch = startWatch(clock, { store, holdsReappearing: true });
         await clock.advance(300);
@@ -130,9 +136,9 @@
         store.restore(copy);
         await write?.(store);
         await clock.advance(1600);
-        assert.deepEqual(Object.fromEntries(watch.values), inGrace);
+        assert.deepEqual(Object.fromEntries(watch.values), { ...others, ...inGrace });
         await clock.advance(graceMs + 100);
-        assert.deepEqual(Object.fromEntries(watch.values), afterGrace);
+        assert.deepEqual(Object.fromEntries(watch.values), { ...others, ...afterGrace });
         await watch.stop();
     });
 }
@@ -376,3 +382,74 @@
     );
     instances.forEach(({ id, values }) => assert.deepEqual([...values.keys()], ["a/new"], id));
 });
+
+/** Lets a call that waits on the clock end. */
+async function settle<Result>(clock: ManualClock, result: Promise<Result>): Promise<Result> {
+    await clock.advance(1000);
+    return result;
+}
+
+/** Starts a reader, or a follower whose only reader gives the answer that `answer` returns. */
+async function startRelay(answer?: () => unknown) {
+    const clock = createManualClock();
+    const server = new MemoryObjectStore(clock, { era: 1 });
+    const client = new StoreClient(server);
+    const names = rankOwners(
+        "store-readers",
+        Array.from({ length: 4 }, (_, index) => `gateway-${index}`),
+    );
+    const all = names.map(createMember);
+    const self = all.at(answer === undefined ? 0 : -1)!;
+    let follow: RpcHandler | undefined;
+    const store = createRelayedStore({
+        store: client,
+        members: () => ({
+            self: () => self,
+            members: () => all,
+            liveInRegion: () => all,
+            find: id => all.find(member => member.id === id),
+            onChange: () => () => undefined,
+        }),
+        transport: { call: async <Result>() => answer?.() as Result },
+        rpc: { addMethod: (_, handler) => (follow = handler) },
+        clock,
+        logger: createSilentLogger(),
+    });
+    await change(server, "a/1", 1);
+    await store.listWithVersion("a/");
+    return { clock, server, client, store, follow: async (params: object) => follow!(params, "f") };
+}
+
+// Guards against a reader that serves a follower of another era from its log.
+test("a reader serves followers of its own era only, from a log that starts with the era", async () => {
+    const { clock, server, client, store, follow } = await startRelay();
+    const copy = server.copy();
+    await change(server, "a/1", 2);
+    await settle(clock, store.watch("a/", 1, 0));
+    const request = { prefix: "a/", since: 1, waitMs: 0 };
+    for (const era of [undefined, 0, 2]) {
+        assert.deepEqual(await follow({ ...request, era }), { era: 1 }, `era ${era}`);
+    }
+    const served = (await follow({ ...request, era: 1 })) as { era: number; result: { version: number } };
+    assert.deepEqual([served.era, served.result.version], [1, 2]);
+    const pending = follow({ ...request, since: 2, waitMs: 1000, era: 1 });
+    server.restore(copy);
+    await client.get("b/1");
+    await clock.advance(1);
+    assert.deepEqual(await pending, { era: 2 });
+    assert.deepEqual(await follow({ ...request, era: 2 }), { era: 2 });
+});
+
+// Guards against a follower that merges the changes of a reader of another era, or of one that names none.
+for (const era of [undefined, 2]) {
+    test(`a follower ignores a reader of ${era === undefined ? "an unknown" : "another"} era`, async () => {
+        const change1 = { key: "a/1", version: 2, value: "other", deleted: false };
+        const { clock, store } = await startRelay(() => ({
+            result: { changes: [change1], version: 2, asOfMs: 0 },
+            era,
+        }));
+        const { changes, version } = await settle(clock, store.watch("a/", 1, 0));
+        assert.deepEqual({ changes, version }, { changes: [], version: 1 });
+        assert.equal(await store.watchPeers("a/", 1, 0), undefined);
+    });
+}
