--- a/packages/gateway/src/crash-trial.ts
+++ b/packages/gateway/src/crash-trial.ts
@@ -64,6 +64,9 @@
     /** Clock time from which trials are claimed. */
     let claimFrom = -Infinity;
 
+    /** Whether the store may lack trials of other instances, since it has just come back from an older copy. */
+    const isRewriting = () => clock.now() < claimFrom;
+
     const mayClaim = (): boolean => {
         const now = clock.now();
         while (claims.length > 0 && now - claims[0]! >= claimWindowMs) {
@@ -99,7 +102,7 @@
     /** @throws the errors of the store. */
     const claim = async (fingerprint: string, identity: RequestIdentity): Promise<Claim> => {
         const current = await readTrial(fingerprint);
-        if (suspects.rejectedMs(identity) > 0) {
+        if (isRewriting() || suspects.rejectedMs(identity) > 0) {
             return Claim.Taken;
         }
         await writeTrial(fingerprint, suspects.trialReports(identity), current);
@@ -107,7 +110,7 @@
     };
 
     const claimInTime = async (fingerprint: string, identity: RequestIdentity): Promise<Claim> => {
-        if (clock.now() < claimFrom) {
+        if (isRewriting()) {
             return Claim.Taken;
         }
         if (!mayClaim()) {
--- a/packages/gateway/test/view-bounds.test.ts
+++ b/packages/gateway/test/view-bounds.test.ts
@@ -1,87 +1,14 @@
 /** Checks that an instance applies changes within the declared bounds while its store connections are stalled. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createManualClock, createRandom, createSilentLogger, resolveToken } from "@waxwingdale/core";
-import type { ManualClock } from "@waxwingdale/core";
-import { PlatformProtocol } from "@waxwingdale/platform";
-import { composeGateway } from "../src/compose-gateway.js";
-import { tokens } from "../src/gateway-tokens.js";
-import { createMember, declaredBounds } from "./fixtures.js";
 import { StalledStore } from "./stalled-store.js";
+import { bounds, createConfig, createServer, startInstance } from "./view-instance.js";
+import type { Instance as ViewInstance } from "./view-instance.js";
 
-/** Declared bounds in seconds. */
-const bounds = { configApplySeconds: 3, drainSeconds: 3, evacuateSeconds: 5 };
 /** Time in milliseconds before a bound that is reserved for requests in flight. */
 const marginMs = 100;
 
-interface Instance {
-    clock: ManualClock;
-    store: StalledStore;
-    configVersion(): number | undefined;
-    servers(): string[];
-    evacuatedZones(): readonly string[];
-    stop(): Promise<void>;
-}
-
-/** Starts an instance and lets it read the store: a configuration, one server and no evacuation. */
-async function startInstance(): Promise<Instance> {
-    const clock = createManualClock(1000);
-    const store = new StalledStore(clock);
-    const controller = new AbortController();
-    const self = createMember("a", "n-a", "north");
-    const scope = composeGateway({
-        settings: () => ({
-            id: "a",
-            region: "north",
-            zone: "n-a",
-            listen: { callers: "a:1", readiness: "a:3", peers: "a:2", directory: "a:4" },
-            seeds: [],
-            zones: { "n-a": "north", "n-b": "north" },
-            store: "s:1",
-            logLevel: "error" as never,
-            bounds: { ...declaredBounds, ...bounds },
-        }),
-        self,
-        clock,
-        random: createRandom(1),
-        logger: createSilentLogger(),
-        store,
-        protocol: new PlatformProtocol(),
-        fleetKey: "k",
-        signal: controller.signal,
-    });
-    await store.put("config/main", createConfig(1), 0);
-    await store.put("servers/s1", createServer("ready"), 0);
-    const config = resolveToken(scope, tokens.config);
-    const table = resolveToken(scope, tokens.table);
-    const running = [config.run(controller.signal), resolveToken(scope, tokens.storeView).run()];
-    await clock.advance(1000);
-    return {
-        clock,
-        store,
-        configVersion: () => config.current()?.version,
-        servers: () => table.usable("files").map(({ record }) => record.id),
-        evacuatedZones: () => table.evacuatedZones(),
-        stop: async () => {
-            controller.abort();
-            await clock.advance(20_000);
-            await Promise.all(running);
-        },
-    };
-}
-
-function createConfig(version: number) {
-    return { version: `r${version}`, routes: {}, services: { files: {} } };
-}
-
-function createServer(state: string) {
-    return {
-        address: "10.0.0.9:80",
-        born: 1,
-        info: { service: "files", zone: "n-a", slots: 3 },
-        status: { state },
-    };
-}
+type Instance = ViewInstance<StalledStore>;
 
 /**
  * Stalls the pending watches at various points of their wait, as well as the next `stalledCalls` calls, and checks that
@@ -94,7 +21,7 @@
     isApplied: (instance: Instance) => boolean,
 ): Promise<void> {
     for (let stalledAfterMs = 0; stalledAfterMs < 3000; stalledAfterMs += 250) {
-        const instance = await startInstance();
+        const instance = await startInstance(time => new StalledStore(time));
         const { clock, store } = instance;
         await clock.advance(2000 + stalledAfterMs);
         store.areWatchesStalled = true;
@@ -150,7 +77,7 @@
 
 // Guards against a refresh rate that grows with the length of a store outage, since each call is billed.
 test("limits the number of calls to an unresponsive store", async () => {
-    const instance = await startInstance();
+    const instance = await startInstance(time => new StalledStore(time));
     const { clock, store } = instance;
     await clock.advance(2000);
     store.areWatchesStalled = true;
