--- a/packages/gateway/test/store-view.test.ts
+++ b/packages/gateway/test/store-view.test.ts
@@ -151,3 +151,32 @@
     assert.deepEqual(table.all(), []);
     await stop();
 });
+
+// Guards against an evacuation that an instance takes back when its first list is that of an older copy.
+for (const [name, peerEra, keptMs] of [
+    ["keeps what peers of an earlier era know for the grace time", 1, 2000],
+    ["drops what peers of the same era know at once", 2, 0],
+] as const) {
+    test(`an instance that reads the store for the first time ${name}`, async () => {
+        const views = { "b:2": { ...createPeerView(0, ["s1"], ["n-b"]), era: peerEra }, "c:2": {} };
+        const { clock, store, table, stop } = startView({
+            store: time => {
+                const away = new MemoryObjectStore(time, { era: 2 });
+                away.faults.down = true;
+                return away;
+            },
+            answer: address => views[address as keyof typeof views],
+        });
+        await clock.advance(2000);
+        assert.deepEqual(table.evacuatedZones(), ["n-b"]);
+        store.faults.down = false;
+        while (store.era() === undefined) {
+            await clock.advance(10);
+        }
+        await clock.advance(Math.max(20, keptMs - 100));
+        assert.deepEqual(table.evacuatedZones(), keptMs > 0 ? ["n-b"] : []);
+        await clock.advance(1500);
+        assert.deepEqual([table.evacuatedZones(), table.all()], [[], []]);
+        await stop();
+    });
+}
