feat(balancing): estimate the work time of servers that state it

Servers on shared machines take up to 2.5 times as long for some hundred milliseconds. The fourth figure of their load reports was decoded but not used, so requests went on to queue at them, and the responses counted as slowness of the server and as work of the route.

The stated work time now scales the expected work and wait of a placement. Half of the added work time counts in the cost, so that warm objects stay. Without the fourth figure, estimates and choices are as before.

--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -50,6 +50,8 @@
     roundTripMs(server: BackendState): number;
     /** Updates the spillover share and the load estimates; called at short intervals. */
     adapt(): void;
+    /** Standard deviation of the slot utilization over the usable servers of the local region, by service. */
+    utilizationSpreads(): ReadonlyMap<string, number>;
     describe(): Record<string, unknown>;
 }
 
@@ -66,6 +68,8 @@
     countInstances: () => number;
     /** Called when the spillover share of a service has changed noticeably. */
     onSpilloverChange?: (service: string, share: number, utilization: RegionUtilization) => void;
+    /** Called for each request that is sent, with the age in milliseconds of the newest load report of the server. */
+    onReportUsed?: (service: string, ageMs: number) => void;
 }
 
 /** Minimum change of the spillover share that is reported. */
@@ -221,7 +225,11 @@
         choose,
         start: (req, { server }) => {
             const now = clock.now();
-            server.load.start();
+            const report = server.load.latest(now);
+            if (report !== undefined) {
+                options.onReportUsed?.(req.service, report.ageMs);
+            }
+            server.load.start(now);
             if (req.tried.size === 0) {
                 reuse.count(req.route.name, req.objectKey);
             }
@@ -237,7 +245,7 @@
             const { outcome, firstByteMs, load, responseBytes = 0, writtenAt, response } = result;
             const now = clock.now();
             const { server } = placement;
-            server.load.finish();
+            server.load.finish(now);
             server.health.recordOutcome(outcome, now);
             if (load !== undefined) {
                 server.load.report(load, now);
@@ -247,7 +255,7 @@
                 server.health.pause(response.retryAfterMs ?? 0, now);
             }
             if (outcome === ServerOutcome.Success && firstByteMs !== undefined) {
-                costs.recordResponse(req, placement, firstByteMs, responseBytes);
+                costs.recordResponse(req, placement, { firstByteMs, responseBytes }, now);
             }
             if (outcome === ServerOutcome.Unreachable) {
                 server.warm.clear();
@@ -269,6 +277,15 @@
                 server.slowness += (1 - server.slowness) * slownessDecay;
             }
         },
+        utilizationSpreads: () => {
+            const now = clock.now();
+            return new Map(
+                table.services().map(({ name }) => {
+                    const own = table.usable(name).filter(server => server.region === region);
+                    return [name, standardDeviation(own.map(server => getServerUtilization(server, now)))];
+                }),
+            );
+        },
         describe: () => ({
             spill: Object.fromEntries(
                 [...spillovers].map(([service, spillover]) => [service, spillover.part()]),
@@ -279,6 +296,16 @@
     };
 }
 
+function getServerUtilization({ load, record }: BackendState, now: number): number {
+    return load.expected(now) / Math.max(1, record.slots);
+}
+
+function standardDeviation(values: readonly number[]): number {
+    const count = Math.max(1, values.length);
+    const mean = values.reduce((sum, value) => sum + value, 0) / count;
+    return Math.sqrt(values.reduce((sum, value) => sum + (value - mean) ** 2, 0) / count);
+}
+
 function countSlots(servers: readonly BackendState[]): number {
     return servers.reduce((sum, { record }) => sum + record.slots, 0);
 }
--- a/packages/balancing/src/placement-costs.ts
+++ b/packages/balancing/src/placement-costs.ts
@@ -10,17 +10,18 @@
 
 export interface PlacementCosts {
     place(candidate: Candidate, req: RoutedRequest, now: number): Placement;
-    recordResponse(
-        req: RoutedRequest,
-        placement: Placement,
-        firstByteMs: number,
-        responseBytes: number,
-    ): void;
+    recordResponse(req: RoutedRequest, placement: Placement, response: MeasuredResponse, now: number): void;
     /** Sets the slot utilization of a service in the local region; 1 means as many requests as slots. */
     setUtilization(service: string, utilization: number): void;
     describe(): Record<string, unknown>;
 }
 
+/** What a response says about the work of a route and about the server. */
+export interface MeasuredResponse {
+    firstByteMs: number;
+    responseBytes: number;
+}
+
 export interface PlacementCostsOptions {
     zone: string;
     region: string;
@@ -55,6 +56,11 @@
 /** Bounds of a single sample of the slowness: one cold object or lost packet must not mark a server as slow. */
 const minSlowness = 0.5;
 const maxSlowness = 12;
+/**
+ * Weight in the cost of the time by which a machine's other load lengthens the work. It passes sooner than the copies of
+ * objects that would be made elsewhere, so that with a weight of 1 fewer requests find a warm server.
+ */
+const addedWorkWeight = 0.5;
 /** Interpolation between cold and warm work time for an object that other instances send to the same server. */
 const likelyWarmWeight = 0.5;
 
@@ -87,6 +93,20 @@
         return isFirstInZone ? coldMs + (warmMs - coldMs) * likelyWarmWeight : coldMs;
     };
 
+    /**
+     * Time by which the machine's other load lengthens the work. An object that is probably warm is not moved for a time that
+     * only its cold work would take.
+     */
+    const getAddedWorkMs = (
+        { isFirstInZone, server }: Candidate,
+        { route }: RoutedRequest,
+        usualWorkMs: number,
+        workTimeFactor: number,
+    ): number => {
+        const warmMs = getEstimate(route).expectedWorkMs(true) * server.slowness;
+        return (workTimeFactor - 1) * (isFirstInZone ? Math.min(usualWorkMs, warmMs) : usualWorkMs);
+    };
+
     /**
      * An additional cached copy of an object in the region costs the time for a cold request and evicts another object.
      * The cost is divided among the requests that are expected to reuse the copy.
@@ -113,13 +133,21 @@
         place: (candidate, req, now) => {
             const { server } = candidate;
             const { slots } = server.record;
-            const workMs = getExpectedWorkMs(candidate, req) * server.slowness;
+            const workTimeFactor = server.load.workTimeFactor(now);
+            const usualWorkMs = getExpectedWorkMs(candidate, req) * server.slowness;
+            const addedWorkMs = getAddedWorkMs(candidate, req, usualWorkMs, workTimeFactor);
+            const workMs = usualWorkMs + addedWorkMs;
             const busy = server.load.expected(now);
             const excess = Math.max(0, busy + server.load.waiting() + 1 - slots);
-            const waitMs = (excess / slots) * getEstimate(req.route).expectedWorkMs(true) * server.slowness;
+            const waitMs =
+                (excess / slots) *
+                getEstimate(req.route).expectedWorkMs(true) *
+                server.slowness *
+                workTimeFactor;
             const roundTripMs = zoneLatency.roundTripMs(server);
             const expectedMs = roundTripMs + waitMs + workMs;
-            const slotMs = workMs * (slotPrices.get(req.service) ?? 0);
+            const notCountedMs = addedWorkMs * (1 - addedWorkWeight);
+            const slotMs = (workMs - notCountedMs) * (slotPrices.get(req.service) ?? 0);
             const failureMs =
                 server.health.failureRate(now) * failureCostInTargets * req.route.targetLatencyMs;
             const spreadMs = candidate.otherRegionRank * otherRegionRankCostMs;
@@ -131,9 +159,12 @@
                 expectedMs,
                 waitMs,
                 workMs,
+                usualWorkMs,
+                workTimeFactor,
                 roundTripMs,
                 costMs:
-                    expectedMs +
+                    expectedMs -
+                    notCountedMs +
                     slotMs +
                     failureMs +
                     spreadMs +
@@ -141,15 +172,17 @@
                     copyCost(candidate, req),
             };
         },
-        recordResponse: (req, placement, firstByteMs, responseBytes) => {
+        recordResponse: (req, placement, { firstByteMs, responseBytes }, now) => {
             const estimate = getEstimate(req.route);
             estimate.recordResponseBytes(responseBytes);
             if (placement.waitMs > 0) {
                 return;
             }
             const { server, isWarm } = placement;
-            const workMs = Math.max(1, firstByteMs - placement.roundTripMs);
-            const ratio = workMs / Math.max(1, placement.workMs / server.slowness);
+            // What the machine's other load explains is neither slowness of the server nor work of the route.
+            const workTimeFactor = (placement.workTimeFactor + server.load.workTimeFactor(now)) / 2;
+            const workMs = Math.max(1, (firstByteMs - placement.roundTripMs) / workTimeFactor);
+            const ratio = workMs / Math.max(1, placement.usualWorkMs / server.slowness);
             const sample = Math.min(maxSlowness, Math.max(minSlowness, ratio));
             server.slowness += (sample - server.slowness) * slownessWeight;
             estimate.recordWork(isWarm, workMs / Math.max(1, server.slowness));
--- a/packages/balancing/src/placement.ts
+++ b/packages/balancing/src/placement.ts
@@ -41,6 +41,10 @@
     waitMs: number;
     /** Expected processing time on the server. */
     workMs: number;
+    /** Expected processing time while the server's machine has its usual speed. */
+    usualWorkMs: number;
+    /** Work time factor of the server when it was chosen. */
+    workTimeFactor: number;
     /** Expected network round-trip time. */
     roundTripMs: number;
     /** Cost by which placements are compared: the expected time plus the cost to other requests. */
