feat(gateway): pass load reports between the active instances of a region

A server of a large deployment answers any one instance only every second or two, so instances chose by old reports.

Adds the metrics waxwingdale_gateway_load_report_age_seconds and waxwingdale_gateway_utilization_spread, and the estimates to the state dump.

--- a/packages/balancing/test/choice-model.ts
+++ b/packages/balancing/test/choice-model.ts
@@ -34,6 +34,8 @@
 const meanOf = (values: readonly number[]) =>
     values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
 
+export type ModelResult = Awaited<ReturnType<typeof runModel>>;
+
 export async function runModel({ slots, statesWorkTime, exchangeMs, ...options }: ModelOptions) {
     const clock = createManualClock(1000);
     const random = createRandom(options.seed ?? 1);
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -33,6 +33,7 @@
 import type { GatewayContext, RegisterComponent } from "./gateway-tokens.js";
 import { createInstanceDirectory } from "./instance-directory.js";
 import { createInstanceTopology } from "./instance-topology.js";
+import { createLoadReportExchange } from "./load-report-exchange.js";
 import { createServerReportExchange } from "./server-report-exchange.js";
 import { createCrashLog, logRequest, logSkippedResponse } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
@@ -222,6 +223,20 @@
                     busy: busy.toFixed(1),
                     allSlots,
                 }),
+            onReportUsed: (service, ageMs) => get(tokens.metrics).observeReportAge(service, ageMs),
+        });
+    });
+    add(tokens.loadReports, get => {
+        const { self, settings, clock, logger } = get(tokens.context);
+        return createLoadReportExchange({
+            table: get(tokens.table),
+            selfId: self.id,
+            activeInRegion: () => get(tokens.topology).inRegion(settings().region),
+            members: () => get(tokens.membership).members(),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            clock,
+            logger,
         });
     });
     add(tokens.admission, get =>
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -12,11 +12,15 @@
 export interface GatewayMetrics {
     registry: Registry;
     observe(record: RequestRecord): void;
+    /** Observes the age in milliseconds of the load report that a server was chosen by. */
+    observeReportAge(service: string, ageMs: number): void;
     countLookup(): void;
     countExamination(examination: LossExamination): void;
     countSkipped(service: string, skipped: SkippedResponse): void;
     /** Adds a gauge whose value is read at collection time. */
     addGauge(name: string, help: string, read: () => number): void;
+    /** Adds a gauge for the spread of the slots in use; `read` returns standard deviations by service. */
+    addUtilizationSpreads(read: () => ReadonlyMap<string, number>): void;
     /** Adds a gauge for the view age of each store prefix; `read` returns the ages in milliseconds. */
     addViewAges(read: () => ReadonlyMap<string, number>): void;
 }
@@ -56,6 +60,13 @@
         labelNames: ["service", "zone", "result"],
         registers: [registry],
     });
+    const reportAges = new Histogram({
+        name: "waxwingdale_gateway_load_report_age_seconds",
+        help: "Age of the newest load report of a backend server when a request is sent to it",
+        labelNames: ["service"],
+        buckets: latencyBuckets,
+        registers: [registry],
+    });
     const lookups = new Counter({
         name: "waxwingdale_gateway_lookups_total",
         help: "Look-ups of clients",
@@ -95,10 +106,24 @@
                 attempts.inc({ service, zone, result: result.split(":", 1)[0] });
             }
         },
+        observeReportAge: (service, ageMs) => reportAges.observe({ service }, ageMs / 1000),
         countLookup: () => lookups.inc(),
         countSkipped: (service, { mismatch }) => skippedResponses.inc({ service, reason: mismatch }),
         countExamination: ({ loss, verdict }) => examinations.inc({ loss, verdict }),
         addGauge: (name, help, read) => addGauge(registry, name, help, read),
+        addUtilizationSpreads: read => {
+            new Gauge({
+                name: "waxwingdale_gateway_utilization_spread",
+                help: "Standard deviation of the estimated slot utilization over the usable servers of the region",
+                labelNames: ["service"],
+                registers: [registry],
+                collect() {
+                    // Services of an earlier configuration are left out.
+                    this.reset();
+                    read().forEach((spread, service) => this.set({ service }, spread));
+                },
+            });
+        },
         addViewAges: read => {
             new Gauge({
                 name: "waxwingdale_gateway_store_view_age_seconds",
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -35,6 +35,7 @@
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import type { InstanceDirectory } from "./instance-directory.js";
 import type { InstanceTopology } from "./instance-topology.js";
+import type { LoadReportExchange } from "./load-report-exchange.js";
 import type { GatewaySettings } from "./settings.js";
 import type { StoreView } from "./store-view.js";
 import type { StoreWatches } from "./store-watches.js";
@@ -73,6 +74,7 @@
     table: createToken<BackendTable>("table"),
     storeView: createToken<StoreView>("storeView"),
     balancer: createToken<Balancer>("balancer"),
+    loadReports: createToken<LoadReportExchange>("loadReports"),
     admission: createToken<AdmissionControl>("admission"),
     quota: createToken<QuotaGate>("quota"),
     retryBudgets: createToken<(service: string) => WindowedRetryBudget>("retryBudgets"),
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -22,6 +22,7 @@
 import { tokens } from "./gateway-tokens.js";
 import { createPeerHandler, openListener } from "./listeners.js";
 import type { Listener } from "./listeners.js";
+import { loadReportIntervalMs } from "./load-report-exchange.js";
 import { createSettingsSource } from "./settings-source.js";
 import type { GatewaySettings } from "./settings.js";
 
@@ -101,6 +102,7 @@
     const storeView = get(tokens.storeView);
     const config = get(tokens.config);
     const startupGate = get(tokens.startupGate);
+    const loadReports = get(tokens.loadReports);
     let isStopping = false;
 
     const getNotReadyReason = () => {
@@ -163,6 +165,7 @@
             get(tokens.balancer).adapt();
             updateReadiness();
         }),
+        every(loadReportIntervalMs, () => loadReports.send()),
         every(sweepIntervalMs, () => get(tokens.pool).sweep()),
     ];
     void source.run(controller.signal);
@@ -235,6 +238,7 @@
         "Requests that are rejected, since they have crashed backend servers",
         () => get(tokens.crashSuspects).rejected().length,
     );
+    metrics.addUtilizationSpreads(() => get(tokens.balancer).utilizationSpreads());
     metrics.addViewAges(() => get(tokens.storeWatches).ages());
     metrics.addGauge(
         "waxwingdale_gateway_rate_limited_servers",
@@ -255,10 +259,12 @@
 }
 
 function describeState(get: Get): unknown {
+    const now = get(tokens.context).clock.now();
     return {
         config: describeConfig(get(tokens.config).current()),
         membership: get(tokens.membership).state(),
         balancer: get(tokens.balancer).describe(),
+        loadReports: get(tokens.loadReports).describe(),
         evacuatedZones: get(tokens.table).evacuatedZones(),
         crashSuspects: describeSuspects(get),
         servers: get(tokens.table)
@@ -267,6 +273,9 @@
                 ...record,
                 isLeaving,
                 inFlight: load.inFlight(),
+                expectedInFlight: load.expected(now),
+                workTimeFactor: load.workTimeFactor(now),
+                loadReportAgeMs: load.latest(now)?.ageMs,
                 slowness,
                 requestsPerSecond: rateLimit.requestsPerSecond(),
             })),
--- a/packages/gateway/test/gateway-metrics.test.ts
+++ b/packages/gateway/test/gateway-metrics.test.ts
@@ -78,3 +78,18 @@
     const text = await metrics.registry.metrics();
     assert.match(text, /skipped_responses_total\{service="files",reason="no-id"\} 1/);
 });
+
+// Guards against the spread of a service that a new configuration no longer has.
+test("the spread of slots in use is reported for the current services", async () => {
+    const metrics = createGatewayMetrics();
+    let spreads = new Map([["files", 0.25]]);
+    metrics.addUtilizationSpreads(() => spreads);
+    assert.match(
+        await metrics.registry.metrics(),
+        /waxwingdale_gateway_utilization_spread\{service="files"\} 0\.25/,
+    );
+    spreads = new Map([["mail", 0.5]]);
+    const text = await metrics.registry.metrics();
+    assert.match(text, /utilization_spread\{service="mail"\} 0\.5/);
+    assert.doesNotMatch(text, /utilization_spread\{service="files"\}/);
+});
