--- a/packages/gateway/src/load-report-exchange.ts
+++ b/packages/gateway/src/load-report-exchange.ts
@@ -93,8 +93,8 @@
     };
 
     /**
-     * Notices a pause of the process. After a pause, which the monotonic clock may not have counted, what arrives
-     * is older than it seems.
+     * Notices a pause of the process. After a pause, which the monotonic clock may not have counted, what arrives is older
+     * than it seems.
      */
     const updatePause = (now: number) => {
         const wallTime = clock.wallTime();
