feat(gateway): requests with keys only while the view of the configuration is fresh

Cause: an instance that does not hear from the store served withdrawn keys without end, and one that had been suspended took its view for current, since the monotonic clock had stood still.

The wait of the configuration's watch is derived from at most 0.8 of revokeSeconds.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -10,7 +10,13 @@
 } from "@waxwingdale/balancing";
 import type { Service, WindowedRetryBudget } from "@waxwingdale/balancing";
 import { createDocumentExchange } from "@waxwingdale/config";
-import { createEventLoopMonitor, createRpcClient, createRpcServer, register } from "@waxwingdale/core";
+import {
+    createElapsedClock,
+    createEventLoopMonitor,
+    createRpcClient,
+    createRpcServer,
+    register,
+} from "@waxwingdale/core";
 import type { Resolve } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
 import { configKey } from "@waxwingdale/platform";
@@ -39,6 +45,7 @@
 import { createStoreWatches } from "./store-watches.js";
 import { createTrafficDocument } from "./traffic-document.js";
 import type { TrafficDocument } from "./traffic-document.js";
+import { createViewFreshness } from "./view-freshness.js";
 
 /** Maximum size of a request body in bytes until a configuration sets one. */
 const defaultMaxBodyBytes = 1024 * 1024;
@@ -114,13 +121,32 @@
     add(tokens.exchange, get =>
         createDocumentExchange({ registry: get(tokens.rpcServer), logger: get(tokens.context).logger }),
     );
-    add(tokens.storeWatches, get => {
+    add(tokens.viewClock, get => {
         const { settings, clock, logger } = get(tokens.context);
-        return createStoreWatches({ bounds: settings().bounds, clock, logger });
+        return createElapsedClock({
+            clock,
+            isEnabled: () => settings().bounds.revokeSeconds !== undefined,
+            onSuspended: suspendedMs =>
+                logger.warn("process-suspended", { suspendedMs: Math.round(suspendedMs) }),
+        });
+    });
+    add(tokens.storeWatches, get => {
+        const { settings, logger } = get(tokens.context);
+        return createStoreWatches({ bounds: settings().bounds, clock: get(tokens.viewClock), logger });
+    });
+    add(tokens.viewFreshness, get => {
+        const { settings, logger } = get(tokens.context);
+        return createViewFreshness({
+            clock: get(tokens.viewClock),
+            logger,
+            revokeSeconds: () => settings().bounds.revokeSeconds,
+            hasWorkspaces: () => get(tokens.config).current()?.workspaces !== undefined,
+            asOf: () => get(tokens.storeWatches).asOf(configKey),
+        });
     });
     add(tokens.store, get => {
         const watches = get(tokens.storeWatches);
-        const { store, clock, logger, settings, fleetKey } = get(tokens.context);
+        const { store, logger, settings, fleetKey } = get(tokens.context);
         // Watches through a peer are long polls, which would block other calls to that peer on a shared connection.
         const transport = createRpcClient({
             id: settings().id,
@@ -135,12 +161,12 @@
             rpc: get(tokens.rpcServer),
             readerWaitMs: prefix => watches.timings(prefix).waitMs,
             maxAgeMs: prefix => watches.timings(prefix).readerMaxAgeMs,
-            clock,
+            clock: get(tokens.viewClock),
             logger,
         });
     });
     add(tokens.config, get => {
-        const { clock, random, logger } = get(tokens.context);
+        const { random, logger } = get(tokens.context);
         const exchange = get(tokens.exchange);
         get(tokens.membership).addExtension("documents", {
             digest: () => exchange.getDigest(),
@@ -150,7 +176,7 @@
             store: get(tokens.store),
             transport: get(tokens.rpcClient),
             exchange,
-            clock,
+            clock: get(tokens.viewClock),
             random,
             logger,
             watch: get(tokens.storeWatches).watch(configKey),
@@ -186,11 +212,11 @@
         return table;
     });
     add(tokens.storeView, get => {
-        const { clock, random, logger, signal } = get(tokens.context);
+        const { random, logger, signal } = get(tokens.context);
         return createStoreView({
             store: get(tokens.store),
             watches: get(tokens.storeWatches),
-            clock,
+            clock: get(tokens.viewClock),
             random,
             logger,
             signal,
@@ -298,7 +324,7 @@
             random,
             startupGate: get(tokens.startupGate),
             maxBodyBytes: () => config.current()?.limits.bodyBytes ?? defaultMaxBodyBytes,
-            mayServeKeys: () => true,
+            mayServeKeys: () => get(tokens.viewFreshness).mayServeKeys(),
             onRequest: record => {
                 metrics.observe(record);
                 logRequest(logger, record);
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -11,6 +11,7 @@
 import { createToken } from "@waxwingdale/core";
 import type {
     Clock,
+    ElapsedClock,
     EventLoopMonitor,
     Logger,
     Member,
@@ -39,6 +40,7 @@
 import type { StoreView } from "./store-view.js";
 import type { StoreWatches } from "./store-watches.js";
 import type { TrafficDocument } from "./traffic-document.js";
+import type { ViewFreshness } from "./view-freshness.js";
 
 /** Values and services that exist before any component is created. */
 export interface GatewayContext {
@@ -68,6 +70,9 @@
     coldSenderHistory: createToken<CandidateHistory>("coldSenderHistory"),
     exchange: createToken<DocumentExchange>("exchange"),
     store: createToken<ObjectStore>("store"),
+    /** Clock of everything that is read from the store or from peers in its place. */
+    viewClock: createToken<ElapsedClock>("viewClock"),
+    viewFreshness: createToken<ViewFreshness>("viewFreshness"),
     storeWatches: createToken<StoreWatches>("storeWatches"),
     config: createToken<TrafficDocument>("config"),
     table: createToken<BackendTable>("table"),
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -158,6 +158,7 @@
     const timers = [
         every(adaptIntervalMs, () => {
             get(tokens.eventLoop).tick();
+            get(tokens.viewFreshness).update();
             get(tokens.candidateHistory).update();
             get(tokens.coldSenderHistory).update();
             get(tokens.balancer).adapt();
--- a/packages/gateway/src/store-watches.ts
+++ b/packages/gateway/src/store-watches.ts
@@ -3,7 +3,7 @@
  * prefix has to take effect on all instances, so that no individual wait can exceed it.
  */
 import { getErrorMessage } from "@waxwingdale/core";
-import type { Clock, Logger } from "@waxwingdale/core";
+import type { ElapsedClock, Logger } from "@waxwingdale/core";
 import { configKey, evacuationsPrefix, serversPrefix } from "@waxwingdale/platform";
 import type { WatchSettings } from "@waxwingdale/store";
 import type { GatewaySettings } from "./settings.js";
@@ -24,7 +24,7 @@
 
 export type WatchBounds = Pick<
     GatewaySettings["bounds"],
-    "configApplySeconds" | "drainSeconds" | "evacuateSeconds"
+    "configApplySeconds" | "drainSeconds" | "evacuateSeconds" | "revokeSeconds"
 >;
 
 export interface StoreWatches {
@@ -32,14 +32,21 @@
     watch(prefix: string): WatchSettings;
     /** Age in milliseconds of the view of each prefix that has been read. */
     ages(): ReadonlyMap<string, number>;
+    /** Returns the clock time up to which the view of a prefix is complete, or undefined before it has been read. */
+    asOf(prefix: string): number | undefined;
 }
 
 export interface StoreWatchesOptions {
     bounds: WatchBounds;
-    clock: Clock;
+    clock: ElapsedClock;
     logger: Logger;
 }
 
+/**
+ * Maximum bound of the configuration as a fraction of `revokeSeconds`, so that a view that is refreshed in time is not
+ * too old for keyed requests.
+ */
+const revokeFraction = 0.8;
 /**
  * Fractions of the bound. In normal operation, the wait and a round trip end before a refresh is due. Three refreshes
  * fit before the bound, so the last one is in time even if two connections have stalled besides that of the watch.
@@ -60,7 +67,7 @@
 /** Creates the watches of an instance. Later changes to the settings do not affect the timings. */
 export function createStoreWatches({ bounds, clock, logger }: StoreWatchesOptions): StoreWatches {
     const boundSeconds = new Map([
-        [configKey, bounds.configApplySeconds],
+        [configKey, Math.min(bounds.configApplySeconds, (bounds.revokeSeconds ?? Infinity) * revokeFraction)],
         [serversPrefix, bounds.drainSeconds],
         [evacuationsPrefix, bounds.evacuateSeconds],
     ]);
@@ -90,7 +97,12 @@
                 minIntervalMs,
                 minBackoffMs,
                 maxBackoffMs,
-                refresh: { staleAfterMs: refreshAfterMs, intervalMs: refreshIntervalMs },
+                refresh: {
+                    staleAfterMs: refreshAfterMs,
+                    intervalMs: refreshIntervalMs,
+                    requiredAsOf: clock.resumedAt,
+                    onRequired: clock.onResume,
+                },
                 onRefresh: ageMs =>
                     logger.warn("store-view-refresh", { prefix, ageMs: Math.round(ageMs), boundMs }),
                 onProgress: asOf => asOfByPrefix.set(prefix, asOf),
@@ -109,6 +121,7 @@
                     }),
             };
         },
+        asOf: prefix => asOfByPrefix.get(prefix),
         ages: () => {
             const now = clock.now();
             return new Map([...asOfByPrefix].map(([prefix, asOf]) => [prefix, now - asOf]));
--- /dev/null
+++ b/packages/gateway/src/view-freshness.ts
@@ -0,0 +1,77 @@
+/**
+ * Decides whether requests with keys may be served: only while this instance would know if a key had been withdrawn
+ * longer ago than the declared bound.
+ */
+import type { ElapsedClock, Logger } from "@waxwingdale/core";
+
+export interface ViewFreshnessOptions {
+    /** Clock of the view, which counts suspensions. */
+    clock: ElapsedClock;
+    logger: Logger;
+    /** Time from the withdrawal of a key until no instance serves it, in seconds; undefined if there is no bound. */
+    revokeSeconds: () => number | undefined;
+    /** Whether the configuration has workspaces. */
+    hasWorkspaces: () => boolean;
+    /** Clock time up to which the view of the configuration is complete; undefined before it has been read. */
+    asOf: () => number | undefined;
+}
+
+export interface ViewFreshness {
+    /** Called for each request with a key. */
+    mayServeKeys: () => boolean;
+    /** Detects suspensions and changes without requests; called at short intervals. */
+    update(): void;
+}
+
+/** Why requests with keys are not served. */
+enum Staleness {
+    NotRead = "not-read",
+    /** The process was suspended, and no response to a later call has come yet. */
+    Suspended = "suspended",
+    TooOld = "too-old",
+}
+
+/** Part of the bound that is left for the time from the decision until the request arrives at a server. */
+const deliveryFraction = 0.1;
+
+export function createViewFreshness(options: ViewFreshnessOptions): ViewFreshness {
+    const { clock, logger } = options;
+    /** Clock time since which requests with keys are not served. */
+    let lostAt: number | undefined;
+
+    const findStaleness = (now: number): Staleness | undefined => {
+        const revokeSeconds = options.revokeSeconds();
+        if (revokeSeconds === undefined || !options.hasWorkspaces()) {
+            return undefined;
+        }
+        const asOf = options.asOf();
+        if (asOf === undefined) {
+            return Staleness.NotRead;
+        }
+        if (asOf < clock.resumedAt()) {
+            return Staleness.Suspended;
+        }
+        const maxAgeMs = revokeSeconds * 1000 * (1 - deliveryFraction);
+        return now - asOf < maxAgeMs ? undefined : Staleness.TooOld;
+    };
+
+    const recordChange = (now: number, reason: Staleness | undefined) => {
+        if (reason !== undefined && lostAt === undefined) {
+            lostAt = now;
+            const asOf = options.asOf();
+            logger.warn("keys-not-served", { reason, ageMs: asOf && Math.round(now - asOf) });
+        } else if (reason === undefined && lostAt !== undefined) {
+            logger.info("keys-served", { awayMs: Math.round(now - lostAt) });
+            lostAt = undefined;
+        }
+    };
+
+    const mayServeKeys = (): boolean => {
+        const now = clock.now();
+        const reason = findStaleness(now);
+        recordChange(now, reason);
+        return reason === undefined;
+    };
+
+    return { mayServeKeys, update: () => void mayServeKeys() };
+}
--- a/packages/gateway/test/store-view.test.ts
+++ b/packages/gateway/test/store-view.test.ts
@@ -3,6 +3,7 @@
 import { createBackendTable } from "@waxwingdale/balancing";
 import {
     StoreUnavailableError,
+    createElapsedClock,
     createManualClock,
     createRandom,
     createSilentLogger,
@@ -68,7 +69,7 @@
         store,
         watches: createStoreWatches({
             bounds: { configApplySeconds: 3, drainSeconds: 3, evacuateSeconds: evacuationMs / 1000 },
-            clock,
+            clock: createElapsedClock({ clock, isEnabled: () => false }),
             logger,
         }),
         clock,
--- a/packages/store/src/hedged-call.ts
+++ b/packages/store/src/hedged-call.ts
@@ -11,6 +11,8 @@
     hedge: (signal: AbortSignal) => Promise<Result>;
     /** Returns the clock time at which to make the next call, or Infinity for none. Evaluated after each call. */
     dueAt: () => number;
+    /** Calls `listener` when the result of `dueAt` has changed. Returns a function that removes the listener. */
+    onDueChanged?: ((listener: () => void) => () => void) | undefined;
 }
 
 /**
@@ -26,6 +28,7 @@
         abort();
     }
     let timer: Timer | undefined;
+    let removeListener: (() => void) | undefined;
     try {
         return await new Promise<Result>((resolve, reject) => {
             let pending = 0;
@@ -37,13 +40,19 @@
                         reject(err);
                     }
                 });
+                scheduleHedge();
+            };
+            const scheduleHedge = () => {
+                timer?.cancel();
                 const due = dueAt();
                 timer = due === Infinity ? undefined : clock.setTimer(due - clock.now(), () => send(hedge));
             };
+            removeListener = options.onDueChanged?.(scheduleHedge);
             send(first);
         });
     } finally {
         timer?.cancel();
+        removeListener?.();
         options.signal.removeEventListener("abort", abort);
         abort();
     }
--- a/packages/store/src/refresh-schedule.ts
+++ b/packages/store/src/refresh-schedule.ts
@@ -6,6 +6,10 @@
     staleAfterMs: number;
     /** Minimum time between two calls in milliseconds. */
     intervalMs: number;
+    /** A view that is complete only up to an earlier clock time than this is outdated, whatever its age. */
+    requiredAsOf?: () => number;
+    /** Calls `listener` when `requiredAsOf` has increased. Returns a function that removes the listener. */
+    onRequired?: (listener: () => void) => () => void;
 }
 
 export interface RefreshSchedule {
@@ -19,6 +23,8 @@
     getAsOf: () => number;
     /** Returns the clock time at which the next hedged call is due, or Infinity if none is. */
     dueAt: () => number;
+    /** Whether the view is complete only up to a time before `requiredAsOf`. */
+    isOutdated: () => boolean;
 }
 
 /**
@@ -32,7 +38,9 @@
     let latestAsOf = clock.now();
     let lastCallAt = -Infinity;
     let refreshes = 0;
+    const isOutdated = () => latestAsOf < (options?.requiredAsOf?.() ?? -Infinity);
     return {
+        isOutdated,
         advanceAsOf: asOf => {
             if (asOf > latestAsOf) {
                 latestAsOf = asOf;
@@ -47,6 +55,9 @@
         dueAt: () =>
             options === undefined || refreshes >= maxRefreshes
                 ? Infinity
-                : Math.max(latestAsOf + options.staleAfterMs, lastCallAt + options.intervalMs),
+                : Math.max(
+                      isOutdated() ? -Infinity : latestAsOf + options.staleAfterMs,
+                      lastCallAt + options.intervalMs,
+                  ),
     };
 }
--- a/packages/store/src/view-calls.ts
+++ b/packages/store/src/view-calls.ts
@@ -24,7 +24,9 @@
 export interface ViewCalls {
     /** Reads all objects. */
     list(): Promise<ObjectList>;
-    /** Waits for changes after a position. A hedged call may return a list instead. */
+    /**
+     * Waits for changes after a position, but not if the view is outdated. A hedged call may return a list instead.
+     */
     changes(position: number, waitMs: number): Promise<ViewResult>;
     /** Records that the view is complete up to the clock time `asOf`, as reported by a peer. */
     advanceAsOf: (asOf: number) => void;
@@ -64,6 +66,7 @@
                 return send(hedge(schedule.recordRefresh()), callSignal);
             },
             dueAt: schedule.dueAt,
+            onDueChanged: options.refresh?.onRequired,
         });
         schedule.advanceAsOf(asOf);
         return answer;
@@ -96,7 +99,8 @@
             const poll: TimedCall<ViewResult> = async (sentAt, callSignal) =>
                 toTimedAnswer(await store.poll(prefix, position, callSignal), sentAt, 0);
             // Lists may succeed while watches and polls time out, but they are larger, so only every other call is one.
-            return callWithHedges(watch, refreshes => (refreshes % 2 === 1 ? poll : listInsteadOfChanges));
+            const first = schedule.isOutdated() ? poll : watch;
+            return callWithHedges(first, refreshes => (refreshes % 2 === 1 ? poll : listInsteadOfChanges));
         },
         advanceAsOf: schedule.advanceAsOf,
         getAsOf: schedule.getAsOf,
