feat(relay): a key is checked again whenever its request is sent to a server

Cause: a request that was admitted just before its key was withdrawn ran later, after a wait for its body, its quota or a slot, or with a retry.

Change: the key and the freshness of the view are checked before an attempt starts and before it is written to a connection that had to be opened. Requests rejected for their key are counted by reason (waxwingdale_gateway_key_rejections_total).

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -73,6 +73,12 @@
         labelNames: ["service", "reason"],
         registers: [registry],
     });
+    const keyRejections = new Counter({
+        name: "waxwingdale_gateway_key_rejections_total",
+        help: "Requests rejected for an unknown key, or since the view of the configuration may be too old for keys",
+        labelNames: ["reason"],
+        registers: [registry],
+    });
     return {
         registry,
         observe: ({
@@ -83,8 +89,12 @@
             unreadMs,
             tookMs,
             waitedMs,
+            denial,
             attempts: sends,
         }) => {
+            if (denial !== undefined) {
+                keyRejections.inc({ reason: denial });
+            }
             requests.inc({ kind, service, outcome, status });
             latency.observe({ kind, service, outcome }, tookMs / 1000);
             waits.observe({ service }, waitedMs / 1000);
--- a/packages/gateway/test/gateway-metrics.test.ts
+++ b/packages/gateway/test/gateway-metrics.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { RequestKind } from "@waxwingdale/balancing";
-import { RequestOutcome, ResponseMismatch } from "@waxwingdale/relay";
+import { AccessDenial, RequestOutcome, ResponseMismatch } from "@waxwingdale/relay";
 import type { RequestRecord } from "@waxwingdale/relay";
 import { createGatewayMetrics } from "../src/gateway-metrics.js";
 
@@ -66,6 +66,16 @@
     assert.match(text, /requests_total\{kind="idempotent",service="files",outcome="failed",status="502"\} 1/);
 });
 
+test("counts requests rejected for their key by reason", async () => {
+    const metrics = createGatewayMetrics();
+    metrics.observe(createRecord({ outcome: RequestOutcome.Unauthorized, denial: AccessDenial.UnknownKey }));
+    metrics.observe(createRecord({ outcome: RequestOutcome.Refused, denial: AccessDenial.StaleView }));
+    metrics.observe(createRecord({}));
+    const text = await metrics.registry.metrics();
+    assert.match(text, /key_rejections_total\{reason="unknown-key"\} 1/);
+    assert.match(text, /key_rejections_total\{reason="stale-view"\} 1/);
+});
+
 test("counts skipped responses by service and reason", async () => {
     const metrics = createGatewayMetrics();
     metrics.countSkipped("files", {
--- a/packages/relay/src/attempt-sender.ts
+++ b/packages/relay/src/attempt-sender.ts
@@ -1,8 +1,9 @@
 /** Sends the attempts of a forwarded request: the first one, retries, a hedge, and one on trial. */
-import { ChoiceKind, getRetryAfterMs } from "@waxwingdale/balancing";
+import { ChoiceKind, ServerOutcome, getRetryAfterMs } from "@waxwingdale/balancing";
 import type { Choice, Placement } from "@waxwingdale/balancing";
 import type { Timer } from "@waxwingdale/core";
 import { formatRequestHead } from "./end-to-end-headers.js";
+import { endAttempt } from "./forwarded-request.js";
 import type { ForwardedRequest } from "./forwarded-request.js";
 import type { ForwardingOptions } from "./forwarding-options.js";
 import type { RequestEnd } from "./request-end.js";
@@ -158,7 +159,24 @@
         };
     };
 
+    /** Rejects a request whose key may have been withdrawn while it waited, unless another attempt runs. */
+    const refuseWithdrawn = () => {
+        if (running.size === 0) {
+            end.refuse({ reason: "the key may have been withdrawn", retryAfterMs: 0 });
+        }
+    };
+
+    const cancelUnwritten = (attempt: RunningAttempt) => {
+        attempt.connection.destroy();
+        endAttempt(options, state, attempt, ServerOutcome.Cancelled, "key-withdrawn");
+        refuseWithdrawn();
+    };
+
     const send = (placement: Placement) => {
+        if (!request.mayBeSent()) {
+            refuseWithdrawn();
+            return;
+        }
         balancer.start(routed, placement);
         const attempt = open(placement);
         const serverId = placement.server.record.id;
@@ -169,6 +187,13 @@
                 hasResponseBody: req.method !== "HEAD",
                 isLate: request.unreadMs > 0 || request.queuedMs > 0,
                 deadlineAt,
+                mayWrite: () => {
+                    const mayWrite = request.mayBeSent();
+                    if (!mayWrite) {
+                        cancelUnwritten(attempt);
+                    }
+                    return mayWrite;
+                },
                 formatHead: remainingMs =>
                     `${head}${protocol.formatAttemptHeaders(remainingMs, serverId)}\r\n`,
                 body: request.body,
@@ -184,7 +209,9 @@
                 onFailure: (...failure) => events.onFailure(attempt, ...failure),
             },
         );
-        scheduleDelayCheck(attempt);
+        if (running.has(attempt)) {
+            scheduleDelayCheck(attempt);
+        }
     };
 
     const sendOnTrial = async (first: Placement) => {
--- a/packages/relay/src/early-rejection.ts
+++ b/packages/relay/src/early-rejection.ts
@@ -23,6 +23,8 @@
     workspace?: string | undefined;
     /** Version of the configuration. */
     version?: number;
+    /** Set if the request was rejected for its key. */
+    denial?: AccessDenial;
 }
 
 export function describeMissingRoute(index: RouteIndex | undefined, protocol: WireProtocol): EarlyRejection {
--- a/packages/relay/src/forwarding-options.ts
+++ b/packages/relay/src/forwarding-options.ts
@@ -53,4 +53,6 @@
     body: Buffer | undefined;
     /** Returns what the request has taken from the quota of its workspace; called if it was never sent. */
     refundQuota: () => void;
+    /** Whether the request's key still identifies the same workspace; checked whenever it is sent to a server. */
+    mayBeSent: () => boolean;
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -23,7 +23,7 @@
 import { RequestOutcome } from "./request-outcome.js";
 import type { StartupGate } from "./startup-gate.js";
 import type { RequestInfo } from "./wire-protocol.js";
-import { checkAccess } from "./workspace-access.js";
+import { checkAccess, isKeyValid } from "./workspace-access.js";
 import type { CallerIdentity } from "./workspace-access.js";
 
 export interface RelayOptions extends ForwardingOptions {
@@ -109,6 +109,7 @@
             route,
             workspace,
             version,
+            denial,
         }: EarlyRejection,
     ) => {
         sendLocalResponse(res, status, reason, headers);
@@ -122,6 +123,7 @@
             outcome,
             status,
             reason,
+            denial,
             configVersion: version ?? 0,
             unreadMs: options.eventLoop.pendingMs(),
             waitedMs: 0,
@@ -151,7 +153,8 @@
         const { version } = index;
         const access = checkAccess(index, route, info.apiKey, options.mayServeKeys);
         if ("denial" in access) {
-            rejectUnread(read, { ...describeDenial(access.denial, protocol), route, version });
+            const { denial } = access;
+            rejectUnread(read, { ...describeDenial(denial, protocol), denial, route, version });
             return;
         }
         if (mayEndLate(read, route)) {
@@ -222,6 +225,12 @@
                 configVersion: version,
                 body: result.body,
                 refundQuota,
+                mayBeSent: () =>
+                    isKeyValid(
+                        options.routes(),
+                        { identity, route, apiKey: info.apiKey },
+                        options.mayServeKeys,
+                    ),
             });
         });
     };
--- a/packages/relay/src/request-outcome.ts
+++ b/packages/relay/src/request-outcome.ts
@@ -1,5 +1,6 @@
 /** Outcomes of requests, for logs and metrics. */
 import type { RequestKind } from "@waxwingdale/balancing";
+import type { AccessDenial } from "./workspace-access.js";
 
 export enum RequestOutcome {
     /** The backend server's response was forwarded. */
@@ -45,6 +46,8 @@
     outcome: RequestOutcome;
     status: number;
     reason: string;
+    /** Set if the request was rejected for its key. */
+    denial?: AccessDenial | undefined;
     /** State of the server that a rejected request waited for. */
     detail?: string;
     configVersion: number;
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -178,6 +178,7 @@
                     requestId: undefined,
                     isLate: false,
                     deadlineAt,
+                    mayWrite: () => true,
                     formatHead: remainingMs => formatHealthCheck(server, remainingMs),
                     body: undefined,
                     hasResponseBody: true,
--- a/packages/relay/src/workspace-access.ts
+++ b/packages/relay/src/workspace-access.ts
@@ -15,6 +15,13 @@
     StaleView = "stale-view",
 }
 
+/** A request that was admitted, with its key. */
+export interface KeyUse {
+    identity: CallerIdentity;
+    route: Route;
+    apiKey: string | undefined;
+}
+
 export type AccessDecision = { identity: CallerIdentity } | { denial: AccessDenial };
 
 /** @param mayServeKeys Whether this instance would know if a key had been withdrawn. */
@@ -38,3 +45,23 @@
         ? { denial: AccessDenial.UnknownKey }
         : { identity: { needsKeys: true, workspace } };
 }
+
+/**
+ * Whether a request that was admitted may still be sent to a server: its key may have been withdrawn while the request
+ * waited. A public route needs no key.
+ */
+export function isKeyValid(
+    index: RouteIndex | undefined,
+    { identity, route, apiKey }: KeyUse,
+    mayServeKeys: () => boolean,
+): boolean {
+    const { workspace } = identity;
+    if (workspace === undefined || route.isPublic) {
+        return true;
+    }
+    return (
+        mayServeKeys() &&
+        apiKey !== undefined &&
+        (index?.workspaces === undefined || index.workspaces.find(apiKey)?.name === workspace.name)
+    );
+}
--- a/packages/relay/test/workspace-access.test.ts
+++ b/packages/relay/test/workspace-access.test.ts
@@ -1,16 +1,25 @@
 /** Guards against requests that run for the wrong workspace, or whose key reaches a backend server. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { QuotaVerdict, RequestKind } from "@waxwingdale/balancing";
+import { QuotaVerdict, RequestKind, createRouteIndex } from "@waxwingdale/balancing";
 import type { QuotaGate, Workspace } from "@waxwingdale/balancing";
-import { RequestOutcome } from "@waxwingdale/relay";
-import { formatRequest, formatResponse, sendRaw, startInstance, startServer } from "./fixtures.js";
+import { RequestOutcome, checkAccess, isKeyValid } from "@waxwingdale/relay";
+import {
+    createTestRoute,
+    formatRequest,
+    formatResponse,
+    sendRaw,
+    startInstance,
+    startServer,
+} from "./fixtures.js";
 import type { InstanceOptions } from "./fixtures.js";
 
 function createWorkspace(name: string, apiKeys: readonly string[]): Workspace {
     return { name, apiKeys, priority: 0, requestsPerSecond: 0, burst: 0, allowedRegions: [] };
 }
 
+const testLimits = { headerBytes: 1000, bodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 };
+const testRoute = createTestRoute(RequestKind.Idempotent);
 const workspaces = [createWorkspace("first", ["k1", "k2"]), createWorkspace("second", ["k3"])];
 
 /** Sends one request with the given headers. Returns the response, what the server got, and the record. */
@@ -46,6 +55,45 @@
     assert.equal(received, undefined);
 });
 
+// Guards against requests that run after their key was withdrawn, since they were decided on before.
+for (const method of ["first attempt", "connection that is being opened"]) {
+    test(`a request whose key may have been withdrawn while it waited is not sent: ${method}`, async () => {
+        const decisions = method === "first attempt" ? [true, false] : [true, true, false];
+        const mayServeKeys = () => decisions.shift() ?? assert.fail("asked too often");
+        const { response, received } = await exchange("X-Key: k1\r\n", { workspaces, mayServeKeys });
+        assert.match(response, /^HTTP\/1.1 503[^]*Retry-After/);
+        assert.equal(received, undefined);
+        assert.equal(decisions.length, 0);
+    });
+}
+
+test("a key that has moved to another workspace while the request waited is not valid for it", () => {
+    const [first, second] = workspaces;
+    const [firstKey = "", movedKey = ""] = first!.apiKeys;
+    const moved = [
+        { ...first!, apiKeys: [firstKey] },
+        { ...second!, apiKeys: [movedKey] },
+    ];
+    const [before, after] = [workspaces, moved].map((listed, version) =>
+        createRouteIndex({ version, routes: [], services: [], limits: testLimits, workspaces: listed }),
+    );
+    const isValid = (apiKey: string, index = after) =>
+        isKeyValid(
+            index,
+            { apiKey, route: testRoute, identity: { needsKeys: true, workspace: first } },
+            () => true,
+        );
+    assert.ok(isValid(movedKey, before));
+    assert.ok(isValid(firstKey));
+    assert.ok(!isValid(movedKey));
+    assert.deepEqual(
+        checkAccess(after!, testRoute, movedKey, () => true),
+        {
+            identity: { needsKeys: true, workspace: moved[1] },
+        },
+    );
+});
+
 test("without workspaces, headers that would identify a caller are forwarded", async () => {
     const { received } = await exchange("X-Key: k9\r\nX-Workspace: first\r\n", {});
     assert.match(received ?? "", /X-Key: k9[^]*X-Workspace: first/);
