--- a/packages/balancing/src/traffic-config.ts
+++ b/packages/balancing/src/traffic-config.ts
@@ -43,6 +43,7 @@
 /** A customer of the operators, whose callers identify themselves by its keys. */
 export interface Workspace {
     name: string;
+    /** What identifies the keys: digests of them. */
     apiKeys: readonly string[];
     /** Precedes the priority of the route; 0 is the most urgent. */
     priority: number;
--- a/packages/config/src/replicated-document.ts
+++ b/packages/config/src/replicated-document.ts
@@ -1,5 +1,5 @@
 /** A document that is persisted in the store and replicated between peers. The order of its value only increases. */
-import { getErrorMessage } from "@waxwingdale/core";
+import { getErrorMessage, setBounded } from "@waxwingdale/core";
 import type { Clock, Logger, ObjectStore, PeerTransport, Random } from "@waxwingdale/core";
 import { watchPrefix } from "@waxwingdale/store";
 import type { WatchSettings } from "@waxwingdale/store";
@@ -68,6 +68,9 @@
     run(signal: AbortSignal): Promise<void>;
 }
 
+/** Number of unsupported values that are remembered, so that each is logged once. */
+const maxLoggedOrders = 100;
+
 interface ActiveValue<Value> {
     order: Order;
     value: Value;
@@ -89,6 +92,8 @@
     /** Latest value in its stored format. A value that this process cannot apply is still served to peers that can. */
     let latest: LatestValue | undefined;
     let unsupported: UnsupportedValue | undefined;
+    /** Orders of unsupported values that have been logged. */
+    const loggedOrders = new Map<string, true>();
 
     const getLatestOrder = () => latest?.order;
 
@@ -149,12 +154,19 @@
         apply(order, value, source);
     };
 
+    /** A value without a readable order is logged each time, as the store delivers each version only once. */
     const reportUnsupported = (next: UnsupportedValue) => {
         if (unsupported === undefined || compareOrders(next.order, unsupported.order) > 0) {
             unsupported = next;
+        }
+        const order = next.order?.join(".");
+        if (order === undefined || !loggedOrders.has(order)) {
+            if (order !== undefined) {
+                setBounded(loggedOrders, order, true, maxLoggedOrders);
+            }
             logger.error("document-unsupported", {
                 document: name,
-                order: next.order?.join("."),
+                order,
                 inForce: applied?.order.join("."),
                 reason: next.reason,
             });
--- a/packages/relay/src/wire-protocol.ts
+++ b/packages/relay/src/wire-protocol.ts
@@ -10,7 +10,7 @@
     deadlineMs: number | undefined;
     /** Identifies the requested object. */
     objectKey: string | undefined;
-    /** Key of the caller's workspace. It must not be logged. */
+    /** Identifies the key of the caller's workspace as the configuration does, by a digest. It must not be logged. */
     apiKey?: string | undefined;
 }
 
