feat(gateway): peers confirm the configuration of an instance that does not hear from the store

Cause: an instance that starts while the store rejects it has its configuration from a peer, but no age of it, and rejected all requests with keys until the store had answered.

Change: while its view is older than in ordinary operation, an instance asks one live peer after the other for the version of its configuration and the age of its view (config.age). If the peer has none newer, the view is complete up to that age.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -43,8 +43,9 @@
 import { createCrashLog, logRequest, logSkippedResponse } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
 import { createStoreWatches } from "./store-watches.js";
-import { createTrafficDocument } from "./traffic-document.js";
+import { createTrafficDocument, trafficDocumentName } from "./traffic-document.js";
 import type { TrafficDocument } from "./traffic-document.js";
+import { createViewConfirmation } from "./view-confirmation.js";
 import { createViewFreshness } from "./view-freshness.js";
 
 /** Maximum size of a request body in bytes until a configuration sets one. */
@@ -144,6 +145,24 @@
             asOf: () => get(tokens.storeWatches).asOf(configKey),
         });
     });
+    add(tokens.viewConfirmation, get => {
+        const { random, logger, signal } = get(tokens.context);
+        const watches = get(tokens.storeWatches);
+        return createViewConfirmation({
+            exchange: get(tokens.exchange),
+            documentName: trafficDocumentName,
+            members: () => get(tokens.membership),
+            transport: get(tokens.rpcClient),
+            rpc: get(tokens.rpcServer),
+            clock: get(tokens.viewClock),
+            random,
+            logger,
+            signal,
+            asOf: () => watches.asOf(configKey),
+            isNeeded: () => get(tokens.viewFreshness).needsConfirmation(),
+            onConfirmed: asOf => watches.advance(configKey, asOf),
+        });
+    });
     add(tokens.store, get => {
         const watches = get(tokens.storeWatches);
         const { store, logger, settings, fleetKey } = get(tokens.context);
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -40,6 +40,7 @@
 import type { StoreView } from "./store-view.js";
 import type { StoreWatches } from "./store-watches.js";
 import type { TrafficDocument } from "./traffic-document.js";
+import type { ViewConfirmation } from "./view-confirmation.js";
 import type { ViewFreshness } from "./view-freshness.js";
 
 /** Values and services that exist before any component is created. */
@@ -72,6 +73,7 @@
     store: createToken<ObjectStore>("store"),
     /** Clock of everything that is read from the store or from peers in its place. */
     viewClock: createToken<ElapsedClock>("viewClock"),
+    viewConfirmation: createToken<ViewConfirmation>("viewConfirmation"),
     viewFreshness: createToken<ViewFreshness>("viewFreshness"),
     storeWatches: createToken<StoreWatches>("storeWatches"),
     config: createToken<TrafficDocument>("config"),
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -169,6 +169,7 @@
     void source.run(controller.signal);
     void config.run(controller.signal);
     void storeView.run();
+    void get(tokens.viewConfirmation).run();
     void membership.run(controller.signal);
     void get(tokens.crashArchive).run(controller.signal);
     logger.info("started", {
--- a/packages/gateway/src/store-watches.ts
+++ b/packages/gateway/src/store-watches.ts
@@ -34,6 +34,8 @@
     ages(): ReadonlyMap<string, number>;
     /** Returns the clock time up to which the view of a prefix is complete, or undefined before it has been read. */
     asOf(prefix: string): number | undefined;
+    /** Records that the view of a prefix is complete up to the clock time `asOf`. */
+    advance(prefix: string, asOf: number): void;
 }
 
 export interface StoreWatchesOptions {
@@ -73,6 +75,10 @@
     ]);
     const asOfByPrefix = new Map<string, number>();
 
+    const advance = (prefix: string, asOf: number) => {
+        asOfByPrefix.set(prefix, Math.max(asOf, asOfByPrefix.get(prefix) ?? -Infinity));
+    };
+
     const timings = (prefix: string): WatchTimings => {
         const seconds = boundSeconds.get(prefix);
         if (seconds === undefined) {
@@ -105,7 +111,7 @@
                 },
                 onRefresh: ageMs =>
                     logger.warn("store-view-refresh", { prefix, ageMs: Math.round(ageMs), boundMs }),
-                onProgress: asOf => asOfByPrefix.set(prefix, asOf),
+                onProgress: asOf => advance(prefix, asOf),
                 onUnavailable: (err, silentMs) =>
                     logger.warn("dependency-lost", {
                         dependency: "store",
@@ -121,6 +127,7 @@
                     }),
             };
         },
+        advance,
         asOf: prefix => asOfByPrefix.get(prefix),
         ages: () => {
             const now = clock.now();
--- a/packages/gateway/src/traffic-document.ts
+++ b/packages/gateway/src/traffic-document.ts
@@ -5,6 +5,9 @@
 import type { ReplicatedDocument, ReplicatedDocumentOptions } from "@waxwingdale/config";
 import { configKey, decodeConfig, readConfigVersion } from "@waxwingdale/platform";
 
+/** Name of the configuration among the documents that instances exchange. */
+export const trafficDocumentName = "traffic";
+
 export interface TrafficDocument {
     current(): TrafficConfig | undefined;
     routes(): RouteIndex | undefined;
@@ -20,7 +23,7 @@
 export function createTrafficDocument(options: TrafficDocumentOptions): TrafficDocument {
     const document = createReplicatedDocument<TrafficConfig>({
         ...options,
-        name: "traffic",
+        name: trafficDocumentName,
         key: configKey,
         getOrder: value => [readConfigVersion(value)],
         parse: decodeConfig,
--- a/packages/gateway/src/view-freshness.ts
+++ b/packages/gateway/src/view-freshness.ts
@@ -19,6 +19,8 @@
 export interface ViewFreshness {
     /** Called for each request with a key. */
     mayServeKeys: () => boolean;
+    /** Whether the view is older than in ordinary operation, so that peers should confirm it. */
+    needsConfirmation(): boolean;
     /** Detects suspensions and changes without requests; called at short intervals. */
     update(): void;
 }
@@ -34,12 +36,19 @@
 /** Part of the bound that is left for the time from the decision until the request arrives at a server. */
 const deliveryFraction = 0.1;
 
+/**
+ * Part of the time for which a view is fresh after which peers are asked. In ordinary operation, a view gets half of
+ * `revokeSeconds` old.
+ */
+const confirmFraction = 0.65;
+
 export function createViewFreshness(options: ViewFreshnessOptions): ViewFreshness {
     const { clock, logger } = options;
     /** Clock time since which requests with keys are not served. */
     let lostAt: number | undefined;
 
-    const findStaleness = (now: number): Staleness | undefined => {
+    /** @param fraction Part of the time for which a view is fresh. */
+    const findStaleness = (now: number, fraction = 1): Staleness | undefined => {
         const revokeSeconds = options.revokeSeconds();
         if (revokeSeconds === undefined || !options.hasWorkspaces()) {
             return undefined;
@@ -52,7 +61,7 @@
             return Staleness.Suspended;
         }
         const maxAgeMs = revokeSeconds * 1000 * (1 - deliveryFraction);
-        return now - asOf < maxAgeMs ? undefined : Staleness.TooOld;
+        return now - asOf < maxAgeMs * fraction ? undefined : Staleness.TooOld;
     };
 
     const recordChange = (now: number, reason: Staleness | undefined) => {
@@ -73,5 +82,9 @@
         return reason === undefined;
     };
 
-    return { mayServeKeys, update: () => void mayServeKeys() };
+    return {
+        mayServeKeys,
+        needsConfirmation: () => findStaleness(clock.now(), confirmFraction) !== undefined,
+        update: () => void mayServeKeys(),
+    };
 }
--- a/packages/gateway/test/view-freshness.test.ts
+++ b/packages/gateway/test/view-freshness.test.ts
@@ -7,6 +7,7 @@
     createManualClock,
     createRandom,
     createSilentLogger,
+    StoreUnavailableError,
 } from "@waxwingdale/core";
 import type { ManualClock, Member, ObjectStore, RpcHandler, WatchResult } from "@waxwingdale/core";
 import { configKey } from "@waxwingdale/platform";
@@ -90,13 +91,42 @@
     instance.stop();
 });
 
+/** Path of one instance to the store. */
+class StorePath extends MemoryObjectStore {
+    constructor(
+        clock: ManualClock,
+        private readonly store: MemoryObjectStore,
+        private readonly isRejecting: () => boolean,
+    ) {
+        super(clock);
+    }
+
+    override async listWithVersion(prefix: string) {
+        this.check();
+        return this.store.listWithVersion(prefix);
+    }
+
+    override async watch(...args: Parameters<MemoryObjectStore["watch"]>) {
+        this.check();
+        const result = await this.store.watch(...args);
+        this.check();
+        return result;
+    }
+
+    private check(): void {
+        if (this.isRejecting()) {
+            throw new StoreUnavailableError("rejected");
+        }
+    }
+}
+
 /** Creates a store client of each of `count` instances in a region, of which three read the store and others follow. */
-function createRegion(clock: ManualClock, store: ObjectStore, count: number): ObjectStore[] {
-    const members = Array.from({ length: count }, (_, i) => createMember(`g-${i}`, "n-a", "north"));
+function createRegion(clock: ManualClock, stores: readonly ObjectStore[]): ObjectStore[] {
+    const members = stores.map((_, i) => createMember(`g-${i}`, "n-a", "north"));
     const handlers = new Map<string, RpcHandler>();
-    return members.map((self: Member) =>
+    return members.map((self: Member, index) =>
         createRelayedStore({
-            store,
+            store: stores[index]!,
             members: () => ({
                 self: () => self,
                 members: () => members,
@@ -119,24 +149,33 @@
     );
 }
 
-test("keys are served all the time at instances that follow a reader", async () => {
+// Guards against keys that are rejected where peers know the configuration: at followers, and during a partial outage.
+test("keys are served all the time in a region while the store rejects one instance after the other", async () => {
     const clock = createManualClock(1000);
-    const stores = createRegion(clock, createStore(clock), 6);
-    const instances = stores.map(store => startInstance(clock, store));
+    const store = createStore(clock);
+    // Each is rejected for 9 s, and 3 s pass before the next.
+    const isRejecting = (index: number) => {
+        const sinceMs = clock.now() - 5000 - index * 12_000;
+        return sinceMs >= 0 && sinceMs < 9000;
+    };
+    const paths = Array.from({ length: 6 }, (_, i) => new StorePath(clock, store, () => isRejecting(i)));
+    const instances = createRegion(clock, paths).map(path => startInstance(clock, path));
     await clock.advance(1000);
     const rejectedMs = await Promise.all(
         instances
             .map(async ({ mayServeKeys }) => {
                 let rejected = 0;
-                for (let passedMs = 0; passedMs < 60_000; passedMs += 25) {
+                for (let passedMs = 0; passedMs < 80_000; passedMs += 25) {
                     await clock.sleep(25);
                     rejected += mayServeKeys() ? 0 : 25;
                 }
                 return rejected;
             })
-            .concat(clock.advance(60_100).then(() => 0)),
+            .concat(clock.advance(80_100).then(() => 0)),
     );
     assert.deepEqual(new Set(rejectedMs), new Set([0]));
+    const affected = instances.filter(({ log }) => log.some(line => line.includes("dependency-lost")));
+    assert.ok(affected.length >= 3, "the readers, at least, have noticed");
     instances.forEach(({ stop }) => stop());
 });
 
