--- a/packages/gateway/test/view-freshness.test.ts
+++ b/packages/gateway/test/view-freshness.test.ts
@@ -85,6 +85,25 @@
     return { clock, store, instance };
 }
 
+// Guards against a watch whose wait alone makes the view too old for keys.
+test("the watch of the configuration waits for at most 0.4 of the bound for withdrawn keys", () => {
+    const clock = createElapsedClock({ clock: createManualClock(), isEnabled: () => false });
+    const cases = [
+        { configApplySeconds: 2.5, revokeSeconds: undefined, waitMs: 1250 },
+        { configApplySeconds: 2.5, revokeSeconds: 5, waitMs: 1250 },
+        { configApplySeconds: 10, revokeSeconds: 5, waitMs: 2000 },
+        { configApplySeconds: 10, revokeSeconds: undefined, waitMs: 5000 },
+    ];
+    for (const { waitMs, ...changed } of cases) {
+        const watches = createStoreWatches({
+            bounds: { ...bounds, ...changed },
+            clock,
+            logger: createSilentLogger(),
+        });
+        assert.equal(watches.timings(configKey).waitMs, waitMs);
+    }
+});
+
 test("keys are served all the time while the store takes 300 ms for an answer", async () => {
     const { clock, instance } = await setUp();
     assert.equal(await countRejectedMs(clock, instance, 120_000), 0);
