--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -160,6 +160,7 @@
     const timers = [
         every(adaptIntervalMs, () => {
             get(tokens.eventLoop).tick();
+            get(tokens.viewFreshness).update();
             get(tokens.candidateHistory).update();
             get(tokens.coldSenderHistory).update();
             get(tokens.balancer).adapt();
@@ -171,6 +172,7 @@
     void source.run(controller.signal);
     void config.run(controller.signal);
     void storeView.run();
+    void get(tokens.viewConfirmation).run();
     void membership.run(controller.signal);
     void get(tokens.crashArchive).run(controller.signal);
     logger.info("started", {
--- a/packages/store/src/view-calls.ts
+++ b/packages/store/src/view-calls.ts
@@ -26,8 +26,8 @@
     /** Reads all objects. */
     list(): Promise<ObjectList>;
     /**
-     * Waits for changes after a position of the given era. A hedged call may return a list instead. A result of another
-     * era counts as a failed call, since positions of different eras must not be compared.
+     * Waits for changes after a position of the given era, but not if the view is outdated. A hedged call may return a list
+     * instead. A result of another era counts as a failed call, since positions of different eras must not be compared.
      */
     changes(position: number, waitMs: number, era: number | undefined): Promise<ViewResult>;
     /** Records that the view is complete up to the clock time `asOf`, as reported by a peer. */
@@ -68,6 +68,7 @@
                 return send(hedge(schedule.recordRefresh()), callSignal);
             },
             dueAt: schedule.dueAt,
+            onDueChanged: options.refresh?.onRequired,
         });
         schedule.advanceAsOf(asOf);
         return answer;
@@ -110,7 +111,8 @@
                 toTimedAnswer(await store.poll(prefix, position, callSignal), sentAt, 0, era);
             const list = listInsteadOfChanges(era);
             // Lists may succeed while watches and polls time out, but they are larger, so only every other call is one.
-            return callWithHedges(watch, refreshes => (refreshes % 2 === 1 ? poll : list));
+            const first = schedule.isOutdated() ? poll : watch;
+            return callWithHedges(first, refreshes => (refreshes % 2 === 1 ? poll : list));
         },
         advanceAsOf: schedule.advanceAsOf,
         getAsOf: schedule.getAsOf,
