feat(cli): check a gateway configuration before it is sent

Operators learned of a mistake in the configuration only after it was in the store: instances log the first error of an invalid version, and entries without effect are not reported at all.

`check-config <file>` lists all errors with their paths, entries that can never be used, limits that contradict each other, and the changes against the configuration in a file (--against) or in the platform's store (--platform-store). Keys are counted, never printed.

The command line reaches the platform through the gateway package, since no other package may import platform. Severity and ChangeKind move to core, because balancing needs them too.

--- a/packages/cli/src/bin/waxwingdale.ts
+++ b/packages/cli/src/bin/waxwingdale.ts
@@ -3,6 +3,7 @@
 import { createInterface } from "node:readline";
 import { readFile, writeFile } from "node:fs/promises";
 import { createSystemClock } from "@waxwingdale/core";
+import { connectPlatformStore } from "@waxwingdale/gateway";
 import { createEntryFetch } from "../entry-fetch.js";
 import { connectStore } from "../connect-store.js";
 import { runCli } from "../run-cli.js";
@@ -24,6 +25,7 @@
     print: text => void process.stdout.write(`${text}\n`),
     printError: text => void process.stderr.write(`${text}\n`),
     connectStore: address => connectStore(address, clock),
+    connectPlatformStore,
     fetchFromEntry: createEntryFetch(),
     readLines: () => createInterface({ input: process.stdin, crlfDelay: Infinity }),
     createPushId: randomUUID,
--- a/packages/cli/src/command-context.ts
+++ b/packages/cli/src/command-context.ts
@@ -39,6 +39,8 @@
     /** Writes a text and a newline to standard error. */
     printError: (text: string) => void;
     connectStore: (address: string) => ConnectedStore;
+    /** Connects to the store of the gateways' platform, which holds their configuration. */
+    connectPlatformStore: (address: string) => ConnectedStore;
     fetchFromEntry: EntryFetch;
     createPushId: () => string;
 }
--- a/packages/cli/src/command-error.ts
+++ b/packages/cli/src/command-error.ts
@@ -45,7 +45,11 @@
         ExitCode.Unreachable,
         "check --store and that the store is running, then retry the push",
     ],
-    [StoreUnavailableError, ExitCode.Unreachable, "check --store and that the store is running, then retry"],
+    [
+        StoreUnavailableError,
+        ExitCode.Unreachable,
+        "check the store's address and that the store is running, then retry",
+    ],
     [StoreConflictError, ExitCode.Conflict, "read the object again"],
     [StoreOutcomeUnknownError, ExitCode.OutcomeUnknown, "read the object again"],
     [StoreRejectedError, ExitCode.Refused, "correct the problem that the message names"],
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,6 +1,7 @@
 /** All commands in the order of the help text. */
 import type { CommandSpec } from "../command-spec.js";
 import { checkCommand } from "./check.js";
+import { checkConfigCommand } from "./check-config.js";
 import { diffCommand } from "./diff.js";
 import { drainStatusCommand } from "./drain-status.js";
 import { dumpCommand } from "./dump.js";
@@ -30,4 +31,5 @@
     traceFetchCommand,
     traceCheckCommand,
     schemaCommand,
+    checkConfigCommand,
 ];
--- a/packages/cli/src/exit-code.ts
+++ b/packages/cli/src/exit-code.ts
@@ -1,7 +1,7 @@
 /** Exit codes of the command line, which docs/guide/command-line.md documents. */
 export enum ExitCode {
     Ok = 0,
-    /** The manifest has errors, or a trace violates a rule. */
+    /** The manifest or the configuration has errors, or a trace violates a rule. */
     ManifestErrors = 1,
     /** The command, an argument, an option or a file name is invalid. */
     Usage = 2,
--- a/packages/cli/src/manifest-file.ts
+++ b/packages/cli/src/manifest-file.ts
@@ -16,9 +16,13 @@
  * @throws CommandError if the file cannot be read
  */
 export async function readManifestFile(ctx: CommandContext, path: string): Promise<ManifestFile> {
-    let text: string;
+    return readManifest(await readTextFile(ctx, path), path);
+}
+
+/** @throws CommandError if the file cannot be read */
+export async function readTextFile(ctx: CommandContext, path: string): Promise<string> {
     try {
-        text = await ctx.readFile(path);
+        return await ctx.readFile(path);
     } catch (err) {
         throw new CommandError(
             ExitCode.Usage,
@@ -26,7 +30,6 @@
             "check the path and its permissions",
         );
     }
-    return readManifest(text, path);
 }
 
 /**
@@ -49,8 +52,11 @@
     }
 }
 
-/** Creates the error for a manifest that is rejected. */
-export function createManifestError(path: string, problems: readonly Problem[]): CommandError {
+/** Creates the error for a manifest or a configuration that is rejected. */
+export function createManifestError(
+    path: string,
+    problems: readonly Pick<Problem, "severity">[],
+): CommandError {
     const kind = hasErrors(problems) ? "errors" : "warnings";
     return new CommandError(ExitCode.ManifestErrors, `${path} has ${kind}`, "correct the lines listed above");
 }
--- a/packages/cli/src/options.ts
+++ b/packages/cli/src/options.ts
@@ -35,7 +35,12 @@
     against: {
         type: "string",
         value: "file",
-        describe: "File to compare with; default: the active manifest",
+        describe: "File to compare with; default: the active manifest, or none for check-config",
+    },
+    "platform-store": {
+        type: "string",
+        value: "host:port",
+        describe: "Store of the gateways' platform; compares with the configuration in it",
     },
     manifest: { type: "boolean", describe: "Print the active manifest as JSON, ready to edit" },
     seconds: { type: "string", value: "count", describe: "Duration of the recording; default: 60" },
--- a/packages/cli/test/fake-cli.ts
+++ b/packages/cli/test/fake-cli.ts
@@ -20,6 +20,10 @@
     const requests: string[] = [];
     const lines: string[] = [];
     const state = { out: "", err: "", openStores: 0, pushes: 0 };
+    const connect = () => {
+        state.openStores++;
+        return { store, close: async () => void state.openStores-- };
+    };
     const environment: CommandEnvironment = {
         env: { WAXWINGDALE_STORE: "10.0.0.5:7400", WAXWINGDALE_FLEET_KEY: "key" },
         clock,
@@ -35,10 +39,8 @@
         },
         print: text => void (state.out += `${text}\n`),
         printError: text => void (state.err += `${text}\n`),
-        connectStore: () => {
-            state.openStores++;
-            return { store, close: async () => void state.openStores-- };
-        },
+        connectStore: connect,
+        connectPlatformStore: connect,
         fetchFromEntry: async (address, path, _key, method = "GET") => {
             requests.push(method === "GET" ? `${address}${path}` : `${method} ${address}${path}`);
             const response = responses[`${address}${path}`];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./add-gauge.js";
 export * from "./byte-collector.js";
 export * from "./clock.js";
+export * from "./document-check.js";
 export * from "./end-hold.js";
 export * from "./errors.js";
 export * from "./event-loop-monitor.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** The gateway daemon. */
+export * from "./config-check.js";
 export * from "./instance-directory.js";
 export * from "./run-gateway.js";
 export * from "./settings-source.js";
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -4,7 +4,7 @@
 
 const nonNegativeNumber = v.pipe(v.number("must be a number"), v.minValue(0, "must not be negative"));
 /** Defaults of the optional bounds. */
-const defaultBounds = {
+export const defaultBounds = {
     configApplySeconds: 2.5,
     drainSeconds: 2.5,
     evacuateSeconds: 5,
--- a/packages/manifest/src/manifest-change.ts
+++ b/packages/manifest/src/manifest-change.ts
@@ -1,10 +1,8 @@
 /** A difference between two manifests. */
 
-export enum ChangeKind {
-    Added = "added",
-    Removed = "removed",
-    Changed = "changed",
-}
+import { ChangeKind } from "@waxwingdale/core";
+
+export { ChangeKind };
 
 /** How a change affects traffic. */
 export enum ChangeEffect {
--- a/packages/manifest/src/problem.ts
+++ b/packages/manifest/src/problem.ts
@@ -1,13 +1,9 @@
 /** Problems found in a manifest, each with its location in the file and a fix. */
+import { Severity } from "@waxwingdale/core";
 import { formatPath } from "./json-path.js";
 import type { JsonPath } from "./json-path.js";
 
-export enum Severity {
-    /** The manifest cannot be accepted. */
-    Error = "error",
-    /** The manifest can be accepted, but probably does not do what was intended. */
-    Warning = "warning",
-}
+export { Severity };
 
 export enum ProblemCode {
     TooLarge = "too-large",
@@ -60,8 +56,8 @@
 /** Receives the findings of a check. */
 export type Report = (path: JsonPath, finding: Finding) => void;
 
-/** Returns whether any problem prevents the manifest from being accepted. */
-export function hasErrors(problems: readonly Problem[]): boolean {
+/** Returns whether any problem prevents the document from being accepted. */
+export function hasErrors(problems: readonly Pick<Problem, "severity">[]): boolean {
     return problems.some(problem => problem.severity === Severity.Error);
 }
 
