--- a/packages/gateway/test/view-freshness.test.ts
+++ b/packages/gateway/test/view-freshness.test.ts
@@ -36,7 +36,6 @@
     const clock = createElapsedClock({
         clock: { ...manual, wallTime: () => manual.now() + stepMs },
         isEnabled: () => true,
-        uptimeMs: () => manual.now(),
     });
     const watches = createStoreWatches({ bounds, clock, logger });
     void watchPrefix({
