--- a/packages/balancing/src/token-bucket.ts
+++ b/packages/balancing/src/token-bucket.ts
@@ -5,7 +5,8 @@
     update(now: number, tokensPerSecond: number, capacity: number): void;
     /** Number of tokens at the last update. */
     tokens(): number;
-    take(): void;
+    /** @param count Number of tokens, by default one. */
+    take(count?: number): void;
     /** Removes all tokens. */
     clear(): void;
 }
@@ -22,8 +23,8 @@
             rate = tokensPerSecond;
         },
         tokens: () => tokens,
-        take: () => {
-            tokens -= 1;
+        take: (count = 1) => {
+            tokens -= count;
         },
         clear: () => {
             tokens = 0;
