feat(gateway): quotas of workspaces across all instances

quota.borrow calls the owners of workspaces, selected by rendezvous hashing, in batches: every 0.5 s while there is demand, and at once for requests that wait. Replaces the open gate.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -5,7 +5,6 @@
     createBackendTable,
     createBalancer,
     createCandidateHistory,
-    createOpenQuotaGate,
     createWindowedRetryBudget,
 } from "@waxwingdale/balancing";
 import type { Service, WindowedRetryBudget } from "@waxwingdale/balancing";
@@ -31,8 +30,11 @@
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { tokens } from "./gateway-tokens.js";
 import type { GatewayContext, RegisterComponent } from "./gateway-tokens.js";
+import { createInstanceCounts } from "./instance-counts.js";
 import { createInstanceDirectory } from "./instance-directory.js";
 import { createInstanceTopology } from "./instance-topology.js";
+import { createQuotaExchange, takeoverMs } from "./quota-exchange.js";
+import type { QuotaExchange } from "./quota-exchange.js";
 import { createServerReportExchange } from "./server-report-exchange.js";
 import { createCrashLog, logRequest, logSkippedResponse } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
@@ -227,7 +229,7 @@
     add(tokens.admission, get =>
         createAdmissionControl({ clock: get(tokens.context).clock, balancer: get(tokens.balancer) }),
     );
-    add(tokens.quota, () => createOpenQuotaGate());
+    add(tokens.quota, get => composeQuota(get));
     add(tokens.retryBudgets, get => {
         const { clock, settings } = get(tokens.context);
         const { retryRatio, retrySlack, retryWindowSeconds } = settings().bounds;
@@ -250,6 +252,37 @@
     });
 }
 
+/** Time in milliseconds after which an instance without contact to its seeds counts as alone. */
+const aloneAfterMs = 5000;
+
+function composeQuota(get: Resolve): QuotaExchange {
+    const { clock, logger, settings } = get(tokens.context);
+    const membership = get(tokens.membership);
+    const topology = get(tokens.topology);
+    const members = () => membership;
+    const startedAt = clock.now();
+    const seeds = () => settings().seeds;
+    const counts = createInstanceCounts({ clock, topology, members, seeds, riseDelayMs: takeoverMs });
+    const exchange = createQuotaExchange({
+        members,
+        topology,
+        counts,
+        isJoined: () =>
+            membership.lastContactAt() !== undefined ||
+            clock.now() - startedAt >= (seeds().length > 0 ? aloneAfterMs : 0),
+        bounds: () => {
+            const { quotaWindowSeconds, quotaOverage, quotaSlack } = settings().bounds;
+            return { windowMs: quotaWindowSeconds * 1000, overage: quotaOverage, slack: quotaSlack };
+        },
+        transport: get(tokens.rpcClient),
+        rpc: get(tokens.rpcServer),
+        clock,
+        logger,
+    });
+    get(tokens.config).onChange(({ workspaces }) => exchange.setWorkspaces(workspaces));
+    return exchange;
+}
+
 function composeRelay(add: RegisterComponent): void {
     add(tokens.pool, get => {
         const { clock, protocol, logger } = get(tokens.context);
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -5,6 +5,7 @@
 import { addGauge } from "@waxwingdale/core";
 import type { LossExamination, RequestRecord, SkippedResponse } from "@waxwingdale/relay";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { QuotaTotals } from "./quota-exchange.js";
 
 /** Upper bounds of the latency buckets in seconds. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5];
@@ -19,6 +20,8 @@
     addGauge(name: string, help: string, read: () => number): void;
     /** Adds a gauge for the view age of each store prefix; `read` returns the ages in milliseconds. */
     addViewAges(read: () => ReadonlyMap<string, number>): void;
+    /** Adds the totals of all workspaces; there may be hundreds, so their names are not labels. */
+    addQuotaTotals(read: () => QuotaTotals): void;
 }
 
 export function createGatewayMetrics(): GatewayMetrics {
@@ -98,6 +101,28 @@
         countLookup: () => lookups.inc(),
         countSkipped: (service, { mismatch }) => skippedResponses.inc({ service, reason: mismatch }),
         countExamination: ({ loss, verdict }) => examinations.inc({ loss, verdict }),
+        addQuotaTotals: read => {
+            const add = (name: string, help: string, pick: (totals: QuotaTotals) => number) =>
+                new Counter({
+                    name: `waxwingdale_gateway_quota_${name}_total`,
+                    help,
+                    registers: [registry],
+                    collect() {
+                        this.reset();
+                        this.inc(pick(read()));
+                    },
+                });
+            add("rejections", "Requests over the quotas of their workspaces", ({ rejected }) => rejected);
+            add("unknown", "Requests whose quota was not known in time", ({ unavailable }) => unavailable);
+            add("borrowed_tokens", "Tokens borrowed from other instances", ({ borrowed }) => borrowed);
+            add("calls", "Calls to owners of workspaces", ({ calls }) => calls);
+            addGauge(
+                registry,
+                "waxwingdale_gateway_quota_debt",
+                "Requests admitted ahead of tokens",
+                () => read().debt,
+            );
+        },
         addGauge: (name, help, read) => addGauge(registry, name, help, read),
         addViewAges: read => {
             new Gauge({
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -4,7 +4,6 @@
     BackendTable,
     Balancer,
     CandidateHistory,
-    QuotaGate,
     WindowedRetryBudget,
 } from "@waxwingdale/balancing";
 import type { DocumentExchange } from "@waxwingdale/config";
@@ -35,6 +34,7 @@
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import type { InstanceDirectory } from "./instance-directory.js";
 import type { InstanceTopology } from "./instance-topology.js";
+import type { QuotaExchange } from "./quota-exchange.js";
 import type { GatewaySettings } from "./settings.js";
 import type { StoreView } from "./store-view.js";
 import type { StoreWatches } from "./store-watches.js";
@@ -74,7 +74,7 @@
     storeView: createToken<StoreView>("storeView"),
     balancer: createToken<Balancer>("balancer"),
     admission: createToken<AdmissionControl>("admission"),
-    quota: createToken<QuotaGate>("quota"),
+    quota: createToken<QuotaExchange>("quota"),
     retryBudgets: createToken<(service: string) => WindowedRetryBudget>("retryBudgets"),
     pool: createToken<UpstreamPool>("pool"),
     crashSuspects: createToken<CrashSuspects>("crashSuspects"),
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -170,6 +170,7 @@
     void storeView.run();
     void membership.run(controller.signal);
     void get(tokens.crashArchive).run(controller.signal);
+    get(tokens.quota).run(controller.signal);
     logger.info("started", {
         zone: settings.zone,
         region: settings.region,
@@ -235,6 +236,7 @@
         "Requests that are rejected, since they have crashed backend servers",
         () => get(tokens.crashSuspects).rejected().length,
     );
+    metrics.addQuotaTotals(() => get(tokens.quota).totals());
     metrics.addViewAges(() => get(tokens.storeWatches).ages());
     metrics.addGauge(
         "waxwingdale_gateway_rate_limited_servers",
@@ -261,6 +263,7 @@
         balancer: get(tokens.balancer).describe(),
         evacuatedZones: get(tokens.table).evacuatedZones(),
         crashSuspects: describeSuspects(get),
+        quotas: get(tokens.quota).describe(),
         servers: get(tokens.table)
             .all()
             .map(({ record, isLeaving, load, slowness, rateLimit }) => ({
--- a/packages/gateway/test/gateway-metrics.test.ts
+++ b/packages/gateway/test/gateway-metrics.test.ts
@@ -78,3 +78,20 @@
     const text = await metrics.registry.metrics();
     assert.match(text, /skipped_responses_total\{service="files",reason="no-id"\} 1/);
 });
+
+// Guards against counters that add up the totals again with each collection.
+test("quota totals are read at collection time, without names of workspaces", async () => {
+    const metrics = createGatewayMetrics();
+    const totals = { rejected: 3, unavailable: 1, borrowed: 70, calls: 9, debt: 2 };
+    metrics.addQuotaTotals(() => totals);
+    await metrics.registry.metrics();
+    const text = await metrics.registry.metrics();
+    const values = text.split("\n").filter(line => line.startsWith("waxwingdale_gateway_quota_"));
+    assert.deepEqual(values, [
+        "waxwingdale_gateway_quota_rejections_total 3",
+        "waxwingdale_gateway_quota_unknown_total 1",
+        "waxwingdale_gateway_quota_borrowed_tokens_total 70",
+        "waxwingdale_gateway_quota_calls_total 9",
+        "waxwingdale_gateway_quota_debt 2",
+    ]);
+});
