--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -4,7 +4,6 @@
     BackendTable,
     Balancer,
     CandidateHistory,
-    QuotaGate,
     WindowedRetryBudget,
 } from "@waxwingdale/balancing";
 import type { DocumentExchange } from "@waxwingdale/config";
@@ -37,6 +36,7 @@
 import type { InstanceDirectory } from "./instance-directory.js";
 import type { InstanceTopology } from "./instance-topology.js";
 import type { LoadReportExchange } from "./load-report-exchange.js";
+import type { QuotaExchange } from "./quota-exchange.js";
 import type { GatewaySettings } from "./settings.js";
 import type { StoreView } from "./store-view.js";
 import type { StoreWatches } from "./store-watches.js";
@@ -83,7 +83,7 @@
     balancer: createToken<Balancer>("balancer"),
     loadReports: createToken<LoadReportExchange>("loadReports"),
     admission: createToken<AdmissionControl>("admission"),
-    quota: createToken<QuotaGate>("quota"),
+    quota: createToken<QuotaExchange>("quota"),
     retryBudgets: createToken<(service: string) => WindowedRetryBudget>("retryBudgets"),
     pool: createToken<UpstreamPool>("pool"),
     crashSuspects: createToken<CrashSuspects>("crashSuspects"),
