fix(gateway): quotas follow the clock that counts suspensions

Cause: the exchange of quotas had the monotonic clock, which leaves out a suspension of the process. An owner that was suspended would have kept its buckets, and a borrower its tokens, although another instance had taken over meanwhile.

Change: it gets the elapsed clock, by which a suspension of a second or more is a pause, and tokens and debts expire.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -325,7 +325,9 @@
 const aloneAfterMs = 5000;
 
 function composeQuota(get: Resolve): QuotaExchange {
-    const { clock, logger, settings } = get(tokens.context);
+    const { logger, settings } = get(tokens.context);
+    // Tokens expire and owners change while an instance is suspended, which the monotonic clock does not count.
+    const clock = get(tokens.viewClock);
     const membership = get(tokens.membership);
     const topology = get(tokens.topology);
     const members = () => membership;
