--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -175,6 +175,7 @@
     void get(tokens.viewConfirmation).run();
     void membership.run(controller.signal);
     void get(tokens.crashArchive).run(controller.signal);
+    get(tokens.quota).run(controller.signal);
     logger.info("started", {
         zone: settings.zone,
         region: settings.region,
@@ -246,6 +247,7 @@
         () => get(tokens.store).era() ?? 0,
     );
     metrics.addUtilizationSpreads(() => get(tokens.balancer).utilizationSpreads());
+    metrics.addQuotaTotals(() => get(tokens.quota).totals());
     metrics.addViewAges(() => get(tokens.storeWatches).ages());
     metrics.addGauge(
         "waxwingdale_gateway_rate_limited_servers",
@@ -274,6 +276,7 @@
         loadReports: get(tokens.loadReports).describe(),
         evacuatedZones: get(tokens.table).evacuatedZones(),
         crashSuspects: describeSuspects(get),
+        quotas: get(tokens.quota).describe(),
         servers: get(tokens.table)
             .all()
             .map(({ record, isLeaving, load, slowness, rateLimit }) => ({
