feat(balancing): a server is sent a bounded number of body bytes at the same time

Cause: a server ends when the requests that it holds exceed its memory. An instance sent it as many bodies as it had slots, of any size.

Change: an instance has at most 8 MiB of request bodies under way to one server, or a single larger one; others wait as for a slot. Bodies of ordinary size never reach that.

--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -230,6 +230,7 @@
                 options.onReportUsed?.(req.service, report.ageMs);
             }
             server.load.start(now);
+            server.load.addBodyBytes(req.bodyBytes ?? 0);
             if (req.tried.size === 0) {
                 reuse.count(req.route.name, req.objectKey);
             }
@@ -246,6 +247,7 @@
             const now = clock.now();
             const { server } = placement;
             server.load.finish(now);
+            server.load.addBodyBytes(-(req.bodyBytes ?? 0));
             server.health.recordOutcome(outcome, now);
             if (load !== undefined) {
                 server.load.report(load, now);
--- a/packages/balancing/src/placement-costs.ts
+++ b/packages/balancing/src/placement-costs.ts
@@ -1,4 +1,5 @@
 /** Cost model for placing a request on a backend server: its own latency and its impact on other requests. */
+import type { BackendState } from "./backend-state.js";
 import type { ReuseEstimator } from "./reuse-estimator.js";
 import type { Candidate } from "./server-ranking.js";
 import { ChoiceKind, placementKey } from "./placement.js";
@@ -64,6 +65,16 @@
 /** Interpolation between cold and warm work time for an object that other instances send to the same server. */
 const likelyWarmWeight = 0.5;
 
+/**
+ * Bytes of request bodies that this instance sends to one server at the same time, except for a single larger one. Servers
+ * end when the requests that they hold exceed their memory, and do not say how much they have.
+ */
+const maxServerBodyBytes = 8 * 1024 * 1024;
+
+function hasRoomForBody({ load }: BackendState, { bodyBytes = 0 }: RoutedRequest): boolean {
+    return load.bodyBytes() === 0 || load.bodyBytes() + bodyBytes <= maxServerBodyBytes;
+}
+
 export function createPlacementCosts({
     zone,
     region,
@@ -155,7 +166,7 @@
                 kind: ChoiceKind.Send,
                 server,
                 isWarm: server.warm.has(placementKey(req)),
-                hasCapacity: busy < slots + maxRequestsBeyondSlots,
+                hasCapacity: busy < slots + maxRequestsBeyondSlots && hasRoomForBody(server, req),
                 expectedMs,
                 waitMs,
                 workMs,
--- a/packages/balancing/src/placement.ts
+++ b/packages/balancing/src/placement.ts
@@ -9,6 +9,8 @@
     /** Undefined if the request has no key, or needs none. */
     workspace?: Workspace | undefined;
     objectKey: string;
+    /** Size of the body in bytes; 0 if it has none. */
+    bodyBytes?: number;
     /** Clock time at which the request arrived. */
     arrivedAt: number;
     /** Clock time at which the caller stops waiting. */
--- a/packages/balancing/src/server-load.ts
+++ b/packages/balancing/src/server-load.ts
@@ -34,6 +34,9 @@
     start(now: number): void;
     finish(now: number): void;
     report(load: LoadReport, now: number): void;
+    /** Adds the bytes of a request body that the server holds for this instance; negative when the request has ended. */
+    addBodyBytes(bytes: number): void;
+    bodyBytes(): number;
     /** Applies a report that another instance received. Returns false if a newer one is known. */
     merge(report: AgedLoadReport, now: number): boolean;
     /** Whether the server states its work time. */
@@ -65,6 +68,7 @@
     const history = createOwnLoadHistory();
     let ownRequests = 0;
     let waiting = 0;
+    let bodyBytes = 0;
     let reported = 0;
     let mean = 0;
     let reportedAt = 0;
@@ -109,6 +113,10 @@
         removeWaiting: () => {
             waiting -= 1;
         },
+        addBodyBytes: bytes => {
+            bodyBytes += bytes;
+        },
+        bodyBytes: () => bodyBytes,
         start: now => setOwnRequests(ownRequests + 1, now),
         finish: now => setOwnRequests(Math.max(0, ownRequests - 1), now),
         report: (load, now) => {
--- a/packages/balancing/test/server-load.test.ts
+++ b/packages/balancing/test/server-load.test.ts
@@ -1,8 +1,9 @@
 /** Estimates of a server's load from reports of different ages. Load: a server that many instances send to. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createServerLoad } from "@waxwingdale/balancing";
-import type { LoadReport } from "@waxwingdale/balancing";
+import { ChoiceKind, ServerOutcome, createServerLoad } from "@waxwingdale/balancing";
+import type { LoadReport, Placement } from "@waxwingdale/balancing";
+import { createInstance, createServer } from "./fixtures.js";
 
 const createReport = (running: number, workTimeFactor?: number): LoadReport => ({
     running,
@@ -62,3 +63,27 @@
     assert.equal(load.workTimeFactor(1600), 1);
     assert.equal(load.statesWorkTime(), false);
 });
+
+// Guards against a server that ends because the bodies of the requests that it holds exceed its memory.
+test("large uploads to one object wait instead of going to its server at the same time", () => {
+    const { balancer, createRequest } = createInstance([createServer("s1", "n-a", { slots: 6 })]);
+    const mib = 1024 * 1024;
+    const send = (bodyBytes: number) => {
+        const req = createRequest("a", { bodyBytes });
+        const choice = balancer.choose(req);
+        if (choice.kind === ChoiceKind.Send) {
+            balancer.start(req, choice);
+        }
+        return {
+            kind: choice.kind,
+            end: () => balancer.finish(req, choice as Placement, { outcome: ServerOutcome.Success }),
+        };
+    };
+    const large = send(20 * mib);
+    assert.equal(large.kind, ChoiceKind.Send, "a single one is not held back");
+    assert.equal(send(1).kind, ChoiceKind.Full);
+    large.end();
+    assert.equal(send(5 * mib).kind, ChoiceKind.Send);
+    assert.equal(send(5 * mib).kind, ChoiceKind.Full);
+    assert.equal(send(2 * mib).kind, ChoiceKind.Send);
+});
--- a/packages/relay/src/forwarded-request.ts
+++ b/packages/relay/src/forwarded-request.ts
@@ -56,6 +56,7 @@
             route,
             service,
             workspace: identity.workspace,
+            bodyBytes: request.body?.length ?? 0,
             objectKey: info.objectKey ?? info.requestId ?? "",
             arrivedAt,
             deadlineAt,
