fix(gateway): a new owner of a workspace lends after 2.5 s

Views of the members differ for up to 1.5 s in the tests, and tokens of the previous owner live for 1 s after its last loan, so 2 s were too short: the property test found a window with 101 of 100 requests after a partition.

--- a/packages/gateway/src/quota-exchange.ts
+++ b/packages/gateway/src/quota-exchange.ts
@@ -81,8 +81,11 @@
     isScheduled: boolean;
 }
 
-/** Time in milliseconds from becoming the owner of a workspace until the first loan: views differ by gossip delays. */
-export const takeoverMs = 2000;
+/**
+ * Time in milliseconds from becoming the owner of a workspace until the first loan: views of the members differ for 1.5 s,
+ * and what the previous owner lends until then lives for 1 s.
+ */
+export const takeoverMs = 2500;
 /** Interval in milliseconds of the checks for expired tokens, late requests and calls that are due. */
 const tickMs = 50;
 /** Delay in milliseconds of a check that counts as a pause. It is below the time in which another instance takes over. */
