fix(relay): more memory is reserved beside bodies on machines that declare little

Cause: bodies that make room for others are freed but not collected at once, and the 140 MiB beside the bodies had no share for them. Change: 180 MiB are reserved. Machines with 388 MiB or more keep their limits.

--- a/packages/relay/src/body-limits.ts
+++ b/packages/relay/src/body-limits.ts
@@ -12,8 +12,8 @@
 const maxRequestBytes = 48 * mib;
 const maxResponseBytes = 160 * mib;
 const maxBytes = maxRequestBytes + maxResponseBytes;
-/** Memory in bytes that the process needs beside the bodies: its code, heap and connections. */
-const reservedBytes = 140 * mib;
+/** Memory in bytes that the process needs beside the bodies: code, heap, connections, and freed bodies until they are collected. */
+const reservedBytes = 180 * mib;
 /** Smallest limit in bytes for all bodies together, on a machine that has less memory than is reserved. */
 const minBytes = 32 * mib;
 
