fix(gateway): quotas follow all instances, and owners are the large ones

Cause: the part of a quota that an owner lends was the number of active instances over that known in the last minute. Where a zone has large and small instances, all of them are active until both large ones are known, so the known number was two or three times the usual for a minute, and the rate of all workspaces fell to a third. For the same reason, most workspaces changed their owner when one large instance restarted.

Change: the part is that of all instances, which is the same whoever is active. Owners are the large instances of the fleet.

--- a/packages/gateway/src/active-instances.ts
+++ b/packages/gateway/src/active-instances.ts
@@ -24,10 +24,15 @@
     return Math.floor(Math.min((cores * coreShare) / cpuSecondsPerRequest, linkMbps / megabitsPerRequest));
 }
 
-/** Returns the active members of a group: the large ones, or all if there are too few large ones. */
-export function pickActive(group: readonly Member[]): readonly Member[] {
+/** Returns the large members of a group. */
+export function pickLarge(group: readonly Member[]): readonly Member[] {
     const capacityOf = ({ capacity = 0 }: Member) => capacity;
     const largest = Math.max(0, ...group.map(capacityOf));
-    const large = group.filter(member => capacityOf(member) >= largest * largeCapacityFraction);
+    return group.filter(member => capacityOf(member) >= largest * largeCapacityFraction);
+}
+
+/** Returns the active members of a group: the large ones, or all if there are too few large ones. */
+export function pickActive(group: readonly Member[]): readonly Member[] {
+    const large = pickLarge(group);
     return large.length >= minLargeInstances ? large : group;
 }
--- a/packages/gateway/src/instance-counts.ts
+++ b/packages/gateway/src/instance-counts.ts
@@ -1,17 +1,21 @@
 /**
- * Number of active instances for limits that all instances share: those visible, and those known in the last minute,
- * which include instances that are only cut off.
+ * Numbers of instances for limits that all instances share: those visible, and those known in the last minute, which include
+ * instances that are only cut off.
  */
-import type { Clock, MemberView } from "@waxwingdale/core";
-import { pickActive } from "./active-instances.js";
+import { MemberStatus } from "@waxwingdale/core";
+import type { Clock, Member, MemberView } from "@waxwingdale/core";
+import { pickLarge } from "./active-instances.js";
 import type { InstanceTopology } from "./instance-topology.js";
 
 export interface InstanceCounts {
     /** Samples the members; called several times a second. */
     update(): void;
-    /** Fraction of the known active instances that are visible. Rises later than it falls. */
+    /**
+     * Fraction of the known instances that are visible. Rises later than it falls. All instances count, as the number of
+     * active ones depends on which of them are visible.
+     */
     visibleShare(): number;
-    /** Number by which a budget of all instances is divided. */
+    /** Number by which a budget of all large instances is divided. */
     divisor(): number;
 }
 
@@ -55,40 +59,37 @@
     const startedAt = clock.now();
     const recentCounts = createRecentValues(options.riseDelayMs);
     const knownCounts = createRecentValues(knownMs);
-    const divisors = createRecentValues(knownMs);
+    const largeCounts = createRecentValues(knownMs);
 
-    /** Includes dead members, which an instance that has just started has never seen alive. */
-    const countRows = () => {
-        const rows = options.members().members();
-        const zones = new Set(rows.map(({ zone }) => zone));
-        return [...zones].reduce(
-            (sum, zone) => sum + pickActive(rows.filter(row => row.zone === zone)).length,
-            0,
-        );
-    };
+    /** Includes dead members while this instance may never have seen them alive. */
+    const getKnownMembers = (now: number) =>
+        now - startedAt < knownMs
+            ? options.members().members()
+            : options
+                  .members()
+                  .members()
+                  .filter(({ status }) => status !== MemberStatus.Dead);
 
     /** An instance without peers may be cut off; the seeds say how many there could be. */
     const countSeeds = () => {
+        if (topology.live().length > 1) {
+            return 0;
+        }
         const { peerAddress } = options.members().self();
         return 1 + new Set(options.seeds().filter(seed => seed !== peerAddress)).size;
     };
 
-    const countKnown = (now: number) => {
-        const visible = topology.all().length;
-        const rows = now - startedAt < knownMs ? countRows() : 0;
-        return Math.max(visible, rows, visible <= 1 ? countSeeds() : 0);
-    };
-
     const known = () => Math.max(1, ...knownCounts.values());
 
     return {
         update: () => {
             const now = clock.now();
-            recentCounts.add(topology.all().length, now);
-            knownCounts.add(countKnown(now), now);
-            divisors.add(topology.budgetDivisor(), now);
+            const members = getKnownMembers(now);
+            recentCounts.add(topology.live().length, now);
+            knownCounts.add(Math.max(topology.live().length, members.length, countSeeds()), now);
+            largeCounts.add(Math.max(topology.large().length, pickLarge(members).length, countSeeds()), now);
         },
         visibleShare: () => Math.min(...recentCounts.values(), known()) / known(),
-        divisor: () => Math.max(known(), ...divisors.values()),
+        divisor: () => Math.max(1, ...largeCounts.values()),
     };
 }
--- a/packages/gateway/src/instance-topology.ts
+++ b/packages/gateway/src/instance-topology.ts
@@ -1,12 +1,19 @@
 /** Active instances by availability zone and region, recomputed only when the members have changed. */
 import { MemberStatus } from "@waxwingdale/core";
 import type { Member } from "@waxwingdale/core";
-import { pickActive } from "./active-instances.js";
+import { pickActive, pickLarge } from "./active-instances.js";
 
 /** The methods return the same arrays until a member changes. */
 export interface InstanceTopology {
     /** Returns the ids of all active instances. */
     all(): readonly string[];
+    /** Returns the ids of all instances that are not dead. */
+    live(): readonly string[];
+    /**
+     * Returns the ids of the large instances of the whole fleet. Unlike the active ones, they stay the same while one of them
+     * restarts.
+     */
+    large(): readonly string[];
     /** Returns the ids of the active instances in a zone. */
     inZone(zone: string): readonly string[];
     inRegion(region: string): readonly string[];
@@ -30,6 +37,8 @@
 interface Topology {
     budgetDivisor: number;
     all: readonly string[];
+    live: readonly string[];
+    large: readonly string[];
     byZone: ReadonlyMap<string, readonly string[]>;
     byRegion: ReadonlyMap<string, readonly string[]>;
 }
@@ -58,6 +67,8 @@
     return {
         budgetDivisor: Math.max(1, isActive ? active.length : live.length),
         all: active.map(({ id }) => id),
+        live: live.map(({ id }) => id),
+        large: pickLarge(live).map(({ id }) => id),
         byZone: toIds(groupBy(active, ({ zone }) => zone)),
         byRegion: toIds(groupBy(active, ({ region }) => region)),
     };
@@ -80,6 +91,8 @@
     const inRegion = (region: string) => current().byRegion.get(region) ?? noIds;
     return {
         all: () => current().all,
+        live: () => current().live,
+        large: () => current().large,
         inZone,
         inRegion,
         inRegionOrAll: region => {
--- a/packages/gateway/src/quota-exchange.ts
+++ b/packages/gateway/src/quota-exchange.ts
@@ -117,7 +117,7 @@
     /** Number of the last call, to whichever owner: an owner that has been away still knows the earlier ones. */
     let sequence = 0;
     let owners = new Map<string, string>();
-    /** Active instances and workspaces from which the owners were selected. */
+    /** Large instances and workspaces from which the owners were selected. */
     let ownersOf: { ids: readonly string[]; workspaces: readonly Workspace[] } | undefined;
 
     const tokenLifetimeMs = () => getTokenLifetimeMs(options.bounds());
@@ -131,7 +131,7 @@
     });
 
     const updateOwners = () => {
-        const ids = topology.all();
+        const ids = topology.large();
         if (ownersOf?.workspaces !== workspaces || !areEqual(ownersOf.ids, ids)) {
             ownersOf = { ids, workspaces };
             owners = new Map(workspaces.map(({ name }) => [name, pickOwner(name, ids) ?? self.id]));
@@ -160,7 +160,7 @@
     const getDebtLimit = ({ plan }: Entry) => {
         const mayOwe =
             clock.now() - startedAt >= options.bounds().windowMs + takeoverMs &&
-            topology.all().includes(self.id);
+            topology.large().includes(self.id);
         return mayOwe ? Math.floor(plan.debt / counts.divisor()) : 0;
     };
 
@@ -325,7 +325,7 @@
 
     /** Keeps links with a call, since a second call at the same time would not report what the first one brings. */
     const forgetLinks = () => {
-        const ids = new Set(topology.all());
+        const ids = new Set(topology.large());
         const isUnused = ([id, link]: [string, OwnerLink]) => !ids.has(id) && !link.isCalling;
         [...links].filter(isUnused).forEach(([id]) => links.delete(id));
     };
--- a/packages/gateway/test/quota-exchange.test.ts
+++ b/packages/gateway/test/quota-exchange.test.ts
@@ -310,3 +310,29 @@
     alone.update();
     assert.deepEqual([alone.visibleShare(), alone.divisor()], [1 / 3, 3]);
 });
+
+// Guards against a share of the rate that falls because the small instances of a zone were active for a moment.
+test("an instance of a mixed fleet that restarts changes neither the share nor the other owners much", () => {
+    const clock = createManualClock();
+    const createZone = (zone: string) =>
+        Array.from({ length: 6 }, (_, index) =>
+            createMember(`${zone}-${index}`, zone, "north", { capacity: index < 2 ? 800 : 60 }),
+        );
+    const all = [...createZone("a"), ...createZone("b")];
+    let visible: readonly Member[] = all;
+    const topology = createInstanceTopology({ selfId: "a-0", members: () => visible });
+    const view = { self: () => all[0]!, members: () => visible } as unknown as MemberView;
+    const counts = createInstanceCounts({
+        clock,
+        topology,
+        members: () => view,
+        seeds: () => [],
+        riseDelayMs: 0,
+    });
+    counts.update();
+    visible = all.slice(1);
+    counts.update();
+    assert.ok(counts.visibleShare() > 0.9);
+    assert.deepEqual(topology.large(), ["a-1", "b-0", "b-1"]);
+    assert.equal(counts.divisor(), 4);
+});
