fix: what a reading of the whole change found

Cause: a newcomer's reading of the change. A request whose caller left during the upload kept what it had taken from the quota of its workspace. With more than 512 workspaces at one owner, those behind the first 512 were never borrowed for. An error of a request's callback counted as an unreachable owner. Trials that were written were remembered for good. Some names were private ("claim"), misleading ("mayWrite", "hasLeft", "isFaulty") or unused ("handlePause").

Change: each is mended; the comments that the reading asked for are added.

--- a/packages/balancing/src/admission-order.ts
+++ b/packages/balancing/src/admission-order.ts
@@ -14,7 +14,7 @@
 /** Rank of a request at one moment; it changes as requests are admitted and rejected. */
 interface Rank {
     /** Whether the workspace has been served too rarely, so that priorities do not count. */
-    hasClaim: boolean;
+    isUnderserved: boolean;
     workspacePriority: number;
     routePriority: number;
     usage: number;
@@ -58,7 +58,7 @@
     let known: readonly Workspace[] | undefined;
     let leastUrgent = 0;
 
-    /** Requests without a workspace rank with the least urgent one, since nobody answers for how many there are. */
+    /** Requests without a workspace rank with the least urgent one, since no quota limits them. */
     const getLeastUrgent = () => {
         const current = workspaces();
         if (current !== known) {
@@ -69,7 +69,7 @@
     };
 
     const getRank = ({ workspace, route, service, arrivedAt }: RoutedRequest): Rank => ({
-        hasClaim: fairShare.hasClaim(workspace?.name),
+        isUnderserved: fairShare.isUnderserved(workspace?.name),
         workspacePriority: workspace?.priority ?? getLeastUrgent(),
         routePriority: route.priority,
         usage: fairShare.usage(workspace?.name, service),
@@ -122,7 +122,7 @@
 /** Compares two ranks of the same moment; negative if `a` comes first. */
 function compareRanks(a: Rank, b: Rank): number {
     return (
-        Number(b.hasClaim) - Number(a.hasClaim) ||
+        Number(b.isUnderserved) - Number(a.isUnderserved) ||
         a.workspacePriority - b.workspacePriority ||
         a.routePriority - b.routePriority ||
         a.usage - b.usage ||
--- a/packages/balancing/src/admission.ts
+++ b/packages/balancing/src/admission.ts
@@ -88,7 +88,7 @@
  * Multiple of the time left to wait from which the expected wait counts as too long. The margin is for slots that become free
  * faster than of late.
  */
-const hopelessWaitFactor = 2;
+const maxExpectedWaitFactor = 2;
 
 /** Returns the time in milliseconds after which the caller of a rejected request may retry. */
 export function getRetryAfterMs({ deadlineAt }: RoutedRequest, now: number): number {
@@ -293,7 +293,7 @@
     };
 
     /** Rejects a new request that would be rejected later, given those that rank before it and the recent rate of slots. */
-    const refuseHopeless = (
+    const refuseIfTooLate = (
         req: RoutedRequest,
         { waitFor, isThrottled }: Wait,
         rejectAt: number,
@@ -305,7 +305,7 @@
         const ahead = order.countAhead(queue, req, waitFor);
         const expectedMs = forecast.expectedMs(req.service, ahead, now);
         const leftMs = Math.min(rejectAt, req.deadlineAt) - now;
-        if (expectedMs === undefined || expectedMs <= leftMs * hopelessWaitFactor) {
+        if (expectedMs === undefined || expectedMs <= leftMs * maxExpectedWaitFactor) {
             return undefined;
         }
         const detail = `${describeLoad(waitFor)}; ${ahead} requests come first, for ${Math.round(expectedMs)} ms`;
@@ -344,7 +344,7 @@
                 return answer(first);
             }
             const waiting = { req, rejectAt, settle: onDecision, server: first.waitFor };
-            const refusal = refuseHopeless(req, first, rejectAt) ?? tryEnqueue(waiting);
+            const refusal = refuseIfTooLate(req, first, rejectAt) ?? tryEnqueue(waiting);
             if (refusal !== undefined) {
                 return answer(refusal);
             }
--- a/packages/balancing/src/fair-share.ts
+++ b/packages/balancing/src/fair-share.ts
@@ -19,7 +19,7 @@
      */
     usage(group: GroupName, service: string): number;
     /** Whether the group has been served so rarely that its next request comes first, whatever its priority. */
-    hasClaim(group: GroupName): boolean;
+    isUnderserved(group: GroupName): boolean;
     /** Number of groups of which something is known. */
     size(): number;
 }
@@ -30,7 +30,7 @@
     /** Requests that were admitted or rejected, scaled like all sums. */
     decided: number;
     /** Requests that the group should have had served on account of its minimum, less those that it had. */
-    claim: number;
+    deficit: number;
     lastUsedAt: number;
 }
 
@@ -44,12 +44,12 @@
 /** Minimum share served of a workspace, relative to that of all; a quarter is guaranteed, the rest is a margin. */
 const minRelativeShare = 0.35;
 /**
- * Number of recent requests below which a group's claim starts at random. Where many instances get few requests each, no
+ * Number of recent requests below which a group's deficit starts at random. Where many instances get few requests each, no
  * instance would reject enough of them to serve one otherwise, and the group would get nothing.
  */
 const minDecided = 6;
-/** Maximum claim, so that a workspace that cannot be served at present does not come first for long afterwards. */
-const maxClaim = 3;
+/** Maximum deficit, so that a workspace that cannot be served at present does not come first for long afterwards. */
+const maxDeficit = 3;
 
 export function createFairShare(startedAt: number, random: Random): FairShare {
     const groups = new Map<GroupName, Group>();
@@ -84,7 +84,7 @@
     const getGroup = (name: GroupName, now: number): Group => {
         let group = groups.get(name);
         if (group === undefined) {
-            group = { work: new Map(), decided: 0, claim: random(), lastUsedAt: now };
+            group = { work: new Map(), decided: 0, deficit: random(), lastUsedAt: now };
             setBounded(groups, name, group, maxGroups);
         }
         group.lastUsedAt = now;
@@ -97,9 +97,10 @@
         decided += scale;
         group.decided += scale;
         const earned = (minRelativeShare * admitted) / decided;
-        const claim = group.claim + earned - served;
-        const minClaim = group.decided < minDecided * scale ? random() + earned : 0;
-        group.claim = claim < 0 ? minClaim : Math.min(maxClaim, claim);
+        const deficit = group.deficit + earned - served;
+        // A group with few requests starts again at random, so that not all instances reject its next one.
+        const minDeficit = group.decided < minDecided * scale ? random() + earned : 0;
+        group.deficit = deficit < 0 ? minDeficit : Math.min(maxDeficit, deficit);
     };
 
     return {
@@ -114,7 +115,7 @@
             recordDecision(getGroup(name, now), scale, 0);
         },
         usage: (name, service) => groups.get(name)?.work.get(service) ?? 0,
-        hasClaim: name => (groups.get(name)?.claim ?? 0) >= 1,
+        isUnderserved: name => (groups.get(name)?.deficit ?? 0) >= 1,
         size: () => groups.size,
     };
 }
--- a/packages/balancing/src/quota-account.ts
+++ b/packages/balancing/src/quota-account.ts
@@ -29,11 +29,11 @@
     /** Rejects requests that have waited for too long, and drops expired tokens and debts. */
     expire(now: number): void;
     setDebtLimit(requests: number): void;
-    /** Scales the tokens held, after the limit was lowered. */
+    /** Scales the tokens held, after the limit was changed, and ends the time for which the quota counts as used up. */
     cut(fraction: number): void;
     /** Rejects the requests that wait, since the workspace has been removed. */
     close(): void;
-    /** Whether there is nothing to borrow, renew or repay. */
+    /** Whether no call to the owner is due: there is nothing to borrow, renew or repay, or the quota is used up. */
     isIdle(now: number): boolean;
     waiting(): number;
     debt(): number;
@@ -89,7 +89,7 @@
     /** Debt in the last call. */
     let owedInCall = 0;
     /** What the last call asked for, if requests had been rejected before it. */
-    let neededByRejected = 0;
+    let lastDemandAfterRejection = 0;
     /** Tokens in the last answer, which is about what the next one has while the workspace is over its quota. */
     let lastGranted = 0;
     let requestsPerMs = 0;
@@ -205,7 +205,7 @@
             const owed = debts.length;
             owedInCall = owed;
             const needed = waiting.length + rejected;
-            neededByRejected = rejected > 0 ? owed + needed : 0;
+            lastDemandAfterRejection = rejected > 0 ? owed + needed : 0;
             rejected = 0;
             held = Math.min(held, Math.max(target, needed));
             return { held, owed, needed: Math.max(0, needed - held), ahead: Math.max(0, target - held) };
@@ -218,7 +218,7 @@
             expiresAt = Math.max(expiresAt, sentAt + options.tokenLifetimeMs);
             dropExpired(now);
             admitWaiting();
-            const isShort = waiting.length > 0 || granted < neededByRejected;
+            const isShort = waiting.length > 0 || granted < lastDemandAfterRejection;
             shortSince = isShort ? (shortSince ?? now) : undefined;
             if (isShort && !mayBeBrief(nextTokenMs, now)) {
                 rejectUntil(nextTokenMs, now);
--- a/packages/balancing/test/competing-callers.test.ts
+++ b/packages/balancing/test/competing-callers.test.ts
@@ -184,6 +184,6 @@
     const fairShare = createFairShare(0, createRandom(1));
     const names = Array.from({ length: 200 }, (_, index) => `w-${index}`);
     names.forEach(name => fairShare.recordAdmitted(name, "files", 100, 0));
-    const due = names.filter(name => fairShare.hasClaim(name)).length;
+    const due = names.filter(name => fairShare.isUnderserved(name)).length;
     assert.ok(due >= 40 && due <= 100, `${due} of 200`);
 });
--- a/packages/core/src/elapsed-clock.ts
+++ b/packages/core/src/elapsed-clock.ts
@@ -24,8 +24,8 @@
 
 /**
  * Creates a clock whose `now` detects suspensions by the time of day. A step of it in either direction is taken for a
- * suspension, since it may hide or be one. Timers are those of the given clock. The uptime of the system is not used: it is
- * that of the host where the process has a machine of its own only in part, and reading it opens a file.
+ * suspension, since it may hide or be one. Timers are those of the given clock. The uptime of the system is not used: in a
+ * container it is that of the host, and reading it opens a file.
  */
 export function createElapsedClock({ clock, isEnabled, onSuspended }: ElapsedClockOptions): ElapsedClock {
     const listeners = new Set<() => void>();
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -326,7 +326,8 @@
 
 function composeQuota(get: Resolve): QuotaExchange {
     const { logger, settings } = get(tokens.context);
-    // Tokens expire and owners change while an instance is suspended, which the monotonic clock does not count.
+    // Tokens expire and owners change while an instance is suspended, which the monotonic clock does not count. Suspensions are
+    // detected where `revokeSeconds` is declared.
     const clock = get(tokens.viewClock);
     const membership = get(tokens.membership);
     const topology = get(tokens.topology);
--- a/packages/gateway/src/crash-trial.ts
+++ b/packages/gateway/src/crash-trial.ts
@@ -34,6 +34,8 @@
 const maxUndecidedMs = 300_000;
 /** Number of quarantined requests for which the first undecided trial is kept. */
 const maxUndecided = 1000;
+/** Trials that this instance has written which are remembered, to be written again or deleted. */
+const maxWritten = 1000;
 /**
  * Time in milliseconds after the store's return from an older copy in which no trial is claimed: the copy lacks trials that the
  * instances are writing again.
@@ -59,7 +61,7 @@
     const claims: number[] = [];
     /** Clock times since which the trial of a quarantined request could not be decided, by fingerprint. */
     const undecidedSince = new Map<string, number>();
-    /** Trials that this instance has written, by fingerprint. */
+    /** Trials that this instance has written lately, by fingerprint. */
     const written = new Map<string, WrittenTrial>();
     /** Clock time from which trials are claimed. */
     let claimFrom = -Infinity;
@@ -96,7 +98,7 @@
         const value = encodeReports(clock, reports);
         const fingerprints = reports.map(report => report.fingerprint);
         const next = await store.put(trialKey(fingerprint), value, version, undefined, era);
-        written.set(fingerprint, { version: next, era, fingerprints });
+        setBounded(written, fingerprint, { version: next, era, fingerprints }, maxWritten);
     };
 
     /** @throws the errors of the store. */
--- a/packages/gateway/src/load-report-exchange.ts
+++ b/packages/gateway/src/load-report-exchange.ts
@@ -176,6 +176,7 @@
             if (all.length === 0) {
                 return;
             }
+            // Reports known before a pause are dropped.
             const reports = takeReports(all.length > maxPeers, now);
             if (reports.length === 0 || now < trustedAt) {
                 return;
--- a/packages/gateway/src/quota-exchange.ts
+++ b/packages/gateway/src/quota-exchange.ts
@@ -23,6 +23,7 @@
 import * as v from "valibot";
 import type { InstanceCounts } from "./instance-counts.js";
 import type { InstanceTopology } from "./instance-topology.js";
+import { createRotation } from "./rotation.js";
 import { createQuotaLog } from "./quota-log.js";
 import { borrowMethod, borrowReplySchema, borrowRequestSchema, maxDemands } from "./quota-messages.js";
 import type { BorrowReply, BorrowRequest } from "./quota-messages.js";
@@ -39,11 +40,6 @@
 export interface QuotaExchange extends QuotaGate {
     /** Applies the workspaces of a configuration. */
     setWorkspaces(workspaces: readonly Workspace[] | undefined): void;
-    /**
-     * Gives up tokens and ownership after the process was paused or frozen: others may have taken over meanwhile. Called
-     * by itself after a pause that the monotonic clock has counted.
-     */
-    handlePause(): void;
     /** Borrows until the signal aborts. */
     run(signal: AbortSignal): void;
     totals(): QuotaTotals;
@@ -76,7 +72,7 @@
     /** Clock time of the start of the last call. */
     calledAt: number;
     isUnreachable: boolean;
-    /** Whether the last call left requests waiting. */
+    /** Whether the last call failed or reached an instance that does not lend. */
     hasFailed: boolean;
     isScheduled: boolean;
 }
@@ -111,6 +107,7 @@
     const entries = new Map<string, Entry>();
     const links = new Map<string, OwnerLink>();
     const log = createQuotaLog(clock, logger);
+    const takeAsked = createRotation<Entry>();
     const totals = { rejected: 0, unavailable: 0, borrowed: 0, calls: 0 };
     let workspaces: readonly Workspace[] = [];
     let tickedAt = startedAt;
@@ -138,6 +135,7 @@
         }
     };
 
+    /** Gives up tokens and ownership after a pause of the process: others may have taken over meanwhile. */
     const handlePause = () => {
         ledger.update([], clock.now());
         entries.forEach(({ account }) => account.cut(0));
@@ -267,9 +265,7 @@
         const link = getLink(owner);
         const sentAt = clock.now();
         const demands = new Map(
-            asked
-                .slice(0, maxDemands)
-                .map(({ workspace, account }) => [workspace.name, account.getDemand(sentAt)]),
+            asked.map(({ workspace, account }) => [workspace.name, account.getDemand(sentAt)]),
         );
         link.isCalling = true;
         link.calledAt = sentAt;
@@ -280,15 +276,19 @@
             sequence,
             demands: [...demands].map(([workspace, demand]) => ({ workspace, ...demand })),
         };
+        let reply: BorrowReply | undefined;
         try {
             const address = options.members().find(owner)?.peerAddress ?? "";
-            const reply = await transport.call<unknown>(address, borrowMethod, req, callTimeoutMs);
-            applyReply(owner, v.parse(borrowReplySchema, reply), demands, sentAt);
-            recordSuccess(owner, link);
+            const response = await transport.call<unknown>(address, borrowMethod, req, callTimeoutMs);
+            reply = v.parse(borrowReplySchema, response);
         } catch (err) {
             recordFailure(owner, link, err);
         }
         link.isCalling = false;
+        if (reply !== undefined) {
+            recordSuccess(owner, link);
+            applyReply(owner, reply, demands, sentAt);
+        }
         if (entriesOf(owner).some(({ account }) => account.waiting() > 0)) {
             callSoon(owner);
         }
@@ -310,7 +310,10 @@
 
     const callNow = (owner: string) => {
         const now = clock.now();
-        const asked = entriesOf(owner).filter(({ account }) => !account.isIdle(now));
+        const asked = takeAsked(
+            entriesOf(owner).filter(({ account }) => !account.isIdle(now)),
+            maxDemands,
+        );
         if (!getLink(owner).isCalling && asked.length > 0) {
             void call(owner, asked);
         }
@@ -409,7 +412,6 @@
             }
         },
         refund: workspace => entries.get(workspace.name)?.account.refund(clock.now()),
-        handlePause,
         setWorkspaces: list => {
             workspaces = (list ?? []).filter(({ requestsPerSecond }) => requestsPerSecond > 0);
             const byName = new Map(workspaces.map(workspace => [workspace.name, workspace]));
--- a/packages/gateway/src/served-shares.ts
+++ b/packages/gateway/src/served-shares.ts
@@ -96,8 +96,8 @@
 
     return {
         observe: ({ workspace, outcome, status }) => {
-            const isFaulty = outcome === RequestOutcome.Refused && status < 500;
-            if (workspace !== undefined && !isFaulty && !ignoredOutcomes.has(outcome)) {
+            const isCallerError = outcome === RequestOutcome.Refused && status < 500;
+            if (workspace !== undefined && !isCallerError && !ignoredOutcomes.has(outcome)) {
                 const served = outcome === RequestOutcome.Answered ? 1 : 0;
                 addCounts(getCurrent(), workspace, { asked: 1, served });
             }
--- a/packages/gateway/src/store-view.ts
+++ b/packages/gateway/src/store-view.ts
@@ -43,6 +43,7 @@
     /** Clock time from which nothing is known that the store lacks. */
     let settledAt = -Infinity;
     store.onEraChange(() => {
+        // A server has the time to write its entry again after each of them: the store's return, and this instance's list.
         settledAt = clock.now() + 2 * expiredEntryGraceMs;
     });
 
--- a/packages/relay/src/attempt-sender.ts
+++ b/packages/relay/src/attempt-sender.ts
@@ -187,7 +187,7 @@
                 hasResponseBody: req.method !== "HEAD",
                 isLate: request.unreadMs > 0 || request.queuedMs > 0,
                 deadlineAt,
-                mayWrite: () => {
+                beforeWrite: () => {
                     const mayWrite = request.mayBeSent();
                     if (!mayWrite) {
                         cancelUnwritten(attempt);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -176,11 +176,11 @@
         const { req, res } = read;
         const { index, route, identity } = target;
         const { workspace } = identity;
-        let hasLeft = false;
+        let isClosed = false;
         active += 1;
         onceResponseCloses(req, res, () => {
             active -= 1;
-            hasLeft = true;
+            isClosed = true;
         });
         if (workspace === undefined) {
             readAndForward(read, target, () => undefined);
@@ -189,11 +189,11 @@
         const refund = () => options.quota.refund(workspace);
         options.quota.acquire(workspace, decision => {
             const isAdmitted = decision.verdict === QuotaVerdict.Admitted;
-            if (hasLeft && isAdmitted) {
+            if (isClosed && isAdmitted) {
                 refund();
             } else if (isAdmitted) {
                 readAndForward(read, target, refund);
-            } else if (!hasLeft) {
+            } else if (!isClosed) {
                 rejectUnread(read, {
                     ...describeQuota(decision, protocol),
                     route,
@@ -212,8 +212,15 @@
         const { req, res, info, ...arrival } = read;
         const { version } = index;
         const memory = requestMemory.open();
-        onceResponseCloses(req, res, () => memory.release());
+        let isRead = false;
+        onceResponseCloses(req, res, () => {
+            memory.release();
+            if (!isRead) {
+                refundQuota();
+            }
+        });
         readBody(req, options.maxBodyBytes(), memory, result => {
+            isRead = true;
             if ("rejection" in result) {
                 refundQuota();
                 const workspace = identity.workspace?.name;
--- a/packages/relay/src/upstream-connection.ts
+++ b/packages/relay/src/upstream-connection.ts
@@ -69,8 +69,11 @@
     isLate: boolean;
     /** Clock time from which the request is not written any more. The owner of the exchange ends it then. */
     deadlineAt: number;
-    /** Called before the request is written. If it returns false, its caller has ended the exchange. */
-    mayWrite(): boolean;
+    /**
+     * Called just before the request is written. Returns false after it has ended the exchange itself, as the key of the
+     * request may have been withdrawn.
+     */
+    beforeWrite(): boolean;
     /** Formats the request line and headers with the remaining time in milliseconds. */
     formatHead(remainingMs: number): string;
     body: Buffer | undefined;
@@ -230,7 +233,7 @@
      */
     const write = (current: Exchange) =>
         options.eventLoop.afterPending(() => {
-            if (exchange === current && clock.now() < current.req.deadlineAt && current.req.mayWrite()) {
+            if (exchange === current && clock.now() < current.req.deadlineAt && current.req.beforeWrite()) {
                 writeNow(current);
             }
         }, current.req.isLate);
--- a/packages/relay/src/upstream-pool.ts
+++ b/packages/relay/src/upstream-pool.ts
@@ -185,7 +185,7 @@
                     requestId: undefined,
                     isLate: false,
                     deadlineAt,
-                    mayWrite: () => true,
+                    beforeWrite: () => true,
                     formatHead: remainingMs => formatHealthCheck(server, remainingMs),
                     body: undefined,
                     hasResponseBody: true,
--- a/packages/relay/src/workspace-access.ts
+++ b/packages/relay/src/workspace-access.ts
@@ -35,6 +35,7 @@
         return { identity: { needsKeys: false, workspace: undefined } };
     }
     const workspace = apiKey === undefined ? undefined : workspaces.find(apiKey);
+    // A public route serves its callers whatever their keys, so a withdrawn one only names their workspace for longer.
     if (route.isPublic) {
         return { identity: { needsKeys: true, workspace } };
     }
@@ -61,7 +62,6 @@
     }
     return (
         mayServeKeys() &&
-        apiKey !== undefined &&
-        (index?.workspaces === undefined || index.workspaces.find(apiKey)?.name === workspace.name)
+        (index?.workspaces === undefined || index.workspaces.find(apiKey ?? "")?.name === workspace.name)
     );
 }
--- a/packages/relay/test/disconnect.test.ts
+++ b/packages/relay/test/disconnect.test.ts
@@ -7,7 +7,14 @@
 import type { TestContext } from "node:test";
 import { RequestKind } from "@waxwingdale/balancing";
 import { RequestOutcome } from "@waxwingdale/relay";
-import { formatRequest, formatResponse, getRequestId, startInstance, startServer } from "./fixtures.js";
+import {
+    formatRequest,
+    formatResponse,
+    getRequestId,
+    startInstance,
+    startServer,
+    waitUntil,
+} from "./fixtures.js";
 import type { Script } from "./fixtures.js";
 
 const { Idempotent, NonIdempotent } = RequestKind;
@@ -96,13 +103,6 @@
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 const nextTurn = () => new Promise(resolve => setImmediate(resolve));
 
-async function waitUntil(condition: () => boolean, wait: () => Promise<unknown> = () => sleep(5)) {
-    for (let round = 0; round < 1000 && !condition(); round++) {
-        await wait();
-    }
-    assert.ok(condition());
-}
-
 for (const [way, close] of Object.entries(leave)) {
     for (const kind of [Idempotent, NonIdempotent]) {
         test(`late process: a ${kind} request is not sent if its caller ${way} before it is read`, async t => {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -1,8 +1,10 @@
 /** Starts an instance and scripted backend servers on loopback addresses. */
+import assert from "node:assert/strict";
 import { createServer as createHttpServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
     ReportSource,
     RequestKind,
@@ -350,3 +352,10 @@
     const body = kind === RequestKind.NonIdempotent ? "Content-Length: 2\r\n\r\nhi" : "\r\n";
     return `${method} /${kind}/${name} HTTP/1.1\r\nHost: h\r\nX-Id: ${id}\r\nX-Deadline: 700\r\n${body}`;
 }
+
+export async function waitUntil(condition: () => boolean, wait: () => Promise<unknown> = () => sleep(5)) {
+    for (let round = 0; round < 1000 && !condition(); round++) {
+        await wait();
+    }
+    assert.ok(condition());
+}
--- a/packages/relay/test/workspace-access.test.ts
+++ b/packages/relay/test/workspace-access.test.ts
@@ -1,5 +1,6 @@
 /** Guards against requests that run for the wrong workspace, or whose key reaches a backend server. */
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { QuotaVerdict, RequestKind, createRouteIndex } from "@waxwingdale/balancing";
 import type { QuotaGate, Workspace } from "@waxwingdale/balancing";
@@ -11,6 +12,7 @@
     sendRaw,
     startInstance,
     startServer,
+    waitUntil,
 } from "./fixtures.js";
 import type { InstanceOptions } from "./fixtures.js";
 
@@ -110,3 +112,28 @@
     assert.equal(received, undefined);
     assert.equal(record?.workspace, "first");
 });
+
+// Guards against a quota that shrinks by each upload that its caller breaks off.
+test("what a request has taken from its quota is returned if its caller leaves during the upload", async t => {
+    let [taken, returned] = [0, 0];
+    const quota: QuotaGate = {
+        acquire: (_workspace, onDecision) => {
+            taken += 1;
+            onDecision({ verdict: QuotaVerdict.Admitted, retryAfterMs: 0 });
+        },
+        refund: () => void (returned += 1),
+    };
+    const instance = await startInstance([], { workspaces, quota });
+    t.after(() => instance.close());
+    const caller = connect(instance.port, "127.0.0.1");
+    caller.write(
+        formatRequest(RequestKind.NonIdempotent, "a1").replace(
+            "Content-Length: 2",
+            "X-Key: k1\r\nContent-Length: 9",
+        ),
+    );
+    await waitUntil(() => taken === 1);
+    caller.destroy();
+    await waitUntil(() => returned === 1);
+    assert.equal(instance.active(), 0);
+});
--- a/packages/store/src/relayed-store.ts
+++ b/packages/store/src/relayed-store.ts
@@ -93,9 +93,9 @@
     deleted: v.boolean(),
 });
 /**
- * Result of `store.follow`, with the reader's era; without `result` if the follower must use the store. `asOfMs` is the time up to which the result is
- * complete, in milliseconds relative to the arrival of the request, because the clocks of two instances have no common
- * reference. It may be negative.
+ * Result of `store.follow`, with the reader's era; without `result` if the follower must use the store. `asOfMs` is the time
+ * up to which the result is complete, in milliseconds relative to the arrival of the request, because the clocks of two
+ * instances have no common reference. It may be negative.
  */
 const responseSchema = v.object({
     result: v.optional(v.object({ changes: v.array(changeSchema), version: v.number(), asOfMs: v.number() })),
