--- a/packages/balancing/src/quota-account.ts
+++ b/packages/balancing/src/quota-account.ts
@@ -2,7 +2,7 @@
  * Tokens that an instance has borrowed for a workspace. Without tokens it admits some requests in debt, and holds others
  * until the owner has answered.
  */
-import { QuotaVerdict } from "./quota-gate.js";
+import { QuotaVerdict, admittedByQuota } from "./quota-gate.js";
 import type { QuotaDecision } from "./quota-gate.js";
 import type { QuotaDemand, QuotaGrant } from "./quota-ledger.js";
 
@@ -64,8 +64,6 @@
 /** Expected requests below which no token is borrowed ahead, since most would not be used. */
 const minExpected = 0.25;
 
-const admitted: QuotaDecision = { verdict: QuotaVerdict.Admitted, retryAfterMs: 0 };
-
 function unavailableFor(retryAfterMs: number): QuotaDecision {
     return { verdict: QuotaVerdict.Unavailable, retryAfterMs };
 }
@@ -127,14 +125,14 @@
         dropExpired(now);
         if (held > 0) {
             held -= 1;
-            return admitted;
+            return admittedByQuota;
         }
         if (now < exhaustedUntil) {
             return exceeded(now);
         }
         if (debts.length < debtLimit) {
             debts.push(now);
-            return admitted;
+            return admittedByQuota;
         }
         if (now < ownerLendsAt) {
             return unavailableFor(ownerLendsAt - now);
@@ -162,7 +160,7 @@
     const admitWaiting = () => {
         const served = waiting.splice(0, held);
         held -= served.length;
-        served.forEach(({ onDecision }) => onDecision(admitted));
+        served.forEach(({ onDecision }) => onDecision(admittedByQuota));
     };
 
     /**
--- a/packages/balancing/src/quota-gate.ts
+++ b/packages/balancing/src/quota-gate.ts
@@ -15,10 +15,13 @@
     retryAfterMs: number;
 }
 
+/** The decision on a request that the quota allows. */
+export const admittedByQuota: QuotaDecision = { verdict: QuotaVerdict.Admitted, retryAfterMs: 0 };
+
 /** Creates a gate that admits every request, for a fleet without quotas. */
 export function createOpenQuotaGate(): QuotaGate {
     return {
-        acquire: (_workspace, onDecision) => onDecision({ verdict: QuotaVerdict.Admitted, retryAfterMs: 0 }),
+        acquire: (_workspace, onDecision) => onDecision(admittedByQuota),
         refund: () => undefined,
     };
 }
--- a/packages/gateway/src/quota-exchange.ts
+++ b/packages/gateway/src/quota-exchange.ts
@@ -4,6 +4,7 @@
  */
 import {
     QuotaVerdict,
+    admittedByQuota,
     createQuotaAccount,
     createQuotaLedger,
     getTokenLifetimeMs,
@@ -393,7 +394,7 @@
     return {
         acquire: (workspace, onDecision) => {
             if (workspace.requestsPerSecond <= 0) {
-                onDecision({ verdict: QuotaVerdict.Admitted, retryAfterMs: 0 });
+                onDecision(admittedByQuota);
                 return;
             }
             checkForPause();
