--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -411,7 +411,7 @@
 }
 
 /** Prepares gateways, each with a loopback address of its own. They are started with `start`. */
-export async function prepareGateways(world, store, zoneOfGateways, regions) {
+export async function prepareGateways(world, store, zoneOfGateways, regions, memoryMb = 350) {
     const ports = await findFreePorts(zoneOfGateways.length * 4);
     const all = zoneOfGateways.map((zone, index) => {
         const ip = `127.0.0.${11 + index}`;
@@ -428,7 +428,7 @@
     return all.map(gateway => {
         const { name, zone, listen } = gateway;
         const path = join(world.folder, `${name}.jsonc`);
-        const machine = { coreShare: 0.54, cores: 1, linkMbps: 1000, memoryMb: 350 };
+        const machine = { coreShare: 0.54, cores: 1, linkMbps: 1000, memoryMb };
         const settings = { id: name, region: regions[zone], zone, listen, zones: regions, machine, bounds };
         const writeSettings = seeds =>
             writeFileSync(path, JSON.stringify({ ...settings, store: store.address, seeds }));
@@ -473,8 +473,8 @@
     });
 }
 
-export async function startGateways(world, store, zoneOfGateways, regions) {
-    const gateways = await prepareGateways(world, store, zoneOfGateways, regions);
+export async function startGateways(world, store, zoneOfGateways, regions, memoryMb) {
+    const gateways = await prepareGateways(world, store, zoneOfGateways, regions, memoryMb);
     gateways.forEach(gateway => gateway.start());
     await Promise.all(gateways.map(gateway => waitUntil(gateway.isReady, 10_000, "the start")));
     return gateways;
