--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -294,16 +294,11 @@
     let currentWorkMs = workMs;
     let coldUntil = startedAt + coldMs;
     const coldSeconds = () => Math.max(0, coldUntil - world.now()) / 1000;
-    /** Headers that are added to all answers. */
-    let extra = {};
     let intercept = () => false;
     let running = 0;
     const self = {
         id,
         runs,
-        setExtra: headers => {
-            extra = headers;
-        },
         /** `handle` returns whether it has taken over the request. */
         setIntercept: handle => {
             intercept = handle;
@@ -317,11 +312,6 @@
             coldUntil = world.now() + forMs;
             self.register("ready");
         },
-        /** Loses power: its connections are gone, and its address answers nothing more. */
-        stop: () => {
-            sockets.forEach(socket => socket.destroy());
-            server.close();
-        },
         register: state => {
             store.put("servers", id, {
                 address: self.address,
@@ -338,7 +328,7 @@
         req.on("end", () => {
             const isHealth = req.url === "/healthz";
             if (isHealth) {
-                res.writeHead(200, { "Instance-Id": id, "Content-Length": 0, ...extra }).end();
+                res.writeHead(200, { "Instance-Id": id, "Content-Length": 0 }).end();
                 return;
             }
             if (intercept(req, res, requestId)) {
@@ -361,7 +351,6 @@
                     "Server-Stamp": `stamp.${id}.${requestId}`,
                     "Server-Load": `${running},0,${slots}`,
                     "Content-Length": body.length,
-                    ...extra,
                 });
                 res.end(body);
                 world.record(`server ${id} answers ${requestId}`);
@@ -424,19 +413,16 @@
         };
         return { name: `front-${zone}-${index + 1}`, zone, ip, listen };
     });
-    const firstSeeds = all.slice(0, 3).map(({ listen }) => listen.peers);
+    const seeds = all.slice(0, 3).map(({ listen }) => listen.peers);
     return all.map(gateway => {
         const { name, zone, listen } = gateway;
         const path = join(world.folder, `${name}.jsonc`);
         const machine = { coreShare: 0.54, cores: 1, linkMbps: 1000, memoryMb };
         const settings = { id: name, region: regions[zone], zone, listen, zones: regions, machine, bounds };
-        const writeSettings = seeds =>
-            writeFileSync(path, JSON.stringify({ ...settings, store: store.address, seeds }));
-        writeSettings(firstSeeds);
+        writeFileSync(path, JSON.stringify({ ...settings, store: store.address, seeds }));
         const self = {
             ...gateway,
             log: [],
-            writeSettings,
             start: () => {
                 const [command, ...args] = readRunLine();
                 const child = spawn(command === "node" ? process.execPath : command, args, {
