--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -42,7 +42,7 @@
 export interface BackendStateOptions {
     record: ServerRecord;
     region: string;
-    coldRequestsPerSecond: number;
+    coldRequestsPerSecond: () => number;
     /** Id of this instance. */
     self: string;
     /**
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -101,7 +101,7 @@
         const server = createBackendState({
             record,
             region,
-            coldRequestsPerSecond: options.coldRequestsPerSecond(record.service),
+            coldRequestsPerSecond: () => options.coldRequestsPerSecond(record.service),
             self: options.self,
             recentColdSenders: options.recentColdSenders,
             rateLimit: createRateLimitOptions(record.id, region),
--- a/packages/balancing/src/balancer.ts
+++ b/packages/balancing/src/balancer.ts
@@ -235,9 +235,7 @@
                 reuse.count(req.route.name, req.objectKey);
             }
             getSpillover(req.service).countRequest(now);
-            if (now < server.coldUntil) {
-                server.coldLimit.countRequest(now);
-            }
+            server.coldLimit.countRequest(now);
             server.rateLimit.countRequest(now);
             req.tried.add(server.record.id);
             server.warm.add(placementKey(req));
--- a/packages/balancing/src/cold-limit.ts
+++ b/packages/balancing/src/cold-limit.ts
@@ -4,8 +4,8 @@
 
 export interface ColdLimitOptions {
     serverId: string;
-    /** Maximum number of requests to a cold server in any second, across all instances. */
-    requestsPerSecond: number;
+    /** Maximum number of requests to a cold server in any second, across all instances, by the current configuration. */
+    requestsPerSecond: () => number;
     /** Id of this instance. */
     self: string;
     /**
@@ -18,6 +18,7 @@
 export interface ColdLimit {
     /** Whether one more request at `now` stays within the limit for the past second. */
     hasCapacity(now: number): boolean;
+    /** Counts a request, also one to a server that is not known to be cold: it may have become cold already. */
     countRequest(now: number): void;
 }
 
@@ -28,18 +29,16 @@
 export function createColdLimit(options: ColdLimitOptions): ColdLimit {
     const sent = createSlidingWindowCounter(windowMs);
     let recent: readonly (readonly string[])[] | undefined;
+    let limit = 0;
     let share = 0;
 
     const currentShare = () => {
         const current = options.recentSenders();
-        if (current !== recent) {
+        const currentLimit = options.requestsPerSecond();
+        if (current !== recent || currentLimit !== limit) {
             recent = current;
-            share = getHeldSenderShare(
-                options.serverId,
-                usableFraction * options.requestsPerSecond,
-                options.self,
-                current,
-            );
+            limit = currentLimit;
+            share = getHeldSenderShare(options.serverId, usableFraction * limit, options.self, current);
         }
         return share;
     };
--- a/packages/balancing/test/balancer.test.ts
+++ b/packages/balancing/test/balancer.test.ts
@@ -141,6 +141,29 @@
     assert.equal(countSent(50), 50);
 });
 
+// Guards against a cold server that gets its share on top of the requests of the second before it was known to be cold.
+test("cold zone: requests that were sent before a server was known to be cold count", () => {
+    const { balancer, table, createRequest, clock } = createInstance([createServer("i-1", "n-a")]);
+    const sendOne = () => {
+        const req = createRequest("1");
+        const choice = balancer.choose(req);
+        if (choice.kind !== ChoiceKind.Send) {
+            return false;
+        }
+        balancer.start(req, choice);
+        balancer.finish(req, choice, { outcome: ServerOutcome.Success, firstByteMs: 5 });
+        return true;
+    };
+    for (let sent = 0; sent < 20; sent++) {
+        assert.ok(sendOne());
+        clock.jump(25);
+    }
+    table.apply(createServer("i-1", "n-a", { coldRemainingMs: coldStartMs }), true);
+    assert.equal(sendOne(), false);
+    clock.jump(1100);
+    assert.equal(sendOne(), true);
+});
+
 // Guards against treating a restarted server with the same id as still warm.
 test("a server that restarts with the same id is cold, and an outdated record does not restore the old one", () => {
     const { table, clock } = createInstance([createServer("i-1", "n-a", { startedAt: 5 })]);
--- a/packages/balancing/test/limits.test.ts
+++ b/packages/balancing/test/limits.test.ts
@@ -48,7 +48,7 @@
         const recentSenders = [sendersOf(self)];
         return createColdLimit({
             serverId: "i-1",
-            requestsPerSecond: coldPerSecond,
+            requestsPerSecond: () => coldPerSecond,
             self,
             recentSenders: () => recentSenders,
         });
@@ -88,7 +88,7 @@
     });
     const limit = createColdLimit({
         serverId: "i-1",
-        requestsPerSecond: coldPerSecond,
+        requestsPerSecond: () => coldPerSecond,
         self: "g-1",
         recentSenders: () => history.recent("n-a"),
     });
@@ -106,6 +106,24 @@
     assert.equal(hasCapacity(), true);
 });
 
+// Guards against a limit that stays at what the configuration said when the server was added.
+test("cold zone: a limit that the configuration changes is followed", () => {
+    let perSecond = 8;
+    const senders = [["g-1"]];
+    const limit = createColdLimit({
+        serverId: "i-1",
+        requestsPerSecond: () => perSecond,
+        self: "g-1",
+        recentSenders: () => senders,
+    });
+    for (let sent = 0; sent < 3; sent++) {
+        limit.countRequest(0);
+    }
+    assert.equal(limit.hasCapacity(0), true);
+    perSecond = 4;
+    assert.equal(limit.hasCapacity(0), false);
+});
+
 // Guards against exceeding the limit while a membership change has not reached all instances.
 test("cold zone: instances whose member lists differ by two stay below the limit of a cold server together", () => {
     fc.assert(
