fix(gateway): a server that becomes cold after a drill is spared (FAILBACK)

Cause: entries state the time that was left when they were written. They are all read again after a return, so for 4 s the view set the cold time of known processes to 0, and dropped what was new with what was repeated. Change: what each process has stated is kept, and an entry counts as a repetition only if it is one; gossip has the statements while the store may lack them, for instances that start on the copy.

--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -12,6 +12,8 @@
 import type { WarmObjects } from "./warm-objects.js";
 import { createColdLimit } from "./cold-limit.js";
 import type { ColdLimit } from "./cold-limit.js";
+import { createColdStatements } from "./cold-statements.js";
+import type { ColdStatements } from "./cold-statements.js";
 
 export interface BackendState {
     readonly record: ServerRecord;
@@ -20,6 +22,8 @@
     readonly health: ServerHealth;
     readonly warm: WarmObjects;
     readonly coldLimit: ColdLimit;
+    /** What the entries of this process have stated about its cold time. */
+    readonly coldStatements: ColdStatements;
     readonly rateLimit: ServerRateLimit;
     /** Clock time until which the server counts as cold. */
     coldUntil: number;
@@ -69,12 +73,15 @@
         load: createServerLoad(),
         health: earlier?.health ?? createServerHealth(),
         warm: createWarmObjects(maxWarmObjects),
-        coldLimit: createColdLimit({
-            serverId: record.id,
-            self: options.self,
-            requestsPerSecond: options.coldRequestsPerSecond,
-            recentSenders: () => recentColdSenders(record.zone),
-        }),
+        coldLimit:
+            earlier?.coldLimit ??
+            createColdLimit({
+                serverId: record.id,
+                self: options.self,
+                requestsPerSecond: options.coldRequestsPerSecond,
+                recentSenders: () => recentColdSenders(record.zone),
+            }),
+        coldStatements: earlier?.coldStatements ?? createColdStatements(),
         rateLimit:
             earlier?.rateLimit ??
             createServerRateLimit({
@@ -83,7 +90,7 @@
                 self: options.self,
                 now: options.now,
             }),
-        coldUntil: options.now + record.coldRemainingMs,
+        coldUntil: earlier?.coldUntil ?? -Infinity,
         slowness: 1,
         hasAnnouncedLeaving,
         hasDrained,
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger } from "@waxwingdale/core";
 import { createBackendState } from "./backend-state.js";
 import type { BackendState } from "./backend-state.js";
+import { EntryOrigin } from "./cold-statements.js";
 import { createRemovedServers } from "./removed-servers.js";
 import type { ReportSource } from "./report-source.js";
 import type { ServerRateLimitOptions } from "./server-rate-limit.js";
@@ -40,8 +41,11 @@
 }
 
 export interface BackendTable {
-    /** Adds or updates a server. `isChange` is false for the initial list after startup, whose servers are not new. */
-    apply(record: ServerRecord, isChange: boolean): void;
+    /**
+     * Adds or updates a server. `isChange` is false for the initial list after startup, whose servers are not new.
+     * @param origin How old the record may be; written just now without it.
+     */
+    apply(record: ServerRecord, isChange: boolean, origin?: EntryOrigin): void;
     remove(id: string): void;
     /** Stops new requests to a server that has announced its shutdown, until it is restarted. */
     markLeaving(id: string, source: ReportSource): void;
@@ -96,7 +100,14 @@
             logger.warn("rate-limit-rejected", { server, value, reason: "not a decimal number" }),
     });
 
-    const add = (record: ServerRecord, region: string, isChange: boolean) => {
+    /** The server is cold for at least as long as its entry states. */
+    const recordColdTime = (server: BackendState, record: ServerRecord, origin: EntryOrigin) => {
+        const { sequence, coldRemainingMs: remainingMs } = record;
+        const coldUntil = server.coldStatements.record({ sequence, remainingMs }, clock.now(), origin);
+        server.coldUntil = Math.max(server.coldUntil, coldUntil);
+    };
+
+    const add = (record: ServerRecord, region: string, isChange: boolean, origin: EntryOrigin) => {
         const now = clock.now();
         const server = createBackendState({
             record,
@@ -109,6 +120,7 @@
             isDrainFinal: mayEntriesBeOlder(),
             earlier: removed.take(record),
         });
+        recordColdTime(server, record, origin);
         if (isChange) {
             server.coldUntil = Math.max(server.coldUntil, now + coldStartMs(record.service));
         }
@@ -119,12 +131,12 @@
             service: record.service,
             address: record.address,
             zone: record.zone,
-            coldMs: Math.round(server.coldUntil - now),
+            coldMs: Math.round(Math.max(0, server.coldUntil - now)),
             isLeaving: server.isLeaving,
         });
     };
 
-    const update = (server: BackendState, record: ServerRecord) => {
+    const update = (server: BackendState, record: ServerRecord, origin: EntryOrigin) => {
         const isDraining = record.phase === ServerPhase.Draining;
         server.hasDrained ||= isDraining;
         const isLeaving =
@@ -133,7 +145,7 @@
             logger.info("server-phase", { server: record.id, phase: record.phase, zone: record.zone });
         }
         server.isLeaving = isLeaving;
-        server.coldUntil = Math.max(server.coldUntil, clock.now() + record.coldRemainingMs);
+        recordColdTime(server, record, origin);
     };
 
     const removeServer = (server: BackendState, reason: string) => {
@@ -150,7 +162,7 @@
     };
 
     return {
-        apply: (record, isChange) => {
+        apply: (record, isChange, origin = EntryOrigin.Written) => {
             const region = options.regionOf(record.zone);
             if (region === undefined) {
                 logger.warn("server-rejected", {
@@ -164,17 +176,17 @@
             const existing = byId.get(record.id);
             if (existing === undefined) {
                 if (!isEarlierProcess(record)) {
-                    add(record, region, isChange);
+                    add(record, region, isChange, origin);
                 }
                 return;
             }
             if (isSameProcess(existing.record, record)) {
-                update(existing, record);
+                update(existing, record, origin);
                 return;
             }
             if (record.startedAt >= existing.record.startedAt) {
                 removeServer(existing, "restarted");
-                add(record, region, true);
+                add(record, region, true, origin);
             }
         },
         remove: id => {
--- a/packages/balancing/src/index.ts
+++ b/packages/balancing/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./candidate-history.js";
 export * from "./check-config.js";
 export * from "./cold-limit.js";
+export * from "./cold-statements.js";
 export * from "./diff-config.js";
 export * from "./fair-share.js";
 export * from "./rate-limit-share.js";
--- a/packages/balancing/src/removed-servers.ts
+++ b/packages/balancing/src/removed-servers.ts
@@ -11,7 +11,15 @@
 /** What is kept of a server: what it has said of itself, and its health. */
 export type RemovedServer = Pick<
     BackendState,
-    "record" | "health" | "rateLimit" | "hasAnnouncedLeaving" | "hasDrained" | "isLeaving"
+    | "record"
+    | "health"
+    | "rateLimit"
+    | "coldLimit"
+    | "coldStatements"
+    | "coldUntil"
+    | "hasAnnouncedLeaving"
+    | "hasDrained"
+    | "isLeaving"
 >;
 
 export interface RemovedServers {
@@ -38,10 +46,12 @@
     };
 
     return {
-        add: ({ record, health, rateLimit, hasAnnouncedLeaving, hasDrained, isLeaving }) => {
-            const { id } = record;
-            const server = { record, health, rateLimit, hasAnnouncedLeaving, hasDrained, isLeaving };
-            setBounded(byId, id, { server, removedAt: clock.now() }, maxServers);
+        add: state => {
+            const { record, health, rateLimit, coldLimit, coldStatements, coldUntil } = state;
+            const { hasAnnouncedLeaving, hasDrained, isLeaving } = state;
+            const cold = { coldLimit, coldStatements, coldUntil };
+            const server = { record, health, rateLimit, ...cold, hasAnnouncedLeaving, hasDrained, isLeaving };
+            setBounded(byId, record.id, { server, removedAt: clock.now() }, maxServers);
         },
         find,
         take: record => {
--- a/packages/balancing/src/server-record.ts
+++ b/packages/balancing/src/server-record.ts
@@ -17,7 +17,9 @@
     /** Maximum number of concurrent requests. */
     slots: number;
     phase: ServerPhase;
-    /** Time in milliseconds for which the server expects to stay cold. */
+    /** Number that the process increments with each entry that it writes, if the entry has one. */
+    sequence?: number | undefined;
+    /** Time in milliseconds for which the server expected to stay cold when it wrote the entry. */
     coldRemainingMs: number;
 }
 
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -229,7 +229,12 @@
             mayEntriesBeOlder: () => get(tokens.context).store.era() !== undefined,
             onServerRemoved: ({ record }) => get(tokens.pool).closeIdle(record.id),
         });
-        const reports = createServerReportExchange({ table, clock, logger });
+        const reports = createServerReportExchange({
+            table,
+            clock,
+            logger,
+            mayStoreLackEntries: () => get(tokens.storeView).mayLackEntries(),
+        });
         get(tokens.membership).addExtension("server-reports", {
             digest: () => reports.getDigest(),
             merge: digest => reports.handlePeerDigest(digest),
--- a/packages/gateway/src/server-report-exchange.ts
+++ b/packages/gateway/src/server-report-exchange.ts
@@ -1,7 +1,7 @@
 /**
- * Shares what servers say about themselves in their responses, as a digest in each gossip exchange: their rate limits,
- * and that they shut down. An instance thereby knows it before a server has told it, and hears of the end of a limit
- * although it may not send to the server.
+ * Shares what servers say about themselves, as a digest in each gossip exchange: their rate limits, that they shut down, and
+ * that they are cold while the store may lack it. An instance thereby knows it before a server has told it, and hears of the
+ * end of a limit although it may not send to the server.
  */
 import { ReportSource } from "@waxwingdale/balancing";
 import type { BackendState, BackendTable } from "@waxwingdale/balancing";
@@ -10,7 +10,7 @@
 import { createRotation } from "./rotation.js";
 
 export interface ServerReportExchange {
-    /** Returns what this instance knows of servers that are limited or leaving. */
+    /** Returns what this instance knows of servers that are limited, leaving or cold. */
     getDigest(): unknown;
     /** Applies the digest of a peer. A malformed one is ignored. */
     handlePeerDigest(digest: unknown): void;
@@ -20,6 +20,8 @@
     table: BackendTable;
     clock: Clock;
     logger: Logger;
+    /** Whether the store may lack entries that servers have written. */
+    mayStoreLackEntries: () => boolean;
 }
 
 /** Servers in a digest, which bounds its bytes. Where there are more, further digests go on with the next ones. */
@@ -39,6 +41,14 @@
         }),
     ),
     isLeaving: v.optional(v.boolean(), false),
+    /** What the server has stated about its cold time; absent where the store says it as well. */
+    cold: v.optional(
+        v.object({
+            sequence: v.optional(nonNegativeNumber),
+            remainingMs: nonNegativeNumber,
+            ageMs: nonNegativeNumber,
+        }),
+    ),
 });
 const digestSchema = v.pipe(v.array(entrySchema), v.maxLength(maxEntries));
 
@@ -48,6 +58,7 @@
     table,
     clock,
     logger,
+    mayStoreLackEntries,
 }: ServerReportExchangeOptions): ServerReportExchange {
     const takeEntries = createRotation<Entry>();
 
@@ -55,12 +66,13 @@
         const { record, hasAnnouncedLeaving: isLeaving } = server;
         const observation = server.rateLimit.observation(now);
         const rateLimit = observation && { ...observation, ageMs: Math.round(observation.ageMs) };
-        return rateLimit !== undefined || isLeaving
-            ? { server: record.id, startedAt: record.startedAt, rateLimit, isLeaving }
+        const cold = mayStoreLackEntries() ? server.coldStatements.current(now) : undefined;
+        return rateLimit !== undefined || isLeaving || cold !== undefined
+            ? { server: record.id, startedAt: record.startedAt, rateLimit, isLeaving, ...(cold && { cold }) }
             : undefined;
     };
 
-    const applyEntry = (server: BackendState, { rateLimit, isLeaving }: Entry, now: number) => {
+    const applyEntry = (server: BackendState, { rateLimit, isLeaving, cold }: Entry, now: number) => {
         if (rateLimit !== undefined) {
             const { requestsPerSecond, ageMs } = rateLimit;
             server.rateLimit.merge({ requestsPerSecond, ageMs }, now);
@@ -68,6 +80,9 @@
         if (isLeaving) {
             table.markLeaving(server.record.id, ReportSource.Peer);
         }
+        if (cold !== undefined) {
+            server.coldUntil = Math.max(server.coldUntil, server.coldStatements.merge(cold, now));
+        }
     };
 
     return {
--- a/packages/gateway/src/store-view.ts
+++ b/packages/gateway/src/store-view.ts
@@ -1,6 +1,6 @@
 /** Backend servers and evacuated zones from the store, or from a peer's view until the store has been read. */
-import { isSameProcess } from "@waxwingdale/balancing";
-import type { BackendTable, ServerRecord } from "@waxwingdale/balancing";
+import { EntryOrigin } from "@waxwingdale/balancing";
+import type { BackendTable } from "@waxwingdale/balancing";
 import type {
     Clock,
     Logger,
@@ -32,17 +32,26 @@
     run(): Promise<void>;
     /** Returns why the view cannot be used yet, or undefined once the store or a peer has provided it. */
     notReadyReason(): string | undefined;
+    /** Whether the store, or this view of it, may lack entries that servers have written lately. */
+    mayLackEntries(): boolean;
 }
 
 /** Time in milliseconds that servers have to rewrite their expired entries once the store has recovered. */
 const expiredEntryGraceMs = 2000;
+/** Time in milliseconds after the store's return from an older copy in which what it has lost may still matter. */
+const lossRelevantMs = 10_000;
 
 export function createStoreView(options: StoreViewOptions): StoreView {
     const { store, clock, logger, table, signal } = options;
     const readPrefixes = new Set<string>();
     /** Clock time from which nothing is known that the store lacks. */
     let settledAt = -Infinity;
+    let returnedAt = -Infinity;
+    /** Whether entries come from the first list after the store's return. */
+    let isReadingCopy = false;
     store.onEraChange(() => {
+        isReadingCopy = readPrefixes.has(serversPrefix);
+        returnedAt = clock.now();
         // A server has the time to write its entry again after each of them: the store's return, and this instance's list.
         settledAt = clock.now() + 2 * expiredEntryGraceMs;
     });
@@ -64,9 +73,11 @@
         setEvacuated,
     });
 
-    const isKnownProcess = (record: ServerRecord): boolean => {
-        const known = table.find(record.id);
-        return known !== undefined && isSameProcess(known.record, record);
+    const getOrigin = (): EntryOrigin => {
+        if (isReadingCopy) {
+            return EntryOrigin.OlderCopy;
+        }
+        return clock.now() < settledAt ? EntryOrigin.Rewritten : EntryOrigin.Written;
     };
 
     const applyServer = (id: string, value: unknown) => {
@@ -80,13 +91,11 @@
             table.remove(id);
             return;
         }
-        const isRepeated = clock.now() < settledAt && isKnownProcess(record);
-        // The time for which the server is cold counts from when its entry was first read.
-        const applied = isRepeated ? { ...record, coldRemainingMs: 0 } : record;
-        table.apply(applied, readPrefixes.has(serversPrefix));
+        table.apply(record, readPrefixes.has(serversPrefix), getOrigin());
     };
 
-    const recordFirstList = (prefix: string) => {
+    const recordList = (prefix: string) => {
+        isReadingCopy &&= prefix !== serversPrefix;
         if (readPrefixes.has(prefix)) {
             return;
         }
@@ -125,7 +134,7 @@
             holdsReappearing,
             onObject: ({ key, value }) => onObject(nameOf(key), value),
             onDeleted: key => onDeleted(nameOf(key)),
-            onListed: () => recordFirstList(prefix),
+            onListed: () => recordList(prefix),
         });
 
     const watchEvacuations = () =>
@@ -150,6 +159,9 @@
                 peerView.run(),
             ]);
         },
+        mayLackEntries: () =>
+            clock.now() < returnedAt + lossRelevantMs ||
+            (options.watches.ages().get(serversPrefix) ?? 0) > options.watches.timings(serversPrefix).boundMs,
         notReadyReason: () => (isComplete() || peerView.hasView() ? undefined : "no list of backend servers"),
     };
 }
--- a/packages/gateway/test/server-report-exchange.test.ts
+++ b/packages/gateway/test/server-report-exchange.test.ts
@@ -5,7 +5,7 @@
 import { createManualClock, createSilentLogger } from "@waxwingdale/core";
 import { createServerReportExchange } from "../src/server-report-exchange.js";
 
-function createInstance(startedAt = 1, serverCount = 2) {
+function createInstance(startedAt = 1, serverCount = 2, mayStoreLackEntries = false) {
     const clock = createManualClock(10_000);
     const table: BackendTable = createBackendTable({
         clock,
@@ -32,7 +32,12 @@
             false,
         );
     }
-    const exchange = createServerReportExchange({ table, clock, logger: createSilentLogger() });
+    const exchange = createServerReportExchange({
+        table,
+        clock,
+        logger: createSilentLogger(),
+        mayStoreLackEntries: () => mayStoreLackEntries,
+    });
     const nameLimit = (requestsPerSecond: number | undefined) =>
         table
             .find("i-1")!
@@ -111,6 +116,27 @@
     assert.equal(restarted.table.usable("files").length, 2);
 });
 
+// Guards against a cold server that gets the full load of an instance which has read the store after it lost the entry (FAILBACK).
+test("an instance hears from a peer that a server is cold while the store may lack it", () => {
+    const sender = createInstance(1, 2, true);
+    const receiver = createInstance(1, 2, true);
+    const remainingMs = 3000;
+    const record = { ...sender.table.find("i-1")!.record, coldRemainingMs: remainingMs };
+    sender.table.apply(record, true);
+    sender.clock.jump(1000);
+    receiver.exchange.handlePeerDigest(sender.getDigest());
+    const { coldUntil } = receiver.table.find("i-1")!;
+    assert.equal(coldUntil, receiver.clock.now() + remainingMs - 1000);
+    // What an instance hears back of its own report does not prolong the cold time.
+    receiver.clock.jump(500);
+    sender.clock.jump(900);
+    sender.exchange.handlePeerDigest(receiver.getDigest());
+    assert.equal(sender.table.find("i-1")!.coldUntil, sender.clock.now() + remainingMs - 1900);
+    const settled = createInstance();
+    settled.table.apply(record, true);
+    assert.deepEqual(settled.getDigest(), []);
+});
+
 // Guards against gossip that grows with the number of servers in need.
 test("a digest is bounded, and consecutive ones have all servers", () => {
     const sender = createInstance(1, 40);
