fix(membership): an instance whose peers are gone asks the store whether it is missed (DRAIN)

Cause: from three silent members on, without a contact in between, an instance took itself for cut off and suspected nobody; a loss of all peers looks the same, and no contact ever ends it. Below three, one that was cut off declared its peers dead; and where two or three of 89 were left, they met so seldom that they were isolated most of the time. Change: without a contact it calls its last peers, then all. If none responds it reads in the store whether anybody misses it; each instance keeps there, in one object, whom it could not reach. A death needs a contact or this answer since the suspicion.

--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -48,6 +48,7 @@
 import { createCrashLog, logRequest, logSkippedResponse } from "./request-log.js";
 import { createStoreView } from "./store-view.js";
 import { createStoreWatches } from "./store-watches.js";
+import { createStoreWitness } from "./store-witness.js";
 import { createTrafficDocument, trafficDocumentName } from "./traffic-document.js";
 import type { TrafficDocument } from "./traffic-document.js";
 import { createViewConfirmation } from "./view-confirmation.js";
@@ -76,6 +77,9 @@
     return scope;
 }
 
+/** Time in milliseconds after which an instance that finds nobody, and cannot ask the store, counts as alone. */
+const aloneAfterMs = 5000;
+
 /** Registers the components for calls between instances and for membership. */
 function composePeers(add: RegisterComponent): void {
     add(tokens.rpcServer, get => createRpcServer(get(tokens.context).logger));
@@ -83,6 +87,7 @@
         const { settings, fleetKey, logger } = get(tokens.context);
         return createRpcClient({ id: settings().id, fleetKey, connections: 1, logger });
     });
+    add(tokens.storeWitness, get => createStoreWitness(get(tokens.context)));
     add(tokens.membership, get => {
         const { self, clock, random, logger, settings } = get(tokens.context);
         return createMembership({
@@ -93,8 +98,17 @@
             random,
             logger,
             findSeeds: async () => settings().seeds,
+            findPeers: () => get(tokens.storeWitness).findPeers(),
+            witness: get(tokens.storeWitness),
         });
     });
+    add(tokens.isEstablished, get => {
+        const { clock, settings } = get(tokens.context);
+        const startedAt = clock.now();
+        return () =>
+            get(tokens.membership).hasJoined() ||
+            clock.now() - startedAt >= (settings().seeds.length > 0 ? aloneAfterMs : 0);
+    });
     add(tokens.topology, get =>
         createInstanceTopology({
             selfId: get(tokens.context).self.id,
@@ -326,9 +340,6 @@
     });
 }
 
-/** Time in milliseconds after which an instance without contact to its seeds counts as alone. */
-const aloneAfterMs = 5000;
-
 function composeQuota(get: Resolve): QuotaExchange {
     const { logger, settings } = get(tokens.context);
     // Tokens expire and owners change while an instance is suspended, which the monotonic clock does not count. Suspensions are
@@ -337,16 +348,20 @@
     const membership = get(tokens.membership);
     const topology = get(tokens.topology);
     const members = () => membership;
-    const startedAt = clock.now();
     const seeds = () => settings().seeds;
-    const counts = createInstanceCounts({ clock, topology, members, seeds, riseDelayMs: takeoverMs });
+    const counts = createInstanceCounts({
+        clock,
+        topology,
+        members,
+        seeds,
+        isAlone: () => membership.isAlone(),
+        riseDelayMs: takeoverMs,
+    });
     const exchange = createQuotaExchange({
         members,
         topology,
         counts,
-        isJoined: () =>
-            membership.lastContactAt() !== undefined ||
-            clock.now() - startedAt >= (seeds().length > 0 ? aloneAfterMs : 0),
+        isJoined: get(tokens.isEstablished),
         bounds: () => {
             const { quotaWindowSeconds, quotaOverage, quotaSlack } = settings().bounds;
             return { windowMs: quotaWindowSeconds * 1000, overage: quotaOverage, slack: quotaSlack };
--- a/packages/gateway/src/gateway-tokens.ts
+++ b/packages/gateway/src/gateway-tokens.ts
@@ -39,6 +39,7 @@
 import type { QuotaExchange } from "./quota-exchange.js";
 import type { GatewaySettings } from "./settings.js";
 import type { StoreView } from "./store-view.js";
+import type { StoreWitness } from "./store-witness.js";
 import type { StoreWatches } from "./store-watches.js";
 import type { TrafficDocument } from "./traffic-document.js";
 import type { ViewConfirmation } from "./view-confirmation.js";
@@ -67,7 +68,10 @@
     rpcClient: createToken<RpcClient>("rpcClient"),
     membership: createToken<Membership>("membership"),
     directory: createToken<InstanceDirectory>("directory"),
+    storeWitness: createToken<StoreWitness>("storeWitness"),
     topology: createToken<InstanceTopology>("topology"),
+    /** Whether this instance knows the others, or that there are none. */
+    isEstablished: createToken<() => boolean>("isEstablished"),
     candidateHistory: createToken<CandidateHistory>("candidateHistory"),
     coldSenderHistory: createToken<CandidateHistory>("coldSenderHistory"),
     exchange: createToken<DocumentExchange>("exchange"),
--- a/packages/gateway/src/instance-counts.ts
+++ b/packages/gateway/src/instance-counts.ts
@@ -23,6 +23,11 @@
     clock: Clock;
     topology: InstanceTopology;
     members: () => MemberView;
+    /**
+     * Whether this instance has found that all others are gone, not only out of reach.
+     * @default never
+     */
+    isAlone?: () => boolean;
     /** Peer addresses from the settings. */
     seeds: () => readonly string[];
     /** Time in milliseconds for which an instance that has become visible does not count yet. */
@@ -50,6 +55,7 @@
             }
             samples = samples.filter(({ seenAt }) => seenAt >= now - windowMs);
         },
+        clear: () => void (samples = []),
         values: () => samples.map(({ value }) => value),
     };
 }
@@ -84,6 +90,11 @@
     return {
         update: () => {
             const now = clock.now();
+            if (options.isAlone?.() === true && topology.live().length <= 1) {
+                [recentCounts, knownCounts, largeCounts].forEach(counts => counts.clear());
+                [recentCounts, knownCounts, largeCounts].forEach(counts => counts.add(1, now));
+                return;
+            }
             const members = getKnownMembers(now);
             recentCounts.add(topology.live().length, now);
             knownCounts.add(Math.max(topology.live().length, members.length, countSeeds()), now);
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -175,6 +175,7 @@
     void get(tokens.viewConfirmation).run();
     void membership.run(controller.signal);
     void get(tokens.crashArchive).run(controller.signal);
+    void get(tokens.storeWitness).run(controller.signal);
     get(tokens.quota).run(controller.signal);
     logger.info("started", {
         zone: settings.zone,
--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -14,6 +14,10 @@
 export interface FailureDetector {
     /** Exchanges rows with a member, and suspects it on failure. Does not throw. */
     check(member: Member): Promise<void>;
+    /** Exchanges rows with a member directly and records the failure. Does not throw. */
+    probe(member: Member): Promise<ProbeOutcome>;
+    /** Suspects a member after a failed probe, unless this member may itself be isolated. */
+    suspect(member: Member, outcome: ProbeOutcome): void;
     /** Probes a member on behalf of a peer that cannot reach it. */
     handleProbe(params: unknown): Promise<ProbeResult>;
 }
@@ -28,9 +32,15 @@
     transport: PeerTransport;
     logger: Logger;
     limits: MembershipLimits;
+    /** Whether an address that refuses connections counts as unreachable: a network partition may refuse as well. */
+    countsRefusals: boolean;
+    /** Called with the outcome of the direct probe of each check. */
+    onProbed: (outcome: ProbeOutcome) => void;
+    /** Called with a member that responds neither directly nor through others. */
+    onMissing: (member: Member) => void;
 }
 
-enum ProbeOutcome {
+export enum ProbeOutcome {
     Alive,
     /** No response. */
     NoResponse,
@@ -63,6 +73,26 @@
         }
     };
 
+    const probe = async (member: Member): Promise<ProbeOutcome> => {
+        const pausesBefore = pauseDetector.pauses();
+        const outcome = await probeDirectly(member);
+        pauseDetector.check();
+        if (outcome === ProbeOutcome.Alive || pauseDetector.pauses() !== pausesBefore) {
+            return ProbeOutcome.Alive;
+        }
+        if (outcome === ProbeOutcome.NoResponse || options.countsRefusals) {
+            isolationDetector.recordFailure(member.id);
+        }
+        return outcome;
+    };
+
+    const suspect = (member: Member, outcome: ProbeOutcome) => {
+        if (isolationDetector.isTrusted()) {
+            const hasEnded = outcome === ProbeOutcome.ProcessEnded;
+            view.suspect(member, hasEnded ? limits.refusedSuspicionMs : limits.suspicionMs);
+        }
+    };
+
     const probeThrough = async (helper: Member, member: Member): Promise<boolean> => {
         const params: ProbeMessage = { peerAddress: member.peerAddress };
         try {
@@ -73,6 +103,7 @@
                 params,
                 timeoutMs,
             );
+            isolationDetector.recordSuccess(helper.id);
             return isObject(result) && result.reachable === true;
         } catch {
             return false;
@@ -88,22 +119,19 @@
     return {
         check: async member => {
             const pausesBefore = pauseDetector.pauses();
-            const outcome = await probeDirectly(member);
+            const outcome = await probe(member);
+            options.onProbed(outcome);
             if (outcome === ProbeOutcome.Alive || (await isReachableThroughOthers(member))) {
                 return;
             }
             pauseDetector.check();
-            if (pauseDetector.pauses() !== pausesBefore) {
-                return;
-            }
-            if (outcome === ProbeOutcome.NoResponse) {
-                isolationDetector.recordFailure(member.id);
-            }
-            if (isolationDetector.isTrusted()) {
-                const hasEnded = outcome === ProbeOutcome.ProcessEnded;
-                view.suspect(member, hasEnded ? limits.refusedSuspicionMs : limits.suspicionMs);
+            if (pauseDetector.pauses() === pausesBefore) {
+                options.onMissing(member);
+                suspect(member, outcome);
             }
         },
+        probe,
+        suspect,
         handleProbe: async params => {
             const peerAddress = isObject(params) ? params.peerAddress : undefined;
             // Calls only addresses of known members, because the call contains the fleet key.
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./member-table.js";
 export * from "./membership-limits.js";
 export * from "./membership.js";
+export * from "./witness.js";
--- a/packages/membership/src/isolation-detector.ts
+++ b/packages/membership/src/isolation-detector.ts
@@ -1,49 +1,104 @@
-/** Detects from failed calls that this member itself may be isolated from the network. */
+/**
+ * Detects from failed calls that this member itself may be isolated from the network. Whether it is, or whether all others
+ * are gone, cannot be told from these calls; a witness outside the fleet may know.
+ */
 import type { Clock, Logger } from "@waxwingdale/core";
 
 export interface IsolationDetector {
     lastContactAt(): number | undefined;
+    /** Whether a peer has responded or called within the last moments. */
+    hasRecentContact(): boolean;
+    /** Ids of the peers that were in contact last, the latest first. */
+    recentPeers(): readonly string[];
     /** Records that a peer responded or sent a request. */
-    recordSuccess(): void;
+    recordSuccess(memberId: string): void;
     /** Records that a member could not be reached. */
     recordFailure(memberId: string): void;
     /** Requires contact with a peer before other members are suspected again, as after a pause of this process. */
     requireContact(): void;
+    /** Records whether a witness has found that no other member lives. Others may be suspected for a few seconds then. */
+    recordVerdict(isAlone: boolean): void;
+    /** Whether no other member lived when a witness was asked last, and none has been in contact since. */
+    isAlone(): boolean;
     /** Whether this member may suspect others. */
     isTrusted(): boolean;
+    /** Whether it may declare a member dead that it suspects since a clock time. */
+    mayDeclareDead(suspectedAt: number): boolean;
 }
 
-export function createIsolationDetector(
-    clock: Clock,
-    logger: Logger,
-    isolationThreshold: number,
-): IsolationDetector {
+export interface IsolationDetectorOptions {
+    clock: Clock;
+    logger: Logger;
+    /** Number of members that cannot be reached, with no contact in between, from which this member may be isolated. */
+    threshold: number;
+    /** Whether a death needs a contact since the suspicion, or a verdict. */
+    needsEvidence: boolean;
+    /** Called after a contact that ends an isolation, with the time in milliseconds without any. */
+    onReconnected: (silentMs: number) => void;
+}
+
+/** Time in milliseconds after a contact in which this member is not isolated, whatever other calls fail. */
+const recentContactMs = 1500;
+/** Time in milliseconds for which a verdict holds: shorter than a suspicion, which so needs two of them. */
+const verdictMs = 2800;
+const maxRecentPeers = 3;
+
+export function createIsolationDetector(options: IsolationDetectorOptions): IsolationDetector {
+    const { clock, logger, threshold } = options;
     /** Members that could not be reached since the last contact with any peer. */
     const failed = new Set<string>();
+    let recentPeers: readonly string[] = [];
     let needsContact = false;
     let lastContact: number | undefined;
-    const isTrusted = () => !needsContact && failed.size < isolationThreshold;
+    let aloneUntil = -Infinity;
+    let wasAlone = false;
+    let isReported = false;
+
+    const hasRecentContact = () => lastContact !== undefined && clock.now() - lastContact <= recentContactMs;
+    const isTrusted = () =>
+        clock.now() < aloneUntil || (!needsContact && (failed.size < threshold || hasRecentContact()));
 
     return {
         lastContactAt: () => lastContact,
-        recordSuccess: () => {
-            if (!isTrusted()) {
-                logger.info("membership-contact", { failedMembers: failed.size });
+        hasRecentContact,
+        recentPeers: () => recentPeers,
+        recordSuccess: memberId => {
+            const wasTrusted = isTrusted();
+            const silentMs = clock.now() - (lastContact ?? -Infinity);
+            if (!wasTrusted) {
+                logger.info("membership-contact", { peer: memberId, failedMembers: failed.size });
             }
             lastContact = clock.now();
+            recentPeers = [memberId, ...recentPeers.filter(id => id !== memberId)].slice(0, maxRecentPeers);
             needsContact = false;
+            aloneUntil = -Infinity;
+            wasAlone = false;
             failed.clear();
+            isReported = false;
+            if (!wasTrusted) {
+                options.onReconnected(silentMs);
+            }
         },
         recordFailure: memberId => {
-            const wasTrusted = isTrusted();
             failed.add(memberId);
-            if (wasTrusted && !isTrusted()) {
+            if (!isTrusted() && !isReported) {
+                isReported = true;
                 logger.warn("membership-isolated", { failedMembers: failed.size });
             }
         },
         requireContact: () => {
             needsContact = true;
+            aloneUntil = -Infinity;
+            wasAlone = false;
+        },
+        recordVerdict: isNowAlone => {
+            wasAlone = isNowAlone;
+            aloneUntil = isNowAlone ? clock.now() + verdictMs : -Infinity;
         },
+        isAlone: () => wasAlone,
         isTrusted,
+        mayDeclareDead: suspectedAt =>
+            isTrusted() &&
+            (!options.needsEvidence || clock.now() < aloneUntil || (lastContact ?? -Infinity) > suspectedAt),
     };
 }
--- a/packages/membership/src/local-view.ts
+++ b/packages/membership/src/local-view.ts
@@ -34,8 +34,14 @@
      * `from` is the row of the peer itself, which is alive because it sent the message.
      */
     merge(from: Member, rows: Member[], origin: RowOrigin): Member[];
+    /** This member's incarnation at the last message from a peer, or since it was renewed. */
+    contactIncarnation(): number;
+    /** Takes a new incarnation: what others have noticed before no longer holds. */
+    renew(): void;
     /** Marks a member as unreachable unless its row has changed since. */
     suspect(member: Member, waitMs: number): void;
+    /** Takes back all suspicions, since this member has found itself to be cut off. */
+    withdrawSuspicions(): void;
     /** Declares a suspect dead that did not refute in time. */
     declareDead(row: Member): void;
     /** Removes the rows of members that have been dead for the retention time. */
@@ -61,6 +67,7 @@
     const tombstones = new Map<string, { incarnation: number; at: number }>();
     const startedAt = clock.now();
     let self = { ...options.self };
+    let contactIncarnation = self.incarnation;
     let isChanged = false;
 
     const setRow = (member: Member, shouldSpread = true) => {
@@ -175,6 +182,7 @@
         merge: (from, rows, origin) => {
             const newer = rows.map(row => mergeRow(row, false, origin)).filter(row => row !== undefined);
             const newerSender = mergeRow(from, true, origin);
+            contactIncarnation = self.incarnation;
             if (table.find(from.id)?.status === MemberStatus.Leaving) {
                 options.suspicions().cancel(from.id);
             }
@@ -182,6 +190,19 @@
             const corrections = newer.filter(row => row.id !== from.id).map(downgradeOldDeath);
             return newerSender === undefined ? corrections : [newerSender, ...corrections];
         },
+        contactIncarnation: () => contactIncarnation,
+        renew: () => {
+            updateSelf({});
+            contactIncarnation = self.incarnation;
+            notify();
+        },
+        withdrawSuspicions: () => {
+            table
+                .all()
+                .filter(({ status }) => status === MemberStatus.Suspect)
+                .forEach(row => replace({ ...row, status: MemberStatus.Live }, row, false));
+            notify();
+        },
         suspect: (member, waitMs) => {
             const current = table.find(member.id);
             if (current?.incarnation !== member.incarnation) {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -15,6 +15,7 @@
 } from "@waxwingdale/core";
 import { createIsolationDetector } from "./isolation-detector.js";
 import { createFailureDetector } from "./failure-detector.js";
+import { createIsolationResolver } from "./isolation-resolver.js";
 import type { GossipExtension } from "./gossip-message.js";
 import { createLocalView } from "./local-view.js";
 import { createMemberTable } from "./member-table.js";
@@ -27,6 +28,7 @@
 import { createRumors } from "./rumors.js";
 import { createSuspicions } from "./suspicions.js";
 import { createViewExchange } from "./view-exchange.js";
+import type { Witness } from "./witness.js";
 
 export interface MembershipOptions {
     self: Member;
@@ -38,6 +40,16 @@
     limits?: Partial<MembershipLimits>;
     /** Returns peer addresses for joining. Called repeatedly while no peer is known, and rarely afterwards. */
     findSeeds: () => Promise<string[]>;
+    /**
+     * Returns addresses of members that may not be among the seeds. Called while no seed responds and no peer is known.
+     * @default none
+     */
+    findPeers?: () => Promise<string[]>;
+    /**
+     * Tells whether this member is cut off or all others are gone, once none of them responds.
+     * @default none: a member that several others do not respond to declares nobody dead until a contact
+     */
+    witness?: Witness;
 }
 
 export interface Membership extends MemberView {
@@ -51,6 +63,10 @@
     run(signal: AbortSignal): Promise<void>;
     /** Clock time of the last contact with any peer, or undefined if there was none. */
     lastContactAt(): number | undefined;
+    /** Whether this member knows its peers, or has found that there are none. */
+    hasJoined(): boolean;
+    /** Whether a witness has found that all others are gone, and none has been in contact since. */
+    isAlone(): boolean;
     state(): unknown;
 }
 
@@ -64,7 +80,20 @@
     const limits = { ...defaultMembershipLimits, ...options.limits };
     const table = createMemberTable();
     const rumors = createRumors(table);
-    const isolationDetector = createIsolationDetector(clock, logger, limits.isolationThreshold);
+    const { witness } = options;
+    const isolationDetector = createIsolationDetector({
+        clock,
+        logger,
+        // A witness is asked as soon as there is no contact.
+        threshold: witness === undefined ? limits.isolationThreshold : 1,
+        needsEvidence: witness !== undefined,
+        onReconnected: silentMs => {
+            if (silentMs > limits.suspicionMs) {
+                suspicions.restartAll();
+                witness?.withdrawReports();
+            }
+        },
+    });
     const order = createPeerOrder(table, options.self.id, random);
     const budget = createRowBudget(clock, limits.rowsPerSecond, limits.rowBurst);
     const pauseDetector = createPauseDetector(clock, limits.pauseThresholdMs, gapMs => resume(gapMs));
@@ -72,7 +101,7 @@
         clock,
         pauseDetector,
         suspicionMs: limits.suspicionMs,
-        isTrusted: () => isolationDetector.isTrusted(),
+        mayDeclareDead: suspectedAt => isolationDetector.mayDeclareDead(suspectedAt),
         onExpired: row => view.declareDead(row),
     });
     const view = createLocalView({
@@ -98,12 +127,22 @@
         random,
     };
     const exchange = createViewExchange({ ...components, logger, limits });
-    const detector = createFailureDetector({ ...components, exchange, logger, limits });
+    const detector = createFailureDetector({
+        ...components,
+        exchange,
+        logger,
+        limits,
+        countsRefusals: witness !== undefined,
+        onProbed: outcome => resolver.recordCheck(outcome),
+        onMissing: member => witness?.reportMissing([member]),
+    });
+    const resolver = createIsolationResolver({ ...components, detector, witness, logger });
     const peerDiscovery = createPeerDiscovery({
         self: () => view.self(),
         table,
         exchange,
         findSeeds: options.findSeeds,
+        findPeers: options.findPeers,
         clock,
         random,
         logger,
@@ -127,7 +166,7 @@
         isolationDetector.requireContact();
         suspicions.restartAll();
         if (view.self().status !== MemberStatus.Dead) {
-            view.updateSelf({});
+            view.renew();
             start(notifyPeers());
         }
     };
@@ -211,10 +250,13 @@
                 await Promise.allSettled(running);
             } finally {
                 pauseDetector.stop();
+                resolver.stop();
                 suspicions.cancelAll();
             }
         },
         lastContactAt: () => isolationDetector.lastContactAt(),
+        hasJoined: () => isolationDetector.lastContactAt() !== undefined || peerDiscovery.hasFoundNobody(),
+        isAlone: () => isolationDetector.isAlone(),
         state: () => ({
             self: view.self(),
             members: table.all(),
--- a/packages/membership/src/peer-discovery.ts
+++ b/packages/membership/src/peer-discovery.ts
@@ -7,6 +7,7 @@
 import type { ViewExchange } from "./view-exchange.js";
 
 const seedsPerAttempt = 3;
+const maxFoundPeers = 12;
 /** Timeout of `findSeeds`, since a slow store must not delay the gossip. */
 const findSeedsTimeoutMs = 5000;
 /** Period after startup with frequent seed checks: members that start simultaneously may form isolated groups. */
@@ -17,6 +18,8 @@
 export interface PeerDiscovery {
     /** Contacts a few seeds. Returns whether one responded. */
     join(): Promise<boolean>;
+    /** Whether all who could be found outside the seeds were called, and none responded. */
+    hasFoundNobody(): boolean;
     /** Returns the delay in milliseconds after the given number of failed attempts to join. */
     joinBackoffMs(failures: number): number;
     /** Contacts a dead member or an unknown seed if an attempt is due. */
@@ -28,6 +31,7 @@
     table: MemberTable;
     exchange: ViewExchange;
     findSeeds: () => Promise<string[]>;
+    findPeers: (() => Promise<string[]>) | undefined;
     clock: Clock;
     random: Random;
     logger: Logger;
@@ -39,14 +43,17 @@
     const startedAt = clock.now();
     const jitter = () => 0.8 + 0.4 * random();
     let nextDeadRetryAt = startedAt;
+    let foundNobody = false;
     let nextSeedCheckAt = startedAt + startupSeedCheckMs * jitter();
 
+    const isOther = (address: string) => address !== self().peerAddress;
+
     const findSeeds = async (): Promise<string[]> => {
         const timeout = clock.sleep(findSeedsTimeoutMs).then(() => {
             throw new Error(`reading the seed list timed out after ${findSeedsTimeoutMs} ms`);
         });
         const seeds = await Promise.race([options.findSeeds(), timeout]);
-        return seeds.filter(address => address !== self().peerAddress);
+        return seeds.filter(isOther);
     };
 
     const tryAddress = async (address: string): Promise<boolean> => {
@@ -90,17 +97,30 @@
         }
     };
 
+    const tryAll = async (addresses: readonly string[]): Promise<boolean> =>
+        (await Promise.all(addresses.map(tryAddress))).includes(true);
+
+    const joinOutsideSeeds = async (): Promise<boolean> => {
+        if (options.findPeers === undefined) {
+            return false;
+        }
+        const peers = (await options.findPeers()).filter(isOther).slice(0, maxFoundPeers);
+        const hasJoined = await tryAll(peers);
+        foundNobody = !hasJoined;
+        return hasJoined;
+    };
+
     return {
         join: async () => {
             try {
                 const seeds = shuffle(await findSeeds(), random).slice(0, seedsPerAttempt);
-                const results = await Promise.all(seeds.map(tryAddress));
-                return results.includes(true);
+                return (await tryAll(seeds)) || (await joinOutsideSeeds());
             } catch (err) {
                 logger.warn("join-failed", { error: getErrorMessage(err) });
                 return false;
             }
         },
+        hasFoundNobody: () => foundNobody,
         joinBackoffMs: failures =>
             Math.min(maxJoinDelayMs, limits.gossipIntervalMs * 2 ** failures) * jitter(),
         reconnect: async () => {
--- a/packages/membership/src/suspicions.ts
+++ b/packages/membership/src/suspicions.ts
@@ -16,8 +16,8 @@
     clock: Clock;
     pauseDetector: PauseDetector;
     suspicionMs: number;
-    /** Whether this member may declare others dead. While it may not, expired timers are restarted. */
-    isTrusted: () => boolean;
+    /** Whether this member may declare one dead that it suspects since a clock time. If not, the timer is restarted. */
+    mayDeclareDead: (suspectedAt: number) => boolean;
     onExpired: (row: Member) => void;
 }
 
@@ -30,10 +30,10 @@
         watched.delete(id);
     };
 
-    const expire = (row: Member) => {
+    const expire = (row: Member, since: number) => {
         const before = pauseDetector.pauses();
         pauseDetector.check();
-        if (pauseDetector.pauses() !== before || !options.isTrusted()) {
+        if (pauseDetector.pauses() !== before || !options.mayDeclareDead(since)) {
             watch(row, suspicionMs);
             return;
         }
@@ -43,7 +43,8 @@
 
     const watch = (row: Member, waitMs: number) => {
         cancel(row.id);
-        watched.set(row.id, { row, timer: clock.setTimer(waitMs, () => expire(row)) });
+        const since = clock.now();
+        watched.set(row.id, { row, timer: clock.setTimer(waitMs, () => expire(row, since)) });
     };
 
     return {
--- a/packages/membership/src/view-exchange.ts
+++ b/packages/membership/src/view-exchange.ts
@@ -112,7 +112,7 @@
         if (message.rejectedRows > 0) {
             logger.warn("gossip-rows-rejected", { peer: message.from.id, rows: message.rejectedRows });
         }
-        isolationDetector.recordSuccess();
+        isolationDetector.recordSuccess(message.from.id);
         const corrections = view.merge(message.from, message.rows, origin);
         for (const [name, digest] of message.digests) {
             mergeDigest(name, digest, message.from.peerAddress);
--- a/packages/membership/test/fake-fleet.ts
+++ b/packages/membership/test/fake-fleet.ts
@@ -10,7 +10,7 @@
 } from "@waxwingdale/core";
 import type { Clock, ManualClock, Member, PeerTransport, RpcHandler } from "@waxwingdale/core";
 import { createMembership } from "@waxwingdale/membership";
-import type { Membership } from "@waxwingdale/membership";
+import type { Membership, Witness } from "@waxwingdale/membership";
 
 export interface FakeEntry {
     member: Member;
@@ -34,6 +34,12 @@
     entries: FakeEntry[];
     /** Whether messages from one member reach another. */
     canReach: (from: Member, to: Member) => boolean;
+    /** Whether calls between members that cannot reach each other are refused instead of getting no response. */
+    refusesCutCalls: boolean;
+    /** Whether a member reaches the witness, if the fleet has one. */
+    canReachWitness: (member: Member) => boolean;
+    /** Number of calls to the witness. */
+    witnessCalls: number;
     lossRate: number;
     /** Message bytes sent and received, by member id. */
     bytes: Map<string, number>;
@@ -107,7 +113,7 @@
 
 const delayMs = 20;
 
-export function createFleet(seed = 1): Fleet {
+export function createFleet(seed = 1, hasWitness = false): Fleet {
     const clock = createManualClock(1000);
     const random = createRandom(seed);
     const hosts = new Map<string, { entry: FakeEntry; state: ReturnType<typeof createProcessClock> }>();
@@ -115,6 +121,39 @@
     const bytes = new Map<string, number>();
     const count = (id: string, size: number) => bytes.set(id, (bytes.get(id) ?? 0) + size);
 
+    /** Missing members, with their incarnations, by the member that reported them. */
+    const reports = new Map<string, Map<string, number>>();
+    const witnessDelayMs = 10;
+
+    const createWitness = (self: Member): Witness => {
+        const reportsOf = (id: string) => reports.get(id) ?? new Map<string, number>();
+        const change = async (update: (own: Map<string, number>) => void) => {
+            await clock.sleep(witnessDelayMs);
+            const own = new Map(reportsOf(self.id));
+            update(own);
+            const isSame = JSON.stringify([...own]) === JSON.stringify([...reportsOf(self.id)]);
+            if (!isSame && fleet.canReachWitness(self)) {
+                fleet.witnessCalls += 1;
+                reports.set(self.id, own);
+            }
+        };
+        return {
+            reportMissing: members =>
+                void change(own => members.forEach(({ id, incarnation }) => own.set(id, incarnation))),
+            withdrawReports: () => void change(own => own.clear()),
+            isMissed: async incarnation => {
+                await clock.sleep(witnessDelayMs);
+                fleet.witnessCalls += 1;
+                if (!fleet.canReachWitness(self)) {
+                    throw new Error("the witness does not respond");
+                }
+                return [...reports].some(
+                    ([id, missing]) => id !== self.id && (missing.get(self.id) ?? -1) >= incarnation,
+                );
+            },
+        };
+    };
+
     const createTransport = (self: Member, state: ReturnType<typeof createProcessClock>): PeerTransport => ({
         call: <Result>(peerAddress: string, method: string, params: unknown, timeoutMs: number) =>
             new Promise<Result>((resolve, reject) => {
@@ -129,14 +168,12 @@
                 };
                 const deliver = () => {
                     const host = hosts.get(peerAddress);
-                    if (
-                        unresponsiveHosts.has(peerAddress) ||
-                        random() < fleet.lossRate ||
-                        (host !== undefined && !fleet.canReach(self, host.entry.member))
-                    ) {
+                    const isCut = host !== undefined && !fleet.canReach(self, host.entry.member);
+                    const isSilent = unresponsiveHosts.has(peerAddress) || random() < fleet.lossRate;
+                    if (isSilent || (isCut && !fleet.refusesCutCalls)) {
                         return;
                     }
-                    if (host === undefined) {
+                    if (host === undefined || isCut) {
                         const cause = Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
                         finish(() => reject(new PeerUnreachableError(`${peerAddress} refused`, { cause })));
                         return;
@@ -169,6 +206,9 @@
         clock,
         entries: [],
         canReach: () => true,
+        refusesCutCalls: false,
+        canReachWitness: () => true,
+        witnessCalls: 0,
         lossRate: 0,
         bytes,
         add: (id, region, options = {}) => {
@@ -191,6 +231,7 @@
                 logger: createLogger(clock, { write: line => void log.push(line) }),
                 findSeeds:
                     options.findSeeds ?? (async () => fleet.entries.map(entry => entry.member.peerAddress)),
+                ...(hasWitness && { witness: createWitness(member) }),
             });
             const entry: FakeEntry = {
                 member,
