fix(gateway): instances that start without their seeds find each other before they take a share (FAILBACK)

Cause: only seeds were asked for peers, and the list of this instance alone counted like any other. Evidence: limits "an instance that has not found its peers yet" fails before (it had the whole limit after 1.8 s). Not played with processes yet.

--- a/packages/balancing/src/candidate-history.ts
+++ b/packages/balancing/src/candidate-history.ts
@@ -19,6 +19,11 @@
     countInstances: () => number;
     /** Current ids of the instances of an area, or of others if the area has none. */
     candidates: (area: string) => readonly string[];
+    /**
+     * Whether this instance knows the others, or that there are none. Until then it has no share.
+     * @default always
+     */
+    isEstablished?: () => boolean;
 }
 
 /** Longest interval in milliseconds between two gossip exchanges of an instance. */
@@ -48,6 +53,7 @@
     areas,
     countInstances,
     candidates,
+    isEstablished = () => true,
 }: CandidateHistoryOptions): CandidateHistory {
     const histories = new Map<string, AreaHistory>();
     const startedAt = clock.now();
@@ -62,7 +68,7 @@
 
     const updateArea = (area: string, now: number, wasPaused: boolean) => {
         const history = histories.get(area) ?? createHistory();
-        const current = candidates(area);
+        const current = isEstablished() ? candidates(area) : noIds;
         const hasChanged = current !== history.current && !isSameList(current, history.current);
         const holdMs = getMembershipHoldMs(countInstances());
         const past = history.past.filter(({ replacedAt }) => now - replacedAt <= holdMs);
--- a/packages/balancing/test/limits.test.ts
+++ b/packages/balancing/test/limits.test.ts
@@ -124,6 +124,32 @@
     assert.equal(limit.hasCapacity(0), false);
 });
 
+// Guards against an instance that starts without its seeds, finds nobody yet, and takes the whole limit (FAILBACK).
+test("cold zone: an instance that has not found its peers yet sends nothing to a cold server", () => {
+    const clock = createManualClock();
+    let isEstablished = false;
+    const history = createCandidateHistory({
+        clock,
+        areas: () => ["n-a"],
+        countInstances: () => 1,
+        candidates: () => ["g-1"],
+        isEstablished: () => isEstablished,
+    });
+    const senders = () => {
+        history.update();
+        return Math.min(...history.recent("n-a").map(ids => ids.length));
+    };
+    for (; clock.now() < 10_000; clock.jump(100)) {
+        assert.equal(senders(), 0);
+    }
+    isEstablished = true;
+    assert.equal(senders(), 0);
+    for (const end = clock.now() + getMembershipHoldMs(1) + 100; clock.now() < end; clock.jump(100)) {
+        senders();
+    }
+    assert.equal(senders(), 1);
+});
+
 // Guards against exceeding the limit while a membership change has not reached all instances.
 test("cold zone: instances whose member lists differ by two stay below the limit of a cold server together", () => {
     fc.assert(
--- a/packages/gateway/src/compose-gateway.ts
+++ b/packages/gateway/src/compose-gateway.ts
@@ -122,6 +122,7 @@
             areas: () => [...new Set(Object.values(settings().zones))],
             countInstances: () => get(tokens.topology).budgetDivisor(),
             candidates: region => get(tokens.topology).inRegionOrAll(region),
+            isEstablished: get(tokens.isEstablished),
         });
     });
     add(tokens.coldSenderHistory, get => {
@@ -131,6 +132,7 @@
             areas: () => Object.keys(settings().zones),
             countInstances: () => get(tokens.topology).budgetDivisor(),
             candidates: zone => get(tokens.topology).nearest(zone, settings().zones[zone] ?? ""),
+            isEstablished: get(tokens.isEstablished),
         });
     });
     add(tokens.directory, get => createInstanceDirectory(() => get(tokens.membership).members()));
