--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -60,10 +60,12 @@
     isDrainFinal: boolean;
     /** What is known of the same process from before its entry was removed. */
     earlier?: RemovedServer | undefined;
+    /** The process before this one with the same id and zone: it got requests until it was known to have been replaced. */
+    replaced?: BackendState | undefined;
 }
 
 export function createBackendState(options: BackendStateOptions): BackendState {
-    const { record, region, recentColdSenders, earlier } = options;
+    const { record, region, recentColdSenders, earlier, replaced } = options;
     const hasAnnouncedLeaving = earlier?.hasAnnouncedLeaving === true;
     const isDraining = record.phase === ServerPhase.Draining;
     const hasDrained = isDraining || earlier?.hasDrained === true;
@@ -75,6 +77,7 @@
         warm: createWarmObjects(maxWarmObjects),
         coldLimit:
             earlier?.coldLimit ??
+            replaced?.coldLimit ??
             createColdLimit({
                 serverId: record.id,
                 self: options.self,
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -107,7 +107,13 @@
         server.coldUntil = Math.max(server.coldUntil, coldUntil);
     };
 
-    const add = (record: ServerRecord, region: string, isChange: boolean, origin: EntryOrigin) => {
+    const add = (
+        record: ServerRecord,
+        region: string,
+        isChange: boolean,
+        origin: EntryOrigin,
+        replaced?: BackendState,
+    ) => {
         const now = clock.now();
         const server = createBackendState({
             record,
@@ -119,6 +125,7 @@
             now,
             isDrainFinal: mayEntriesBeOlder(),
             earlier: removed.take(record),
+            replaced: replaced?.record.zone === record.zone ? replaced : undefined,
         });
         recordColdTime(server, record, origin);
         if (isChange) {
@@ -186,7 +193,7 @@
             }
             if (record.startedAt >= existing.record.startedAt) {
                 removeServer(existing, "restarted");
-                add(record, region, true, origin);
+                add(record, region, true, origin, existing);
             }
         },
         remove: id => {
--- a/packages/balancing/test/balancer.test.ts
+++ b/packages/balancing/test/balancer.test.ts
@@ -154,14 +154,18 @@
         balancer.finish(req, choice, { outcome: ServerOutcome.Success, firstByteMs: 5 });
         return true;
     };
-    for (let sent = 0; sent < 20; sent++) {
-        assert.ok(sendOne());
-        clock.jump(25);
+    // Cold again, and started again under the same id: requests come until its entry is read.
+    for (const startedAt of [1, 2]) {
+        for (let sent = 0; sent < 20; sent++) {
+            assert.ok(sendOne());
+            clock.jump(25);
+        }
+        table.apply(createServer("i-1", "n-a", { startedAt, coldRemainingMs: coldStartMs }), true);
+        assert.equal(sendOne(), false);
+        clock.jump(1100);
+        assert.equal(sendOne(), true);
+        clock.jump(coldStartMs);
     }
-    table.apply(createServer("i-1", "n-a", { coldRemainingMs: coldStartMs }), true);
-    assert.equal(sendOne(), false);
-    clock.jump(1100);
-    assert.equal(sendOne(), true);
 });
 
 // Guards against treating a restarted server with the same id as still warm.
