--- a/packages/relay/src/caller-response.ts
+++ b/packages/relay/src/caller-response.ts
@@ -41,6 +41,9 @@
     // Most responses fit into the buffers of the system. A timer for each of them would cost more than it brings.
     if (socket.writableLength > 0) {
         res.setTimeout(stalledCallerMs, () => socket.destroy());
+        // The timeout is the socket's. It must not meet the next response of a pipelining caller, whose server may be slow.
+        // The HTTP server sets one of its own after this, if the connection becomes idle.
+        res.prependOnceListener("finish", () => socket.setTimeout(0));
     }
 }
 
