fix(store): removals of many entries are confirmed within the bound (DRAIN)

Cause: a mass removal was confirmed by a second list 2 s later also where the store had never been away, and a relay adds up to 0.5 s. Change: without an outage the second list comes after 0.4 of the bound.

--- a/packages/gateway/src/store-view.ts
+++ b/packages/gateway/src/store-view.ts
@@ -38,6 +38,11 @@
 
 /** Time in milliseconds that servers have to rewrite their expired entries once the store has recovered. */
 const expiredEntryGraceMs = 2000;
+/**
+ * Part of the bound within which removals have to take effect, after which a removal of many entries is confirmed. The rest is
+ * for the watch before it and the lists.
+ */
+const massRemovalFraction = 0.4;
 /** Time in milliseconds after the store's return from an older copy in which what it has lost may still matter. */
 const lossRelevantMs = 10_000;
 
@@ -131,6 +136,10 @@
             logger,
             signal,
             removalGraceMs: expiredEntryGraceMs,
+            massRemovalGraceMs: Math.min(
+                expiredEntryGraceMs,
+                massRemovalFraction * options.watches.timings(prefix).boundMs,
+            ),
             holdsReappearing,
             onObject: ({ key, value }) => onObject(nameOf(key), value),
             onDeleted: key => onDeleted(nameOf(key)),
--- a/packages/gateway/test/view-instance.ts
+++ b/packages/gateway/test/view-instance.ts
@@ -24,6 +24,7 @@
 /** Starts an instance and lets it read the store: a configuration, one server and no evacuation. */
 export async function startInstance<Store extends MemoryObjectStore>(
     createStore: (clock: ManualClock) => Store,
+    otherBounds: Partial<typeof bounds> = {},
 ): Promise<Instance<Store>> {
     const clock = createManualClock(1000);
     const store = createStore(clock);
@@ -39,7 +40,7 @@
             zones: { "n-a": "north", "n-b": "north" },
             store: "s:1",
             logLevel: "error" as never,
-            bounds: { ...declaredBounds, ...bounds },
+            bounds: { ...declaredBounds, ...bounds, ...otherBounds },
         }),
         self,
         clock,
--- a/packages/store/src/watch-prefix.ts
+++ b/packages/store/src/watch-prefix.ts
@@ -50,6 +50,11 @@
      * Once the store has come back from an older copy, no missing object is removed for this time, regardless of its share.
      */
     removalGraceMs?: number;
+    /**
+     * The same time if the watch reports that many objects were deleted, and the store was not unavailable.
+     * @default removalGraceMs
+     */
+    massRemovalGraceMs?: number;
     /**
      * Set if an object that was deleted, and that an older copy of the store has again, is not reported during
      * `removalGraceMs`, unless it is written again or a large share of all objects is in the same state.
@@ -112,6 +117,8 @@
     /** Whether the store has failed since the view was last known to be complete. */
     let wasUnavailable = false;
     let unavailableSince: number | undefined;
+    /** Time in milliseconds after which another list confirms deletions. */
+    let confirmAfterMs = options.removalGraceMs;
     let lastResponseAt = clock.now();
     /** Clock time at which the next list is due. */
     let nextListAt = 0;
@@ -147,12 +154,17 @@
         }
     };
 
+    const markUnavailable = () => {
+        wasUnavailable = true;
+        confirmAfterMs = options.removalGraceMs;
+    };
+
     const recordFailure = (err: unknown) => {
         if (unavailableSince === undefined) {
             options.onUnavailable?.(err, clock.now() - lastResponseAt);
             unavailableSince = clock.now();
         }
-        wasUnavailable = true;
+        markUnavailable();
     };
 
     /** Returns the maximum wait of the next watch in milliseconds: it ends when the view is `waitMs` old. */
@@ -178,7 +190,7 @@
         }
         seen.startEra();
         position = 0;
-        wasUnavailable = true;
+        markUnavailable();
         graceUntil = clock.now() + (options.removalGraceMs ?? -Infinity);
     };
 
@@ -208,9 +220,7 @@
         if (isInGrace()) {
             return graceUntil - clock.now();
         }
-        return isConfirming()
-            ? options.removalGraceMs!
-            : (options.relistMs ?? 60_000) * (0.75 + random() / 2);
+        return isConfirming() ? confirmAfterMs! : (options.relistMs ?? 60_000) * (0.75 + random() / 2);
     };
 
     const applyList = ({ objects, version }: ObjectList) => {
@@ -232,7 +242,10 @@
     const applyChanges = (result: WatchResult): boolean => {
         if (isMassRemoval(result)) {
             logger.warn("store-mass-removal", { prefix, changes: result.changes.length });
-            wasUnavailable = true;
+            if (!wasUnavailable) {
+                wasUnavailable = true;
+                confirmAfterMs = options.massRemovalGraceMs ?? options.removalGraceMs;
+            }
             return true;
         }
         for (const { key, version, value, deleted } of result.changes) {
