--- a/packages/carrier/test/carrier.test.ts
+++ b/packages/carrier/test/carrier.test.ts
@@ -141,8 +141,14 @@
         body: "{}",
         signal: abort.signal,
     });
-    setTimeout(() => abort.abort(), 30);
+    void pending.catch(() => undefined);
+    // A caller that leaves before its request has been read has sent none.
+    for (let i = 0; i < 100 && fixture.backends[0]!.record.summary.started === 0; i++) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    abort.abort();
     await assert.rejects(pending);
+    assert.equal(fixture.claimOutcomes.length, 0);
     for (let i = 0; i < 100 && fixture.claimOutcomes.length === 0; i++) {
         await new Promise(resolve => setTimeout(resolve, 20));
     }
