refactor(gateway): a digest asks once whether the store may lack entries

It asked for each server, and each time the ages of all watches were collected in a new map: at 258 servers and some four exchanges a second, about a thousand times a second. Cause: the check stood in the function for one entry. It is made once for the digest now. No behaviour changes; 174 tests of the package pass. The processor time that it saves was not measured.

--- a/packages/gateway/src/server-report-exchange.ts
+++ b/packages/gateway/src/server-report-exchange.ts
@@ -62,11 +62,11 @@
 }: ServerReportExchangeOptions): ServerReportExchange {
     const takeEntries = createRotation<Entry>();
 
-    const createEntry = (server: BackendState, now: number): Entry | undefined => {
+    const createEntry = (server: BackendState, now: number, sharesCold: boolean): Entry | undefined => {
         const { record, hasAnnouncedLeaving: isLeaving } = server;
         const observation = server.rateLimit.observation(now);
         const rateLimit = observation && { ...observation, ageMs: Math.round(observation.ageMs) };
-        const cold = mayStoreLackEntries() ? server.coldStatements.current(now) : undefined;
+        const cold = sharesCold ? server.coldStatements.current(now) : undefined;
         return rateLimit !== undefined || isLeaving || cold !== undefined
             ? { server: record.id, startedAt: record.startedAt, rateLimit, isLeaving, ...(cold && { cold }) }
             : undefined;
@@ -88,9 +88,10 @@
     return {
         getDigest: () => {
             const now = clock.now();
+            const sharesCold = mayStoreLackEntries();
             const entries = table
                 .all()
-                .map(server => createEntry(server, now))
+                .map(server => createEntry(server, now, sharesCold))
                 .filter(entry => entry !== undefined);
             return takeEntries(entries, maxEntries);
         },
