refactor(gateway): one wake-up for the loops that write to the store after changes

store-witness had a wait of its own, beside that of archive-changes, and left a listener on the stop signal with each write. Both use wake-up now, which removes it.

--- a/packages/gateway/src/archive-changes.ts
+++ b/packages/gateway/src/archive-changes.ts
@@ -5,6 +5,7 @@
 import { setBounded } from "@waxwingdale/core";
 import type { Clock } from "@waxwingdale/core";
 import type { CrashReport } from "@waxwingdale/relay";
+import { createWakeUp } from "./wake-up.js";
 
 export interface ArchiveChanges {
     /** Must be called with each change that this instance makes. */
@@ -31,24 +32,15 @@
     /** Clock time from which first crashes may be written. */
     let nextAt = clock.now();
     let isUrgent = false;
-    let wake: () => void = () => undefined;
+    const wakeUp = createWakeUp(clock);
 
     const getIntervalMs = (): number =>
         Math.min(maxIntervalMs, Math.max(minIntervalMs, intervalMsPerInstance * countInstances()));
 
-    /** Resolves with the next change, after the given time, or when the signal is aborted. */
-    const waitForChange = async (signal: AbortSignal, timeoutMs: number): Promise<void> => {
-        const controller = new AbortController();
-        wake = () => controller.abort();
-        signal.addEventListener("abort", wake, { once: true });
-        await clock.sleep(timeoutMs, controller.signal);
-        signal.removeEventListener("abort", wake);
-    };
-
     const record = (fingerprint: string, isNeededAtOnce: boolean) => {
         setBounded(changed, fingerprint, isNeededAtOnce, maxChanges);
         isUrgent ||= isNeededAtOnce;
-        wake();
+        wakeUp.wake();
     };
 
     return {
@@ -73,7 +65,7 @@
                     nextAt = clock.now() + getIntervalMs();
                     return;
                 }
-                await waitForChange(signal, changed.size > 0 ? delayMs : maxIntervalMs);
+                await wakeUp.wait(signal, changed.size > 0 ? delayMs : maxIntervalMs);
             }
         },
         take: () => {
--- a/packages/gateway/src/store-witness.ts
+++ b/packages/gateway/src/store-witness.ts
@@ -8,6 +8,7 @@
 import { instancesPrefix } from "@waxwingdale/platform";
 import { getBackoff } from "@waxwingdale/store";
 import * as v from "valibot";
+import { createWakeUp } from "./wake-up.js";
 
 export interface StoreWitness extends Witness {
     /**
@@ -37,6 +38,8 @@
 /** Time in milliseconds for which a report stays in the object, longer than a cut lasts, and most reports in it. */
 const reportMs = 600_000;
 const maxReports = 256;
+/** Longest time in milliseconds for which a loop waits for a change at once. */
+const maxWaitMs = 60_000;
 const backoff = { minMs: 200, maxMs: 5000 };
 
 const instanceSchema = v.object({
@@ -61,7 +64,7 @@
     let era = store.era();
     let isWritten = false;
     let isChanged = false;
-    let wake = () => {};
+    const wakeUp = createWakeUp(clock);
 
     const encode = (): InstanceObject => ({
         peerAddress: self.peerAddress,
@@ -98,7 +101,7 @@
 
     const markChanged = () => {
         isChanged = true;
-        wake();
+        wakeUp.wake();
     };
 
     const removeExpired = () => {
@@ -119,14 +122,11 @@
             .filter(instance => instance !== undefined);
     };
 
-    const waitForChange = (signal: AbortSignal) =>
-        new Promise<void>(resolve => {
-            wake = resolve;
-            signal.addEventListener("abort", () => resolve(), { once: true });
-            if (isChanged || signal.aborted) {
-                resolve();
-            }
-        });
+    const waitForChange = async (signal: AbortSignal) => {
+        while (!isChanged && !signal.aborted) {
+            await wakeUp.wait(signal, maxWaitMs);
+        }
+    };
 
     const writeChanges = async (signal: AbortSignal) => {
         for (let failures = 1; isChanged && !signal.aborted; failures++) {
@@ -171,10 +171,9 @@
             return (await listOthers()).map(({ peerAddress }) => peerAddress);
         },
         run: async signal => {
-            await Promise.race([
-                clock.sleep(announceDelayMs * (1 + options.random()), signal),
-                waitForChange(signal),
-            ]);
+            if (!isChanged) {
+                await wakeUp.wait(signal, announceDelayMs * (1 + options.random()));
+            }
             isChanged ||= !isWritten;
             while (!signal.aborted) {
                 await writeChanges(signal);
