--- a/packages/balancing/test/balancer.test.ts
+++ b/packages/balancing/test/balancer.test.ts
@@ -3,6 +3,7 @@
 import { ChoiceKind, ServerOutcome, ServerPhase } from "@waxwingdale/balancing";
 import type { Choice, Placement } from "@waxwingdale/balancing";
 import { coldStartMs, createInstance, createRoute, createServer } from "./fixtures.js";
+import type { Instance } from "./fixtures.js";
 
 const fourServers = [
     createServer("i-1", "n-a"),
@@ -121,20 +122,24 @@
     assert.equal(balancer.choose(createRequest("1")).kind, ChoiceKind.NoServer);
 });
 
+/** Sends a request and finishes it, if a server may get one. Returns whether one did. */
+function sendAndFinish({ balancer, createRequest }: Instance): boolean {
+    const req = createRequest("1");
+    const choice = balancer.choose(req);
+    if (choice.kind !== ChoiceKind.Send) {
+        return false;
+    }
+    balancer.start(req, choice);
+    balancer.finish(req, choice, { outcome: ServerOutcome.Success, firstByteMs: 5 });
+    return true;
+}
+
 // Guards against overloading servers that have just started.
 test("cold zone: a new server gets few requests until its cold start is over", () => {
-    const { balancer, table, createRequest, clock } = createInstance([]);
+    const instance = createInstance([]);
+    const { table, clock } = instance;
     table.apply(createServer("i-1", "n-a"), true);
-    const sendOne = () => {
-        const req = createRequest("1");
-        const choice = balancer.choose(req);
-        if (choice.kind !== ChoiceKind.Send) {
-            return false;
-        }
-        balancer.start(req, choice);
-        balancer.finish(req, choice, { outcome: ServerOutcome.Success, firstByteMs: 5 });
-        return true;
-    };
+    const sendOne = () => sendAndFinish(instance);
     const countSent = (count: number) => Array.from({ length: count }, sendOne).filter(Boolean).length;
     assert.ok(countSent(50) <= 20);
     clock.jump(coldStartMs + 1);
@@ -143,17 +148,9 @@
 
 // Guards against a cold server that gets its share on top of the requests of the second before it was known to be cold.
 test("cold zone: requests that were sent before a server was known to be cold count", () => {
-    const { balancer, table, createRequest, clock } = createInstance([createServer("i-1", "n-a")]);
-    const sendOne = () => {
-        const req = createRequest("1");
-        const choice = balancer.choose(req);
-        if (choice.kind !== ChoiceKind.Send) {
-            return false;
-        }
-        balancer.start(req, choice);
-        balancer.finish(req, choice, { outcome: ServerOutcome.Success, firstByteMs: 5 });
-        return true;
-    };
+    const instance = createInstance([createServer("i-1", "n-a")]);
+    const { table, clock } = instance;
+    const sendOne = () => sendAndFinish(instance);
     // Cold again, and started again under the same id: requests come until its entry is read.
     for (const startedAt of [1, 2]) {
         for (let sent = 0; sent < 20; sent++) {
