refactor(store): one writer for an object of this instance

store-witness repeated how crash-archive writes its object: over the known version, which a conflict or a read corrects, with its era. Both use own-object now. The archive's list now starts from version 0 also when it is repeated after a failure; its object's version follows in the same list, as before.

--- a/packages/gateway/src/crash-archive.ts
+++ b/packages/gateway/src/crash-archive.ts
@@ -6,7 +6,7 @@
 import type { Clock, Logger, ObjectStore, Random, StoredObject } from "@waxwingdale/core";
 import { crashSuspectsPrefix } from "@waxwingdale/platform";
 import type { CrashReport, CrashSuspects } from "@waxwingdale/relay";
-import { getBackoff } from "@waxwingdale/store";
+import { createOwnObject, getBackoff } from "@waxwingdale/store";
 import * as v from "valibot";
 import { createArchiveChanges } from "./archive-changes.js";
 import { crashReportSchema } from "./crash-report-schema.js";
@@ -85,9 +85,7 @@
     const changes = createArchiveChanges(clock, options.countInstances);
     /** Fingerprints in this instance's object, with their epochs. */
     const kept = new Map<string, number>();
-    let version = 0;
-    /** Era of the store that `version` belongs to. */
-    let era = store.era();
+    const ownObject = createOwnObject(store, key);
 
     suspects.onAnyChange(report => changes.record(report));
     suspects.onChange(({ fingerprint }) => changes.recordUrgent(fingerprint));
@@ -104,18 +102,7 @@
         return reports;
     };
 
-    const write = async () => {
-        try {
-            version = await store.put(key, encodeReports(clock, collectReports()), version, undefined, era);
-        } catch (err) {
-            if (err instanceof StoreConflictError) {
-                // An earlier write took effect although its response was lost, or the store is in a new era.
-                version = err.currentVersion ?? 0;
-                era = store.era();
-            }
-            throw err;
-        }
-    };
+    const write = () => ownObject.write(encodeReports(clock, collectReports()));
 
     const applyObject = async (
         object: StoredObject,
@@ -129,8 +116,7 @@
         }
         reports.forEach(report => suspects.merge(report));
         if (object.key === key) {
-            version = object.version;
-            era = listEra;
+            ownObject.adopt(object.version, listEra);
             reports.forEach(({ fingerprint, epoch }) => kept.set(fingerprint, epoch));
         } else if (!reports.some(isKept) && deletions.left > 0) {
             deletions.left -= 1;
@@ -142,7 +128,7 @@
 
     const load = async (signal: AbortSignal) => {
         const { objects, era: listEra } = await store.listWithVersion(crashSuspectsPrefix, signal);
-        era = listEra;
+        ownObject.adopt(0, listEra);
         const deletions = { left: maxDeletions };
         for (const object of objects) {
             await applyObject(object, listEra, deletions);
--- a/packages/gateway/src/store-witness.ts
+++ b/packages/gateway/src/store-witness.ts
@@ -6,7 +6,7 @@
 import type { Clock, Logger, Member, ObjectStore, Random, StoredObject } from "@waxwingdale/core";
 import type { Witness } from "@waxwingdale/membership";
 import { instancesPrefix } from "@waxwingdale/platform";
-import { getBackoff } from "@waxwingdale/store";
+import { createOwnObject, getBackoff } from "@waxwingdale/store";
 import * as v from "valibot";
 import { createWakeUp } from "./wake-up.js";
 
@@ -59,9 +59,7 @@
     const { self, store, clock, logger } = options;
     const key = `${instancesPrefix}${self.id}`;
     const missing = new Map<string, Report>();
-    let version = 0;
-    /** Era of the store that `version` belongs to. */
-    let era = store.era();
+    const ownObject = createOwnObject(store, key);
     let isWritten = false;
     let isChanged = false;
     const wakeUp = createWakeUp(clock);
@@ -74,15 +72,10 @@
     const write = async (): Promise<void> => {
         isChanged = false;
         try {
-            version = await store.put(key, encode(), version, undefined, era);
+            await ownObject.write(encode());
             isWritten = true;
         } catch (err) {
             isChanged = true;
-            if (err instanceof StoreConflictError) {
-                // An earlier process or write is in the store, or the store is in a new era.
-                version = err.currentVersion ?? 0;
-                era = store.era();
-            }
             throw err;
         }
     };
