--- a/packages/balancing/src/backend-state.ts
+++ b/packages/balancing/src/backend-state.ts
@@ -100,3 +100,8 @@
         isLeaving: hasAnnouncedLeaving || isDraining || (options.isDrainFinal && hasDrained),
     };
 }
+
+/** Counts the server as cold until the given clock time, unless it is cold for longer already. */
+export function extendColdTime(server: BackendState, until: number): void {
+    server.coldUntil = Math.max(server.coldUntil, until);
+}
--- a/packages/balancing/src/backend-table.ts
+++ b/packages/balancing/src/backend-table.ts
@@ -1,6 +1,6 @@
 /** Table of the registered backend servers and the evacuated availability zones. */
 import type { Clock, Logger } from "@waxwingdale/core";
-import { createBackendState } from "./backend-state.js";
+import { createBackendState, extendColdTime } from "./backend-state.js";
 import type { BackendState } from "./backend-state.js";
 import { EntryOrigin } from "./cold-statements.js";
 import { createRemovedServers } from "./removed-servers.js";
@@ -104,7 +104,7 @@
     const recordColdTime = (server: BackendState, record: ServerRecord, origin: EntryOrigin) => {
         const { sequence, coldRemainingMs: remainingMs } = record;
         const coldUntil = server.coldStatements.record({ sequence, remainingMs }, clock.now(), origin);
-        server.coldUntil = Math.max(server.coldUntil, coldUntil);
+        extendColdTime(server, coldUntil);
     };
 
     const add = (
@@ -129,7 +129,7 @@
         });
         recordColdTime(server, record, origin);
         if (isChange) {
-            server.coldUntil = Math.max(server.coldUntil, now + coldStartMs(record.service));
+            extendColdTime(server, now + coldStartMs(record.service));
         }
         byId.set(record.id, server);
         // The initial list has hundreds of servers; the code that loads it logs their number in one line.
@@ -228,7 +228,7 @@
             for (const server of byId.values()) {
                 if (server.record.zone === zone) {
                     server.warm.clear();
-                    server.coldUntil = Math.max(server.coldUntil, now + coldStartMs(server.record.service));
+                    extendColdTime(server, now + coldStartMs(server.record.service));
                 }
             }
         },
--- a/packages/gateway/src/server-report-exchange.ts
+++ b/packages/gateway/src/server-report-exchange.ts
@@ -3,7 +3,7 @@
  * that they are cold while the store may lack it. An instance thereby knows it before a server has told it, and hears of the
  * end of a limit although it may not send to the server.
  */
-import { ReportSource } from "@waxwingdale/balancing";
+import { ReportSource, extendColdTime } from "@waxwingdale/balancing";
 import type { BackendState, BackendTable } from "@waxwingdale/balancing";
 import type { Clock, Logger } from "@waxwingdale/core";
 import * as v from "valibot";
@@ -81,7 +81,7 @@
             table.markLeaving(server.record.id, ReportSource.Peer);
         }
         if (cold !== undefined) {
-            server.coldUntil = Math.max(server.coldUntil, server.coldStatements.merge(cold, now));
+            extendColdTime(server, server.coldStatements.merge(cold, now));
         }
     };
 
--- a/packages/membership/src/isolation-resolver.ts
+++ b/packages/membership/src/isolation-resolver.ts
@@ -71,11 +71,10 @@
         return zone === self.zone ? 0 : region === self.region ? 1 : 2;
     };
 
-    const othersLive = (): Member[] =>
-        table.all().filter(({ id, status }) => id !== view.self().id && status === MemberStatus.Live);
-
-    const othersNotDead = (): Member[] =>
-        table.all().filter(({ id, status }) => id !== view.self().id && status !== MemberStatus.Dead);
+    const others = (hasStatus: (status: MemberStatus) => boolean): Member[] =>
+        table.all().filter(({ id, status }) => id !== view.self().id && hasStatus(status));
+    const othersLive = () => others(status => status === MemberStatus.Live);
+    const othersNotDead = () => others(status => status !== MemberStatus.Dead);
 
     /** Calls members, and returns those that did not respond. */
     const callMembers = async (members: readonly Member[]): Promise<FailedMember[]> => {
